--- /dev/null
+++ b/cmd/nutmeghitchd/main.go
@@ -0,0 +1,4 @@
+// Command nutmeghitchd runs one VM of the query tier.
+package main
+
+func main() {}
--- /dev/null
+++ b/pkg/errs/errs.go
@@ -0,0 +1,160 @@
+// Package errs defines the typed failures that the tier reports to callers
+// and passes between its own parts.
+package errs
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Code identifies the kind of a failure. Codes are part of the public
+// protocol and never change their meaning.
+type Code string
+
+// Codes of refusals, see docs/protocol.md.
+const (
+	InvalidRequest     Code = "invalid_request"
+	UnknownService     Code = "unknown_service"
+	UnknownOperation   Code = "unknown_operation"
+	TooLarge           Code = "too_large"
+	Unauthorized       Code = "unauthorized"
+	KeyRequired        Code = "key_required"
+	KeyReused          Code = "key_reused"
+	Overloaded         Code = "overloaded"
+	ShareExceeded      Code = "share_exceeded"
+	DeadlineExceeded   Code = "deadline_exceeded"
+	OutcomeUnknown     Code = "outcome_unknown"
+	Poisoned           Code = "poisoned"
+	NoReplica          Code = "no_replica"
+	NoSnapshot         Code = "no_snapshot"
+	NotReady           Code = "not_ready"
+	Stopping           Code = "stopping"
+	ClaimUnavailable   Code = "claim_unavailable"
+	ClaimStoreFull     Code = "claim_store_full"
+	BudgetSpent        Code = "budget_spent"
+	UpstreamShed       Code = "upstream_shed"
+	UpstreamCold       Code = "upstream_cold"
+	UpstreamDraining   Code = "upstream_draining"
+	UpstreamFailed     Code = "upstream_failed"
+	UpstreamLost       Code = "upstream_lost"
+	ConnectionSilent   Code = "connection_silent"
+	VersionGone        Code = "version_gone"
+	ResponseMismatch   Code = "response_mismatch"
+	PeerUnreachable    Code = "peer_unreachable"
+	PeerLost           Code = "peer_lost"
+	NotOwner           Code = "not_owner"
+	StaleView          Code = "stale_view"
+	QueueFull          Code = "queue_full"
+	PlatformDown       Code = "platform_down"
+	PlatformThrottled  Code = "platform_throttled"
+	PlatformConflict   Code = "platform_conflict"
+	PlatformNotFound   Code = "platform_not_found"
+	PlatformWatchGap   Code = "platform_watch_gap"
+	FrameTooLarge      Code = "frame_too_large"
+	FrameMalformed     Code = "frame_malformed"
+	ProtocolMismatch   Code = "protocol_mismatch"
+	AuthenticationFail Code = "authentication_failed"
+	SettingsInvalid    Code = "settings_invalid"
+	AddressInUse       Code = "address_in_use"
+	Canceled           Code = "canceled"
+	Internal           Code = "internal"
+)
+
+// RunState says whether the refused request can have had an effect.
+type RunState uint8
+
+const (
+	// DidNotRun is given only when no byte of the request left for an
+	// upstream, or the upstream itself said so in its protocol.
+	DidNotRun RunState = iota
+	// MayHaveRun is given in every other case.
+	MayHaveRun
+)
+
+// String returns the protocol form of the state.
+func (s RunState) String() string {
+	if s == DidNotRun {
+		return "did_not_run"
+	}
+	return "may_have_run"
+}
+
+// Refusal is the typed failure of a request.
+type Refusal struct {
+	Code       Code
+	RunState   RunState
+	Detail     string
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s (%s): %s", r.Code, r.RunState, r.Detail)
+}
+
+// Refuse returns a refusal of a request that did not run.
+func Refuse(code Code, format string, args ...any) *Refusal {
+	return &Refusal{Code: code, RunState: DidNotRun, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Ambiguous returns a refusal of a request that may have run.
+func Ambiguous(code Code, format string, args ...any) *Refusal {
+	return &Refusal{Code: code, RunState: MayHaveRun, Detail: fmt.Sprintf(format, args...)}
+}
+
+// WithRetryAfter returns a copy of r that asks the caller to wait for d.
+func (r *Refusal) WithRetryAfter(d time.Duration) *Refusal {
+	c := *r
+	c.RetryAfter = d
+	return &c
+}
+
+// As returns the refusal in err's chain. An error without one becomes an
+// ambiguous internal refusal, because nothing is known about its effect.
+func As(err error) *Refusal {
+	if err == nil {
+		return nil
+	}
+	var r *Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return Ambiguous(Internal, "%v", err)
+}
+
+// Is reports whether err carries a refusal with the given code.
+func Is(err error, code Code) bool {
+	var r *Refusal
+	return errors.As(err, &r) && r.Code == code
+}
+
+// HTTPStatus returns the status code a refusal is sent with.
+func (r *Refusal) HTTPStatus() int {
+	switch r.Code {
+	case InvalidRequest, KeyRequired:
+		return http.StatusBadRequest
+	case Unauthorized, AuthenticationFail:
+		return http.StatusUnauthorized
+	case UnknownService, UnknownOperation:
+		return http.StatusNotFound
+	case TooLarge:
+		return http.StatusRequestEntityTooLarge
+	case KeyReused, Poisoned:
+		return http.StatusUnprocessableEntity
+	case OutcomeUnknown:
+		return http.StatusConflict
+	case ShareExceeded:
+		return http.StatusTooManyRequests
+	case DeadlineExceeded:
+		return http.StatusGatewayTimeout
+	case Internal, ResponseMismatch:
+		return http.StatusInternalServerError
+	case UpstreamFailed, UpstreamLost, ConnectionSilent, PeerLost:
+		return http.StatusBadGateway
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
--- /dev/null
+++ b/pkg/model/view.go
@@ -0,0 +1,97 @@
+package model
+
+import "time"
+
+// VMState is the membership state of a VM.
+type VMState uint8
+
+// Membership states. Their order is their precedence within one incarnation.
+const (
+	Alive VMState = iota
+	Suspect
+	Leaving
+	Dead
+)
+
+// String returns the lower-case name of the state.
+func (s VMState) String() string {
+	return [...]string{"alive", "suspect", "leaving", "dead"}[s]
+}
+
+// VM is what is known of one entry VM.
+type VM struct {
+	ID          VMID     `msgpack:"id" json:"id"`
+	Addr        string   `msgpack:"addr" json:"addr"`
+	Domain      DomainID `msgpack:"domain" json:"domain"`
+	Region      RegionID `msgpack:"region" json:"region"`
+	State       VMState  `msgpack:"state" json:"state"`
+	Incarnation uint64   `msgpack:"inc" json:"incarnation"`
+}
+
+// Snapshot is an index version together with the shard-map epoch it was built for.
+type Snapshot struct {
+	Version uint64 `msgpack:"version" json:"version"`
+	Epoch   uint64 `msgpack:"epoch" json:"epoch"`
+}
+
+// ReplicaStatus is what the owner of a replica observed.
+type ReplicaStatus struct {
+	Replica   ReplicaID  `msgpack:"replica"`
+	Instance  string     `msgpack:"instance"`
+	Draining  bool       `msgpack:"draining"`
+	Down      bool       `msgpack:"down"`
+	Snapshots []Snapshot `msgpack:"snapshots"`
+}
+
+// View is the immutable control state that traffic reads. The control
+// goroutine publishes a new View for every change and at least every
+// ViewRefresh, so that a VM that was paused can tell that its View is old.
+type View struct {
+	// At is the monotonic time of publication on this VM.
+	At time.Time
+	// Seq increases with every published View.
+	Seq  uint64
+	Self VM
+	// Config is nil until the VM has learned a configuration.
+	Config *Document
+	// VMs holds every known VM, Self included.
+	VMs map[VMID]VM
+	// Owners holds the owning VM of each replica.
+	Owners map[ReplicaID]VMID
+	// Gained holds the takeover state of replicas that this VM owns.
+	Gained map[ReplicaID]Takeover
+	// Replicas holds the observed state of each replica.
+	Replicas map[ReplicaID]ReplicaStatus
+	// Excluded holds replicas that get no new work: domain out, drained by
+	// operators, or draining by their own word.
+	Excluded map[ReplicaID]string
+	// Poison holds fingerprints that are suspect or blocked in the tier.
+	Poison map[uint64]PoisonEntry
+}
+
+// Takeover tells since when this VM owns a replica and whether the previous
+// owner has confirmed its release.
+type Takeover struct {
+	Since    time.Time
+	Released bool
+}
+
+// PoisonEntry is the tier-wide verdict on one request fingerprint.
+type PoisonEntry struct {
+	Fingerprint uint64        `msgpack:"fp"`
+	Losses      int           `msgpack:"losses"`
+	Blocked     bool          `msgpack:"blocked"`
+	Lifted      bool          `msgpack:"lifted"`
+	TTL         time.Duration `msgpack:"ttl"`
+}
+
+// ViewMaxAge is the age after which a VM dispatches nothing new on a View.
+const ViewMaxAge = time.Second
+
+// ViewRefresh is the longest time between two published Views.
+const ViewRefresh = 200 * time.Millisecond
+
+// ViewSource returns the current View; it never blocks and never returns nil.
+type ViewSource interface {
+	Current() *View
+}
