Add configuration sections, publication and override edits

Cause: the control goroutine and the operators' commands need one way to store, read and change the configuration in the platform. Publish is conditional on the manifest that the operator read, resolves lost replies by a token in the manifest and removes sections that are no longer named. The loser of a race leaves its sections behind: removing them could break another publication. EditOverrides repeats an edit on the newest document. Before: none.

--- /dev/null
+++ b/pkg/config/publish_test.go
@@ -0,0 +1,173 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/model"
+)
+
+func sample(site string, groups int) *model.Document {
+	svc := &model.Service{Kind: model.Search, Slots: 3, ExtraLoad: 0.05}
+	m := model.ShardMap{Epoch: 1}
+	for i := range groups {
+		m.Groups = append(m.Groups, model.Group{
+			ID:       model.GroupID(fmt.Sprint("g", i)),
+			Shards:   []model.ShardID{model.ShardID(fmt.Sprint("s", i))},
+			Replicas: []model.Replica{{ID: model.ReplicaID(fmt.Sprint("r", i)), Addr: "127.0.0.1:1", Domain: "a"}},
+		})
+	}
+	svc.ShardMaps = []model.ShardMap{m}
+	return &model.Document{
+		Site:     site,
+		Domains:  map[model.DomainID]model.Domain{"a": {Region: "x"}},
+		Services: map[model.ServiceID]*model.Service{"s": svc},
+	}
+}
+
+// Guards against a document that changes on its way through the sections,
+// also where the groups do not fill the last section.
+func TestJoinRestoresSplit(t *testing.T) {
+	for _, n := range []int{0, 1, GroupsPerSection, 3*GroupsPerSection + 1} {
+		d := sample("x", n)
+		d.Version = 7
+		m, bodies := Split(d)
+		got, err := Join(m, lookup(bodies))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got, d)
+	}
+}
+
+// Guards against one changed replica transferring the whole shard map.
+func TestChangedReplicaChangesOneSection(t *testing.T) {
+	before, _ := Split(sample("x", 100))
+	d := sample("x", 100)
+	d.Services["s"].ShardMaps[0].Groups[50].Replicas[0].Addr = "127.0.0.1:2"
+	after, _ := Split(d)
+	changed := 0
+	for name, hash := range after.Sections {
+		if before.Sections[name] != hash {
+			changed++
+		}
+	}
+	assert.Equal(t, changed, 1)
+}
+
+// Guards against applying a section that was damaged or is missing.
+func TestJoinRefusesBadSections(t *testing.T) {
+	m, bodies := Split(sample("x", 40))
+	for name, hash := range m.Sections {
+		for _, body := range [][]byte{nil, []byte(`{}`)} {
+			_, err := Join(m, func(h string) ([]byte, bool) {
+				if h == hash {
+					return body, body != nil
+				}
+				return bodies[h], true
+			})
+			_, typed := err.(*SectionError)
+			assert.Assert(t, typed, "section %s: %v", name, err)
+		}
+	}
+}
+
+// Guards against a publication reported wrongly under lost replies and
+// races, a version that goes back, and a manifest with a missing section.
+// The oracle is the last document known to be in force.
+func TestPublishModel(t *testing.T) {
+	retryPause = 0
+	ctx := context.Background()
+	rapid.Check(t, func(t *rapid.T) {
+		s := newMemStore()
+		var inForce *model.Document
+		var version uint64
+		everRaced := false
+		fresh := func() *model.Document {
+			// Few different documents, so that removed sections come back.
+			return sample(fmt.Sprint("site", rapid.IntRange(0, 2).Draw(t, "site")), rapid.IntRange(1, 70).Draw(t, "groups"))
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"publish": func(t *rapid.T) {
+				d := fresh()
+				read := version - min(version, rapid.Uint64Range(0, 1).Draw(t, "stale"))
+				s.loseBefore = rapid.IntRange(0, 2).Draw(t, "lost before")
+				s.loseAfter = rapid.IntRange(0, 2).Draw(t, "lost after")
+				raced := false
+				if rapid.Bool().Draw(t, "race") && read == version {
+					other := fresh()
+					s.before = func() {
+						after, before := s.loseAfter, s.loseBefore
+						s.loseAfter, s.loseBefore = 0, 0
+						v, err := Publish(ctx, s, other, version)
+						assert.NilError(t, err)
+						raced, everRaced, inForce, version = true, true, other, v
+						s.loseAfter, s.loseBefore = after, before
+					}
+				}
+				wins := read == version
+				v, err := Publish(ctx, s, d, read)
+				s.before, s.loseAfter, s.loseBefore = nil, 0, 0
+				if !wins || raced {
+					assert.Assert(t, errs.Is(err, errs.PlatformConflict), "%v", err)
+					return
+				}
+				assert.NilError(t, err)
+				assert.Equal(t, v, read+1)
+				inForce, version = d, v
+			},
+			"": func(t *rapid.T) {
+				got, m, err := Fetch(ctx, s)
+				if inForce == nil {
+					assert.Assert(t, errs.Is(err, errs.PlatformNotFound))
+					return
+				}
+				assert.NilError(t, err)
+				want := *inForce
+				want.Version = version
+				assert.DeepEqual(t, got, &want)
+				assert.Equal(t, m.Version, version)
+				// The loser of a race cannot remove its sections safely.
+				assert.Assert(t, everRaced || len(s.objects) == len(m.Sections)+1, "unused sections must be removed")
+			},
+		})
+	})
+}
+
+// Guards against a domain edit that is lost to, or undoes, a racing edit.
+func TestEditOverridesKeepsRacingEdit(t *testing.T) {
+	retryPause = 0
+	ctx := context.Background()
+	s := newMemStore()
+	_, err := Publish(ctx, s, sample("x", 2), 0)
+	assert.NilError(t, err)
+	add := func(id model.DomainID) func(*model.Overrides) error {
+		return func(o *model.Overrides) error {
+			o.DomainsOut = append(o.DomainsOut, id)
+			return nil
+		}
+	}
+	s.before = func() {
+		_, err := EditOverrides(ctx, s, add("b"))
+		assert.NilError(t, err)
+	}
+	v, err := EditOverrides(ctx, s, add("a"))
+	assert.NilError(t, err)
+	assert.Equal(t, v, uint64(3))
+	d, _, err := Fetch(ctx, s)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, d.Overrides.DomainsOut, []model.DomainID{"b", "a"})
+}
+
+// Guards against an outage during a publication that is reported as "did not
+// run" although the write may still take effect.
+func TestPublishReportsUnknownOutcome(t *testing.T) {
+	retryPause = 0
+	s := newMemStore()
+	s.loseBefore = publishAttempts
+	_, err := Publish(context.Background(), s, sample("x", 1), 0)
+	assert.Equal(t, errs.As(err).RunState, errs.MayHaveRun)
+}
