Add the configuration loader with full fault reports

Cause: operators edit a base file and site overlays by hand; a mistake has to be found before it is published, with its place. All faults are reported at once with file, line, key path, value and allowed range. EditOverrides refuses names that the document does not have.

--- a/pkg/config/publish.go
+++ b/pkg/config/publish.go
@@ -288,10 +288,37 @@
 	}
 }
 
+// checkOverrides refuses overrides that name something d does not have. What
+// was already in force before is left alone, so that it can be removed.
+func checkOverrides(d, before *model.Document) error {
+	replicas := map[model.ReplicaID]bool{}
+	for _, svc := range d.Services {
+		for _, m := range svc.ShardMaps {
+			for _, g := range m.Groups {
+				for _, r := range g.Replicas {
+					replicas[r.ID] = true
+				}
+			}
+		}
+	}
+	for _, id := range d.Overrides.DomainsOut {
+		if _, ok := d.Domains[id]; !ok && !slices.Contains(before.Overrides.DomainsOut, id) {
+			return errs.Refuse(errs.InvalidRequest, "unknown failure domain %s%s", id, suggestion(string(id), sortedKeys(d.Domains)))
+		}
+	}
+	for _, id := range d.Overrides.Drained {
+		if !replicas[id] && !slices.Contains(before.Overrides.Drained, id) {
+			return errs.Refuse(errs.InvalidRequest, "unknown upstream %s%s", id, suggestion(string(id), sortedKeys(replicas)))
+		}
+	}
+	return nil
+}
+
 // EditOverrides changes the operators' overrides in the newest document. It
 // repeats the edit on the document that won when it loses a race, so edit may
 // run more than once. It returns the new version, or the current one when
-// edit changed nothing.
+// edit changed nothing. A name that the document does not have is refused with
+// InvalidRequest.
 func EditOverrides(ctx context.Context, s platform.Store, edit func(*model.Overrides) error) (uint64, error) {
 	var last error
 	for attempt := range editAttempts {
@@ -307,6 +334,9 @@
 		if err := edit(&next.Overrides); err != nil {
 			return 0, err
 		}
+		if err := checkOverrides(&next, d); err != nil {
+			return 0, err
+		}
 		if slices.Equal(next.Overrides.DomainsOut, d.Overrides.DomainsOut) && slices.Equal(next.Overrides.Drained, d.Overrides.Drained) {
 			return m.Version, nil
 		}
--- a/pkg/config/publish_test.go
+++ b/pkg/config/publish_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"reflect"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -25,7 +26,7 @@
 	svc.ShardMaps = []model.ShardMap{m}
 	return &model.Document{
 		Site:     site,
-		Domains:  map[model.DomainID]model.Domain{"a": {Region: "x"}},
+		Domains:  map[model.DomainID]model.Domain{"a": {Region: "x"}, "b": {Region: "x"}},
 		Services: map[model.ServiceID]*model.Service{"s": svc},
 	}
 }
@@ -128,7 +129,7 @@
 				assert.NilError(t, err)
 				want := *inForce
 				want.Version = version
-				assert.DeepEqual(t, got, &want)
+				assert.Assert(t, reflect.DeepEqual(got, &want))
 				assert.Equal(t, m.Version, version)
 				// The loser of a race cannot remove its sections safely.
 				assert.Assert(t, everRaced || len(s.objects) == len(m.Sections)+1, "unused sections must be removed")
@@ -160,6 +161,8 @@
 	d, _, err := Fetch(ctx, s)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, d.Overrides.DomainsOut, []model.DomainID{"b", "a"})
+	_, err = EditOverrides(ctx, s, add("c"))
+	assert.Assert(t, errs.Is(err, errs.InvalidRequest), "an unknown domain is refused: %v", err)
 }
 
 // Guards against an outage during a publication that is reported as "did not
--- /dev/null
+++ b/pkg/config/validate.go
@@ -0,0 +1,198 @@
+package config
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/model"
+)
+
+// connectionsPerSlotFactor: two owners can hold a replica at the same time
+// while ownership moves, so each uses at most half of the connections.
+const connectionsPerSlotFactor = 2
+
+// validator checks what the form of the files cannot express.
+type validator struct {
+	doc      *model.Document
+	root     *node
+	origins  map[string]Origin
+	faults   *Faults
+	expanded map[string]bool
+
+	replicas  map[model.ReplicaID]placed
+	addresses map[string]placed
+	// overlaps holds pairs of origins whose ranges were reported to overlap.
+	overlaps map[string]bool
+}
+
+// placed is a replica with its place in the document.
+type placed struct {
+	model.Replica
+	service model.ServiceID
+	mapPath string
+	path    string
+}
+
+func (v *validator) run() {
+	v.replicas = map[model.ReplicaID]placed{}
+	v.addresses = map[string]placed{}
+	v.overlaps = map[string]bool{}
+	v.require("", "site", "domains", "services")
+	if v.doc.Site == "" && v.origins["site"].File != "" {
+		v.fault("site", "empty", "", "the name of the site")
+	}
+	for id := range v.doc.Domains {
+		v.require("domains."+string(id), "region")
+	}
+	for _, id := range sortedKeys(v.doc.Services) {
+		v.service(id, v.doc.Services[id])
+	}
+	v.tier()
+	v.overrides()
+}
+
+// fault reports a problem unless the value at path is already known to be bad.
+func (v *validator) fault(path, problem, value, allowed string) {
+	if v.faults.has(path) {
+		return
+	}
+	v.faults.add(Fault{Origin: nearest(v.origins, path), Path: path, Problem: problem, Value: value, Allowed: allowed})
+}
+
+// require reports keys that neither the files nor the defaults set, and
+// objects and arrays that are empty.
+func (v *validator) require(path string, keys ...string) {
+	for _, key := range keys {
+		at := join(path, key)
+		n := v.root.at(at)
+		switch {
+		case n == nil:
+			v.fault(at, "missing key", "", "")
+		case (n.kind == '{' || n.kind == '[') && len(n.keys)+len(n.elems) == 0:
+			v.fault(at, "empty", n.show(), "at least one entry")
+		}
+	}
+}
+
+func (v *validator) service(id model.ServiceID, s *model.Service) {
+	path := "services." + string(id)
+	if s == nil {
+		return
+	}
+	v.require(path, "kind", "slots", "connections", "operations", "shard_maps")
+	if s.ColdWindow > float64(s.Slots) && s.Slots > 0 {
+		v.fault(path+".cold_window", "inconsistent with slots", fmt.Sprint(s.ColdWindow), fmt.Sprintf("at most slots = %d", s.Slots))
+	}
+	if s.DeadlineMS > s.MaxDeadlineMS {
+		v.fault(path+".deadline_ms", "inconsistent with max_deadline_ms", fmt.Sprint(s.DeadlineMS), fmt.Sprintf("at most max_deadline_ms = %d", s.MaxDeadlineMS))
+	}
+	if need := connectionsPerSlotFactor * (s.Slots + 1); s.Connections > 0 && s.Connections < need {
+		v.fault(path+".connections", "inconsistent with slots: two owners each need one connection for each slot and one for control",
+			fmt.Sprint(s.Connections), fmt.Sprintf("at least %d", need))
+	}
+	switch s.Kind {
+	case model.Search:
+		v.search(path, s)
+	case model.Lookup:
+		v.lookup(path, s)
+	}
+	seen := map[uint64]int{}
+	for i, m := range s.ShardMaps {
+		at := fmt.Sprintf("%s.shard_maps[%d]", path, i)
+		v.require(at, "epoch")
+		if first, dup := seen[m.Epoch]; dup {
+			v.fault(at+".epoch", fmt.Sprintf("duplicate of shard_maps[%d]", first), fmt.Sprint(m.Epoch), "an epoch of its own")
+		}
+		seen[m.Epoch] = i
+		v.shardMap(id, s, m, at)
+	}
+}
+
+func (v *validator) search(path string, s *model.Service) {
+	v.require(path, "order")
+	for name, op := range s.Operations {
+		if !op.Idempotent {
+			v.fault(join(path+".operations", name), "a search operation is sent to several replicas, so it must be idempotent", "idempotent false", "idempotent true")
+		}
+	}
+	seen := map[string]bool{}
+	for i, k := range s.Order {
+		at := fmt.Sprintf("%s.order[%d].field", path, i)
+		if k.Field == "" || seen[k.Field] {
+			v.fault(at, "empty or duplicate field", fmt.Sprintf("%q", k.Field), "a field of its own")
+		}
+		seen[k.Field] = true
+	}
+	for i, m := range s.ShardMaps {
+		if len(m.Groups) > 0 && s.CanaryGroups > len(m.Groups) {
+			v.fault(path+".canary_groups", fmt.Sprintf("inconsistent with shard_maps[%d]", i), fmt.Sprint(s.CanaryGroups), fmt.Sprintf("at most %d groups", len(m.Groups)))
+		}
+	}
+}
+
+func (v *validator) lookup(path string, s *model.Service) {
+	for _, key := range []string{"order", "limit", "canary_groups"} {
+		if n := v.root.at(join(path, key)); n != nil {
+			v.fault(join(path, key), "a lookup service merges nothing", n.show(), "no such key")
+		}
+	}
+	if len(s.ShardMaps) > 1 {
+		v.fault(path+".shard_maps", "a lookup service has one shard map", fmt.Sprint(len(s.ShardMaps), " entries"), "one entry")
+	}
+	for i, m := range s.ShardMaps {
+		if len(m.Groups) > 1 {
+			v.fault(fmt.Sprintf("%s.shard_maps[%d].groups", path, i), "a lookup service has one group", fmt.Sprint(len(m.Groups), " groups"), "one group")
+		}
+	}
+}
+
+func (v *validator) tier() {
+	t := v.doc.Tier
+	if t.SameDomainUS > t.SameRegionUS {
+		v.fault("tier.same_domain_us", "inconsistent with same_region_us", fmt.Sprint(t.SameDomainUS), fmt.Sprintf("at most same_region_us = %d", t.SameRegionUS))
+	}
+	if t.SameRegionUS > t.OtherRegionUS {
+		v.fault("tier.same_region_us", "inconsistent with other_region_us", fmt.Sprint(t.SameRegionUS), fmt.Sprintf("at most other_region_us = %d", t.OtherRegionUS))
+	}
+}
+
+func (v *validator) overrides() {
+	for i, id := range v.doc.Overrides.DomainsOut {
+		v.domain(fmt.Sprintf("overrides.domains_out[%d]", i), id)
+		if slices.Index(v.doc.Overrides.DomainsOut, id) < i {
+			v.fault(fmt.Sprintf("overrides.domains_out[%d]", i), "duplicate", string(id), "")
+		}
+	}
+	for i, id := range v.doc.Overrides.Drained {
+		at := fmt.Sprintf("overrides.drained[%d]", i)
+		if _, ok := v.replicas[id]; !ok {
+			v.fault(at, "unknown replica"+suggestion(string(id), sortedKeys(v.replicas)), string(id), "")
+		}
+		if slices.Index(v.doc.Overrides.Drained, id) < i {
+			v.fault(at, "duplicate", string(id), "")
+		}
+	}
+}
+
+func (v *validator) domain(path string, id model.DomainID) {
+	if _, ok := v.doc.Domains[id]; !ok {
+		v.fault(path, "unknown failure domain"+suggestion(string(id), sortedKeys(v.doc.Domains)), string(id), "a key of domains")
+	}
+}
+
+func suggestion[T ~string](word string, known []T) string {
+	candidates := make([]string, len(known))
+	for i, k := range known {
+		candidates[i] = string(k)
+	}
+	if s := Suggest(word, candidates); s != "" {
+		return fmt.Sprintf(", did you mean %q?", s)
+	}
+	return ""
+}
+
+func validAddress(addr string) bool {
+	a, err := netip.ParseAddrPort(addr)
+	return err == nil && a.Port() > 0
+}
