Add process settings of a VM

Cause: a VM reads its identity, addresses, seeds and secrets from a file, and a wrong file must be explained completely without showing a secret. Before: none.

--- a/pkg/config/load.go
+++ b/pkg/config/load.go
@@ -20,7 +20,7 @@
 // Merged is the document that the files describe.
 type Merged struct {
 	Document *model.Document
-	// Origins holds the place of every value by its key path.
+	// Origins holds the place of every value by its key path. The root has the path "".
 	Origins map[string]Origin
 }
 
--- a/pkg/config/schema.go
+++ b/pkg/config/schema.go
@@ -6,6 +6,7 @@
 	"reflect"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/tailscale/hujson"
@@ -50,7 +51,9 @@
 
 type limits struct{ low, high float64 }
 
-func (l limits) String() string { return fmt.Sprintf("%v to %v", l.low, l.high) }
+func (l limits) String() string {
+	return strconv.FormatFloat(l.low, 'f', -1, 64) + " to " + strconv.FormatFloat(l.high, 'f', -1, 64)
+}
 
 const (
 	minuteMS = 60 * 1000
@@ -87,6 +90,15 @@
 	"tier.other_region_us":    {1, 10 * secondUS},
 }
 
+// parseLimits reads a struct tag such as range:"1,100".
+func parseLimits(tag string) *limits {
+	var l limits
+	if _, err := fmt.Sscanf(tag, "%g,%g", &l.low, &l.high); err != nil {
+		panic(fmt.Sprintf("config: range tag %q: %v", tag, err))
+	}
+	return &l
+}
+
 // rangeScope names the struct types in the keys of ranges.
 var rangeScope = map[reflect.Type]string{
 	reflect.TypeFor[fileService]():  "service",
@@ -100,11 +112,20 @@
 
 const namesAllowed = "1 to 63 letters, digits, - and _, starting with a letter or digit"
 
-// checker compares a merged tree with the form of the files.
-type checker struct{ faults *Faults }
+// checker compares a tree with the form of the files.
+type checker struct {
+	faults *Faults
+	// secrets is set for files that hold secrets. Values are then shown only
+	// where a secret cannot stand by mistake.
+	secrets bool
+}
 
 func (c *checker) fault(n *node, path, problem, allowed string) {
-	c.faults.add(Fault{Origin: n.origin, Path: path, Problem: problem, Value: n.show(), Allowed: allowed})
+	f := Fault{Origin: n.origin, Path: path, Problem: problem, Value: n.show(), Allowed: allowed}
+	if c.secrets && n.kind != '0' {
+		f.Value = ""
+	}
+	c.faults.add(f)
 }
 
 // check reports every value under n that does not fit t. allowed is the
@@ -150,7 +171,7 @@
 }
 
 func (c *checker) checkStruct(n *node, t reflect.Type, path string) {
-	known := fieldTypes(t)
+	known := fieldsOf(t)
 	scope := rangeScope[t]
 	for _, key := range n.keys {
 		child, at := n.members[key], join(path, key)
@@ -163,7 +184,10 @@
 		if l, ok := ranges[scope+"."+key]; ok && scope != "" {
 			allowed = &l
 		}
-		c.check(child, ft, at, allowed)
+		if tag, ok := ft.Tag.Lookup("range"); ok {
+			allowed = parseLimits(tag)
+		}
+		c.check(child, ft.Type, at, allowed)
 	}
 }
 
@@ -172,7 +196,11 @@
 	if s := Suggest(key, known); s != "" {
 		problem += fmt.Sprintf(", did you mean %q?", s)
 	}
-	c.faults.add(Fault{Origin: n.keyOrigin, Path: path, Problem: problem, Value: n.show(), Allowed: strings.Join(known, ", ")})
+	f := Fault{Origin: n.keyOrigin, Path: path, Problem: problem, Value: n.show(), Allowed: strings.Join(known, ", ")}
+	if c.secrets {
+		f.Value = ""
+	}
+	c.faults.add(f)
 }
 
 func (c *checker) checkMap(n *node, t reflect.Type, path string) {
@@ -215,16 +243,15 @@
 	}
 }
 
-// fieldTypes returns the types of the JSON fields of a struct, with those of
-// embedded structs.
-func fieldTypes(t reflect.Type) map[string]reflect.Type {
-	fields := map[string]reflect.Type{}
+// fieldsOf returns the JSON fields of a struct, with those of embedded structs.
+func fieldsOf(t reflect.Type) map[string]reflect.StructField {
+	fields := map[string]reflect.StructField{}
 	for _, f := range reflect.VisibleFields(t) {
 		tag, _, _ := strings.Cut(f.Tag.Get("json"), ",")
 		if f.Anonymous || tag == "" || tag == "-" {
 			continue
 		}
-		fields[tag] = f.Type
+		fields[tag] = f
 	}
 	return fields
 }
--- a/pkg/config/tree.go
+++ b/pkg/config/tree.go
@@ -157,7 +157,7 @@
 	}
 	n := p.convert(&v, "")
 	if n.kind != '{' {
-		p.faults.add(Fault{Origin: n.origin, Path: "(file)", Problem: "must be an object", Value: n.show()})
+		p.faults.add(Fault{Origin: n.origin, Path: "(file)", Problem: "must be an object"})
 		return nil
 	}
 	return n
@@ -248,11 +248,9 @@
 	return &c
 }
 
-// collect records the origin of every value below n.
+// collect records the origin of n and every value below it.
 func (n *node) collect(path string, into map[string]Origin) {
-	if path != "" {
-		into[path] = n.origin
-	}
+	into[path] = n.origin
 	for key, m := range n.members {
 		m.collect(join(path, key), into)
 	}
@@ -269,5 +267,5 @@
 		}
 		path = path[:max(0, strings.LastIndexAny(path, ".["))]
 	}
-	return Origin{File: DefaultFile}
+	return origins[""]
 }
--- /dev/null
+++ b/pkg/settings/tls.go
@@ -0,0 +1,48 @@
+package settings
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"os"
+)
+
+// TLSError reports certificate files that cannot be used.
+type TLSError struct {
+	File string
+	Err  error
+}
+
+// Error implements error.
+func (e *TLSError) Error() string { return fmt.Sprintf("TLS file %s: %v", e.File, e.Err) }
+
+// Unwrap returns the cause.
+func (e *TLSError) Unwrap() error { return e.Err }
+
+// Config loads the files. It returns nil when no certificate is set. With a
+// CA, the result requires a certificate of that authority from the other side,
+// both when listening and when dialing.
+func (t TLS) Config() (*tls.Config, error) {
+	if t.Cert == "" {
+		return nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(t.Cert, t.Key)
+	if err != nil {
+		return nil, &TLSError{File: t.Cert, Err: err}
+	}
+	c := &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{cert}}
+	if t.CA == "" {
+		return c, nil
+	}
+	pem, err := os.ReadFile(t.CA)
+	if err != nil {
+		return nil, &TLSError{File: t.CA, Err: err}
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, &TLSError{File: t.CA, Err: fmt.Errorf("%w: no PEM certificate", os.ErrInvalid)}
+	}
+	c.RootCAs, c.ClientCAs = pool, pool
+	c.ClientAuth = tls.RequireAndVerifyClientCert
+	return c, nil
+}
