Do not take a stale read for a lost publication race

Cause: the platform's reads can be stale. A manifest older than the one that a publication is based on was reported as the winner of a race. Change: such a read counts as "not known yet" and the write is repeated under its condition. Before: a false platform_conflict. After: the outcome is resolved; the test follows with the platform stand-in. Conclusion: only a newer manifest proves a lost race.

--- a/pkg/config/publish.go
+++ b/pkg/config/publish.go
@@ -232,7 +232,8 @@
 	if slices.Contains(now.manifest.Recent, token) {
 		return true, nil
 	}
-	if now.object == cur.object {
+	if now.object == cur.object || now.manifest.Version <= cur.manifest.Version {
+		// The write did not arrive yet, or this read was stale.
 		return false, nil
 	}
 	if now.manifest.Version > cur.manifest.Version+recentTokens {
