--- /dev/null
+++ b/pkg/merge/compare.go
@@ -0,0 +1,242 @@
+// Package merge orders and limits the rows of a search and counts its
+// coverage against the shard map that was pinned for it. It does no I/O.
+package merge
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/model"
+	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
+)
+
+// class is the rank of a value's type. Values of different classes are
+// ordered by class alone.
+type class uint8
+
+const (
+	classNumber class = iota
+	classString
+	classBool
+	classOther
+	classNull
+)
+
+// number is a numeric value. Integers stay exact: converting both sides to
+// float64 would make 2^53 and 2^53+1 equal to the same float64 and the order
+// would not be transitive.
+type number struct {
+	negative  bool
+	magnitude uint64
+	float     float64
+	isFloat   bool
+}
+
+// CompareRows orders two rows by the order keys, then by group, then by data.
+// A key that is null or absent sorts after every value in both directions, so
+// a row without the value never displaces a row that has it.
+func CompareRows(a, b *wire.Row, order []model.OrderKey) int {
+	for i := range order {
+		c := compareKey(keyAt(a, i), keyAt(b, i), order[i].Desc)
+		if c != 0 {
+			return c
+		}
+	}
+	if c := cmp.Compare(a.Group, b.Group); c != 0 {
+		return c
+	}
+	return bytes.Compare(a.Data, b.Data)
+}
+
+// MergeRows sorts rows in place and returns the first limit of them. A limit
+// of 0 or less keeps all rows. The rows of one group must be passed at most
+// once: a second copy would push rows of other groups past the limit.
+func MergeRows(rows []wire.Row, order []model.OrderKey, limit int) []wire.Row {
+	slices.SortFunc(rows, func(a, b wire.Row) int { return CompareRows(&a, &b, order) })
+	if limit > 0 && len(rows) > limit {
+		clear(rows[limit:])
+		rows = rows[:limit]
+	}
+	return rows
+}
+
+func keyAt(r *wire.Row, i int) any {
+	if i >= len(r.Key) {
+		return nil
+	}
+	return r.Key[i]
+}
+
+func compareKey(a, b any, desc bool) int {
+	if a == nil || b == nil {
+		return cmp.Compare(nullRank(a), nullRank(b))
+	}
+	c := CompareValues(a, b)
+	if desc {
+		return -c
+	}
+	return c
+}
+
+func nullRank(v any) int {
+	if v == nil {
+		return 1
+	}
+	return 0
+}
+
+// CompareValues is a total order of key values: numbers by value with NaN
+// last, then strings by byte, then false before true, then any other type by
+// its printed form, then null.
+func CompareValues(a, b any) int {
+	ca, na := classify(a)
+	cb, nb := classify(b)
+	if ca != cb {
+		return cmp.Compare(ca, cb)
+	}
+	switch ca {
+	case classNumber:
+		return compareNumbers(na, nb)
+	case classString:
+		return strings.Compare(a.(string), b.(string))
+	case classBool:
+		return compareBools(a.(bool), b.(bool))
+	case classOther:
+		return strings.Compare(fmt.Sprint(a), fmt.Sprint(b))
+	default:
+		return 0
+	}
+}
+
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+func classify(v any) (class, number) {
+	switch x := v.(type) {
+	case nil:
+		return classNull, number{}
+	case string:
+		return classString, number{}
+	case bool:
+		return classBool, number{}
+	case float64:
+		return classNumber, floating(x)
+	case float32:
+		return classNumber, floating(float64(x))
+	case int:
+		return classNumber, signed(int64(x))
+	case int8:
+		return classNumber, signed(int64(x))
+	case int16:
+		return classNumber, signed(int64(x))
+	case int32:
+		return classNumber, signed(int64(x))
+	case int64:
+		return classNumber, signed(x)
+	case uint:
+		return classNumber, number{magnitude: uint64(x)}
+	case uint8:
+		return classNumber, number{magnitude: uint64(x)}
+	case uint16:
+		return classNumber, number{magnitude: uint64(x)}
+	case uint32:
+		return classNumber, number{magnitude: uint64(x)}
+	case uint64:
+		return classNumber, number{magnitude: x}
+	case json.Number:
+		return classifyJSON(x)
+	default:
+		return classOther, number{}
+	}
+}
+
+func classifyJSON(x json.Number) (class, number) {
+	if i, err := x.Int64(); err == nil {
+		return classNumber, signed(i)
+	}
+	f, err := x.Float64()
+	if err != nil && f == 0 {
+		return classOther, number{}
+	}
+	return classNumber, floating(f)
+}
+
+// signed returns the magnitude by two's complement, which is exact for the
+// smallest int64 too.
+func signed(x int64) number {
+	if x < 0 {
+		return number{negative: true, magnitude: -uint64(x)}
+	}
+	return number{magnitude: uint64(x)}
+}
+
+// floating keeps whole values that fit as integers, so that they compare
+// exactly with integers.
+func floating(x float64) number {
+	const limit = 1 << 64
+	if x == math.Trunc(x) && math.Abs(x) < limit {
+		return number{negative: x < 0, magnitude: uint64(math.Abs(x))}
+	}
+	return number{float: x, isFloat: true}
+}
+
+func compareNumbers(a, b number) int {
+	switch {
+	case !a.isFloat && !b.isFloat:
+		return compareIntegers(a, b)
+	case a.isFloat && b.isFloat:
+		return compareFloats(a.float, b.float)
+	case a.isFloat:
+		return -compareMixed(b, a.float)
+	default:
+		return compareMixed(a, b.float)
+	}
+}
+
+func compareIntegers(a, b number) int {
+	if a.negative != b.negative {
+		return compareBools(b.negative, a.negative)
+	}
+	c := cmp.Compare(a.magnitude, b.magnitude)
+	if a.negative {
+		return -c
+	}
+	return c
+}
+
+func compareFloats(a, b float64) int {
+	if math.IsNaN(a) || math.IsNaN(b) {
+		return compareBools(math.IsNaN(a), math.IsNaN(b))
+	}
+	return cmp.Compare(a, b)
+}
+
+// compareMixed compares an integer with a float64 that is NaN, infinite, out
+// of the integers' range or not whole.
+func compareMixed(i number, f float64) int {
+	const limit = 1 << 64
+	switch {
+	case math.IsNaN(f) || f >= limit:
+		return -1
+	case f <= -limit:
+		return 1
+	}
+	floor := math.Floor(f)
+	if compareIntegers(i, floating(floor)) <= 0 {
+		return -1
+	}
+	return 1
+}
