Add pkg/frontend: callers' and operators' HTTP

Callers need each bad request refused before it can run, an answer by their deadline and a VM that stops without cutting them; operators need the state of one VM behind a token.

The package checks requests against the configuration in force and hands them to a Gateway, whose types the gateway package implements. Bodies, headers, names, deadlines and connections are bounded.

--- /dev/null
+++ b/pkg/frontend/callers.go
@@ -0,0 +1,224 @@
+package frontend
+
+import (
+	"context"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/model"
+)
+
+// DefaultMaxBody is the default bound on a request's body. It leaves room for
+// the other fields in a traffic frame of 4 MiB.
+const DefaultMaxBody = 1 << 20
+
+// DefaultReadTimeout bounds the time that a caller takes to send a body.
+const DefaultReadTimeout = 10 * time.Second
+
+// DefaultWriteTimeout bounds the time that a caller takes to read an answer.
+const DefaultWriteTimeout = 10 * time.Second
+
+// CallersConfig configures the callers' handler.
+type CallersConfig struct {
+	Gateway Gateway
+	View    model.ViewSource
+	Log     logrus.FieldLogger
+	// MaxBody, ReadTimeout and WriteTimeout take their defaults when 0.
+	MaxBody      int64
+	ReadTimeout  time.Duration
+	WriteTimeout time.Duration
+	// NewRequestID names a request whose caller sent no id.
+	NewRequestID func() string
+}
+
+type callers struct {
+	CallersConfig
+}
+
+// NewCallers returns the handler of the callers' interface.
+func NewCallers(c CallersConfig) http.Handler {
+	if c.MaxBody == 0 {
+		c.MaxBody = DefaultMaxBody
+	}
+	if c.ReadTimeout == 0 {
+		c.ReadTimeout = DefaultReadTimeout
+	}
+	if c.WriteTimeout == 0 {
+		c.WriteTimeout = DefaultWriteTimeout
+	}
+	if c.NewRequestID == nil {
+		c.NewRequestID = uuid.NewString
+	}
+	h := &callers{CallersConfig: c}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/v1/search/{service}", h.post(h.search))
+	mux.HandleFunc("/v1/call/{service}/{operation}", h.post(h.call))
+	mux.HandleFunc("/", h.unknownPath)
+	return mux
+}
+
+// exchange is one request being served.
+type exchange struct {
+	w       http.ResponseWriter
+	r       *http.Request
+	arrived time.Time
+	id      string
+	caller  string
+}
+
+func (h *callers) post(serve func(x *exchange) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		x := &exchange{w: w, r: r, arrived: time.Now()}
+		defer h.recoverPanic(x)
+		// A deadline of the connection stays in force for its next request, so
+		// each request sets its own.
+		_ = http.NewResponseController(w).SetWriteDeadline(x.arrived.Add(h.ReadTimeout + h.WriteTimeout))
+		if err := h.serve(x, serve); err != nil {
+			writeRefusal(w, x.id, errs.As(err), 0)
+		}
+	}
+}
+
+func (h *callers) serve(x *exchange, serve func(x *exchange) error) error {
+	if err := h.identify(x); err != nil {
+		return err
+	}
+	if x.r.Method != http.MethodPost {
+		x.w.Header().Set("Allow", http.MethodPost)
+		refusal := errs.Refuse(errs.InvalidRequest, "method %s is not allowed, use POST", x.r.Method)
+		writeRefusal(x.w, x.id, refusal, http.StatusMethodNotAllowed)
+		return nil
+	}
+	if overLimit(x.r.Context()) {
+		x.w.Header().Set("Connection", "close")
+		return errs.Refuse(errs.Overloaded, "too many connections").WithRetryAfter(time.Second)
+	}
+	return serve(x)
+}
+
+// recoverPanic answers instead of the cut connection that net/http would
+// leave. The request may have run.
+func (h *callers) recoverPanic(x *exchange) {
+	p := recover()
+	if p == nil {
+		return
+	}
+	h.Log.Errorf("frontend: panic while serving %s: %v\n%s", x.id, p, debug.Stack())
+	writeRefusal(x.w, x.id, errs.Ambiguous(errs.Internal, "internal error"), 0)
+}
+
+func (h *callers) unknownPath(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{w: w, r: r, arrived: time.Now()}
+	if err := h.identify(x); err != nil {
+		writeRefusal(w, x.id, errs.As(err), 0)
+		return
+	}
+	writeRefusal(w, x.id, errs.Refuse(errs.InvalidRequest, "unknown path"), http.StatusNotFound)
+}
+
+func (h *callers) identify(x *exchange) error {
+	id, err := name(x.r.Header, HeaderRequestID)
+	if err != nil {
+		x.id = h.NewRequestID()
+		return err
+	}
+	x.id = id
+	if id == "" {
+		x.id = h.NewRequestID()
+	}
+	x.caller, err = name(x.r.Header, HeaderCaller)
+	if x.caller == "" {
+		x.caller = AnonymousCaller
+	}
+	return err
+}
+
+func (h *callers) search(x *exchange) error {
+	id, svc, err := h.service(x, model.Search)
+	if err != nil {
+		return err
+	}
+	deadline, err := requestDeadline(x, svc)
+	if err != nil {
+		return err
+	}
+	body, err := h.readBody(x, deadline)
+	if err != nil {
+		return err
+	}
+	request := SearchRequest{RequestID: x.id, Caller: x.caller, Service: id, Deadline: deadline}
+	if err := decodeSearch(body, svc, &request); err != nil {
+		return err
+	}
+	ctx, cancel := h.answering(x, deadline)
+	defer cancel()
+	answer, err := h.Gateway.Search(ctx, request)
+	if err != nil {
+		return err
+	}
+	return writeSearch(x, answer)
+}
+
+func (h *callers) call(x *exchange) error {
+	id, svc, err := h.service(x, model.Lookup)
+	if err != nil {
+		return err
+	}
+	operation := x.r.PathValue("operation")
+	op, ok := svc.Operations[operation]
+	if !ok {
+		return errs.Refuse(errs.UnknownOperation, "service %q has no operation %q", id, operation)
+	}
+	key, err := idempotencyKey(x.r.Header, op)
+	if err != nil {
+		return err
+	}
+	deadline, err := requestDeadline(x, svc)
+	if err != nil {
+		return err
+	}
+	body, err := h.readBody(x, deadline)
+	if err != nil {
+		return err
+	}
+	if err := checkObject(body); err != nil {
+		return err
+	}
+	ctx, cancel := h.answering(x, deadline)
+	defer cancel()
+	answer, err := h.Gateway.Call(ctx, CallRequest{
+		RequestID: x.id, Caller: x.caller, Service: id, Operation: operation, Key: key, Body: body, Deadline: deadline,
+	})
+	if err != nil {
+		return err
+	}
+	return writeCall(x, answer)
+}
+
+// answering bounds the gateway's work and lets the answer be written for
+// WriteTimeout after the deadline.
+func (h *callers) answering(x *exchange, deadline time.Time) (context.Context, context.CancelFunc) {
+	_ = http.NewResponseController(x.w).SetWriteDeadline(deadline.Add(AnswerGrace + h.WriteTimeout))
+	return context.WithDeadline(x.r.Context(), deadline.Add(AnswerGrace))
+}
+
+func (h *callers) service(x *exchange, kind model.Kind) (model.ServiceID, *model.Service, error) {
+	doc := h.View.Current().Config
+	if doc == nil {
+		return "", nil, errs.Refuse(errs.NotReady, "no configuration yet").WithRetryAfter(time.Second)
+	}
+	id := model.ServiceID(x.r.PathValue("service"))
+	svc := doc.Services[id]
+	if svc == nil {
+		return "", nil, errs.Refuse(errs.UnknownService, "no service %q", id)
+	}
+	if svc.Kind != kind {
+		return "", nil, errs.Refuse(errs.UnknownService, "%q is not a %s service", id, kind)
+	}
+	return id, svc, nil
+}
--- /dev/null
+++ b/pkg/frontend/decode.go
@@ -0,0 +1,152 @@
+package frontend
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/textproto"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/model"
+)
+
+// name returns the value of a header that names something: at most one
+// value of at most MaxNameBytes printable ASCII characters.
+func name(h http.Header, header string) (string, error) {
+	values := h[textproto.CanonicalMIMEHeaderKey(header)]
+	if len(values) == 0 {
+		return "", nil
+	}
+	if len(values) > 1 {
+		return "", errs.Refuse(errs.InvalidRequest, "header %s is given %d times", header, len(values))
+	}
+	v := values[0]
+	if len(v) == 0 || len(v) > MaxNameBytes {
+		return "", errs.Refuse(errs.InvalidRequest, "header %s has %d bytes, allowed are 1 to %d", header, len(v), MaxNameBytes)
+	}
+	for _, c := range []byte(v) {
+		if c < ' ' || c > '~' {
+			return "", errs.Refuse(errs.InvalidRequest, "header %s has characters outside printable ASCII", header)
+		}
+	}
+	return v, nil
+}
+
+func idempotencyKey(h http.Header, op model.Operation) (string, error) {
+	key, err := name(h, HeaderKey)
+	if err != nil {
+		return "", err
+	}
+	if key == "" && !op.Idempotent {
+		return "", errs.Refuse(errs.KeyRequired, "the operation is not idempotent and needs the header %s", HeaderKey)
+	}
+	return key, nil
+}
+
+// requestDeadline returns the deadline, counted from the arrival of the
+// request's header. A deadline above the service's maximum is refused, because
+// a shortened one would make the answer come earlier than the caller expects.
+func requestDeadline(x *exchange, svc *model.Service) (time.Time, error) {
+	values := x.r.Header[textproto.CanonicalMIMEHeaderKey(HeaderDeadline)]
+	if len(values) == 0 {
+		return x.arrived.Add(svc.Deadline()), nil
+	}
+	ms, err := strconv.ParseInt(values[0], 10, 64)
+	if len(values) > 1 || err != nil || ms < 1 || ms > svc.MaxDeadlineMS {
+		return time.Time{}, errs.Refuse(errs.InvalidRequest,
+			"header %s must be one whole number of milliseconds from 1 to %d", HeaderDeadline, svc.MaxDeadlineMS)
+	}
+	return x.arrived.Add(time.Duration(ms) * time.Millisecond), nil
+}
+
+// readBody reads the body by the earlier of the read timeout and the
+// request's deadline.
+func (h *callers) readBody(x *exchange, deadline time.Time) ([]byte, error) {
+	limit := x.arrived.Add(h.ReadTimeout)
+	if deadline.Before(limit) {
+		limit = deadline
+	}
+	_ = http.NewResponseController(x.w).SetReadDeadline(limit)
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, h.MaxBody))
+	if err != nil {
+		return nil, bodyRefusal(err, h.MaxBody)
+	}
+	return body, nil
+}
+
+func bodyRefusal(err error, limit int64) *errs.Refusal {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return errs.Refuse(errs.TooLarge, "the body has more than %d bytes", limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return errs.Refuse(errs.DeadlineExceeded, "the body did not arrive in time")
+	default:
+		return errs.Refuse(errs.InvalidRequest, "the body cannot be read")
+	}
+}
+
+type searchBody struct {
+	Query     json.RawMessage `json:"query"`
+	Limit     *int            `json:"limit"`
+	Operation *string         `json:"operation"`
+}
+
+func decodeSearch(body []byte, svc *model.Service, request *SearchRequest) error {
+	var b searchBody
+	if err := decodeStrict(body, &b); err != nil {
+		return err
+	}
+	if b.Query == nil {
+		return errs.Refuse(errs.InvalidRequest, "the field \"query\" is missing")
+	}
+	request.Query = b.Query
+	request.Operation = DefaultOperation
+	if b.Operation != nil {
+		request.Operation = *b.Operation
+	}
+	op, ok := svc.Operations[request.Operation]
+	if !ok {
+		return errs.Refuse(errs.UnknownOperation, "the service has no operation %q", request.Operation)
+	}
+	if !op.Idempotent {
+		return errs.Refuse(errs.InvalidRequest, "operation %q is not idempotent and cannot be sent to all shards", request.Operation)
+	}
+	request.Limit = svc.Limit
+	if b.Limit == nil {
+		return nil
+	}
+	if *b.Limit < 1 || (svc.Limit > 0 && *b.Limit > svc.Limit) {
+		return errs.Refuse(errs.InvalidRequest, "the field \"limit\" must be from 1 to %d", svc.Limit)
+	}
+	request.Limit = *b.Limit
+	return nil
+}
+
+// decodeStrict refuses unknown fields, so that a misspelt "limit" is not
+// ignored, and anything after the object.
+func decodeStrict(body []byte, into any) error {
+	if err := checkObject(body); err != nil {
+		return err
+	}
+	d := json.NewDecoder(bytes.NewReader(body))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return errs.Refuse(errs.InvalidRequest, "the body is malformed: %v", err)
+	}
+	return nil
+}
+
+func checkObject(body []byte) error {
+	trimmed := bytes.TrimLeft(body, " \t\r\n")
+	if len(trimmed) == 0 || trimmed[0] != '{' || !json.Valid(body) {
+		return errs.Refuse(errs.InvalidRequest, "the body is not one JSON object")
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/frontend/respond.go
@@ -0,0 +1,88 @@
+package frontend
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/merge"
+	"github.com/nutmeghitch/nutmeghitch/pkg/model"
+)
+
+type refusalBody struct {
+	RequestID    string    `json:"request_id"`
+	Code         errs.Code `json:"code"`
+	RunState     string    `json:"run_state"`
+	Detail       string    `json:"detail"`
+	RetryAfterMS int64     `json:"retry_after_ms"`
+}
+
+type searchReply struct {
+	RequestID string            `json:"request_id"`
+	Snapshot  model.Snapshot    `json:"snapshot"`
+	Coverage  merge.Coverage    `json:"coverage"`
+	Results   []json.RawMessage `json:"results"`
+}
+
+type callReply struct {
+	RequestID string          `json:"request_id"`
+	Result    json.RawMessage `json:"result"`
+}
+
+// writeRefusal sends a refusal. A status of 0 takes the one of its code.
+func writeRefusal(w http.ResponseWriter, id string, r *errs.Refusal, status int) {
+	if status == 0 {
+		status = r.HTTPStatus()
+	}
+	if r.RetryAfter > 0 {
+		seconds := (r.RetryAfter + time.Second - 1) / time.Second
+		w.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+	}
+	body := refusalBody{
+		RequestID: id, Code: r.Code, RunState: r.RunState.String(), Detail: r.Detail,
+		RetryAfterMS: r.RetryAfter.Milliseconds(),
+	}
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	writeJSON(w, status, encoded)
+}
+
+// writeSearch encodes the whole answer before the first byte is sent, so
+// that a row that is not JSON becomes a refusal and not half an answer.
+func writeSearch(x *exchange, a *SearchAnswer) error {
+	reply := searchReply{RequestID: x.id, Snapshot: a.Snapshot, Coverage: a.Coverage}
+	reply.Results = make([]json.RawMessage, len(a.Rows))
+	for i := range a.Rows {
+		reply.Results[i] = a.Rows[i].Data
+	}
+	if reply.Coverage.Missing == nil {
+		reply.Coverage.Missing = []merge.MissingShard{}
+	}
+	return writeAnswer(x, reply)
+}
+
+func writeCall(x *exchange, a *CallAnswer) error {
+	return writeAnswer(x, callReply{RequestID: x.id, Result: a.Result})
+}
+
+func writeAnswer(x *exchange, reply any) error {
+	encoded, err := json.Marshal(reply)
+	if err != nil {
+		return errs.Ambiguous(errs.ResponseMismatch, "an upstream's data is not JSON")
+	}
+	writeJSON(x.w, http.StatusOK, encoded)
+	return nil
+}
+
+func writeJSON(w http.ResponseWriter, status int, body []byte) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	// A failed write means that the caller has gone.
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/pkg/frontend/status.go
@@ -0,0 +1,73 @@
+package frontend
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/model"
+)
+
+// Status is the body of /admin/status: the view that this VM acts on.
+type Status struct {
+	Self          model.VMID                     `json:"self"`
+	Site          string                         `json:"site"`
+	ConfigVersion uint64                         `json:"config_version"`
+	ViewSeq       uint64                         `json:"view_seq"`
+	InFlight      int                            `json:"in_flight"`
+	DomainsOut    []model.DomainID               `json:"domains_out"`
+	VMs           []VMStatus                     `json:"vms"`
+	Owners        map[model.ReplicaID]model.VMID `json:"owners"`
+	Excluded      map[model.ReplicaID]string     `json:"excluded"`
+	Replicas      []ReplicaState                 `json:"replicas"`
+	Suspects      int                            `json:"suspect_fingerprints"`
+	Blocked       int                            `json:"blocked_fingerprints"`
+}
+
+// VMStatus is one VM as this VM sees it.
+type VMStatus struct {
+	ID          model.VMID     `json:"id"`
+	Addr        string         `json:"addr"`
+	Domain      model.DomainID `json:"domain"`
+	Region      model.RegionID `json:"region"`
+	State       string         `json:"state"`
+	Incarnation uint64         `json:"incarnation"`
+}
+
+// ReplicaState is what the tier knows of one replica.
+type ReplicaState struct {
+	ID        model.ReplicaID  `json:"id"`
+	Instance  string           `json:"instance"`
+	Draining  bool             `json:"draining"`
+	Down      bool             `json:"down"`
+	Snapshots []model.Snapshot `json:"snapshots"`
+}
+
+func statusOf(v *model.View, inFlight int) Status {
+	s := Status{
+		Self: v.Self.ID, ViewSeq: v.Seq, InFlight: inFlight,
+		DomainsOut: []model.DomainID{}, VMs: []VMStatus{}, Replicas: []ReplicaState{},
+		Owners: v.Owners, Excluded: v.Excluded,
+	}
+	if v.Config != nil {
+		s.Site, s.ConfigVersion = v.Config.Site, v.Config.Version
+		s.DomainsOut = append(s.DomainsOut, v.Config.Overrides.DomainsOut...)
+	}
+	for _, m := range v.VMs {
+		s.VMs = append(s.VMs, VMStatus{m.ID, m.Addr, m.Domain, m.Region, m.State.String(), m.Incarnation})
+	}
+	slices.SortFunc(s.VMs, func(a, b VMStatus) int { return cmp.Compare(a.ID, b.ID) })
+	for id, r := range v.Replicas {
+		s.Replicas = append(s.Replicas, ReplicaState{id, r.Instance, r.Draining, r.Down, r.Snapshots})
+	}
+	slices.SortFunc(s.Replicas, func(a, b ReplicaState) int { return cmp.Compare(a.ID, b.ID) })
+	for _, p := range v.Poison {
+		switch {
+		case p.Lifted:
+		case p.Blocked:
+			s.Blocked++
+		default:
+			s.Suspects++
+		}
+	}
+	return s
+}
