Add the platform client

Cause: configuration and claims need a Store over the object API that is honest about writes whose reply is lost. Change: pkg/platform gains Client (bounded bodies, a time-out for each call, typed failures, call budget, call counts) and PutResolved, which reads the object back after a lost reply. A write that got a connection and then failed, or met a server error, is PlatformDown with MayHaveRun; net/http gets no chance to repeat it.

--- /dev/null
+++ b/pkg/platform/client_test.go
@@ -0,0 +1,217 @@
+package platform_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/fake"
+	"github.com/nutmeghitch/nutmeghitch/pkg/model"
+	"github.com/nutmeghitch/nutmeghitch/pkg/platform"
+)
+
+// start runs a platform and a client of it.
+func start(t *testing.T, c fake.PlatformConfig) (*fake.Platform, *platform.Client) {
+	t.Helper()
+	p := fake.NewPlatform(c)
+	t.Cleanup(p.Close)
+	client := platform.NewClient(platform.Config{URL: p.URL(), Token: c.Token})
+	t.Cleanup(client.Close)
+	return p, client
+}
+
+// expect checks the code and the run state of a failure.
+func expect(t *testing.T, err error, code errs.Code, state errs.RunState) {
+	t.Helper()
+	assert.Assert(t, errs.Is(err, code), "%v", err)
+	assert.Equal(t, errs.As(err).RunState, state)
+}
+
+// until waits for a condition without a bound of its own.
+func until(t *testing.T, condition func() bool) {
+	t.Helper()
+	for !condition() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against a budget that lets calls through or never refills.
+func TestBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := platform.NewBudget(2, 3, time.Now)
+		for range 3 {
+			assert.NilError(t, b.Take())
+		}
+		err := b.Take()
+		expect(t, err, errs.PlatformThrottled, errs.DidNotRun)
+		assert.Equal(t, errs.As(err).RetryAfter, 500*time.Millisecond)
+		time.Sleep(500 * time.Millisecond)
+		assert.NilError(t, b.Take())
+		expect(t, b.Take(), errs.PlatformThrottled, errs.DidNotRun)
+		time.Sleep(time.Hour)
+		for range 3 {
+			assert.NilError(t, b.Take())
+		}
+		expect(t, b.Take(), errs.PlatformThrottled, errs.DidNotRun)
+	})
+}
+
+// Guards against calls beyond the budget that still reach the platform, and
+// calls that are not counted.
+func TestBudgetStopsCalls(t *testing.T) {
+	p := fake.NewPlatform(fake.PlatformConfig{})
+	defer p.Close()
+	fixed := time.Now()
+	client := platform.NewClient(platform.Config{URL: p.URL(), CallsPerSecond: 1, Burst: 2, Now: func() time.Time { return fixed }})
+	defer client.Close()
+	_, err := client.Put(t.Context(), "a", nil, platform.Condition{})
+	assert.NilError(t, err)
+	p.Throttle(1)
+	_, err = client.Get(t.Context(), "a")
+	expect(t, err, errs.PlatformThrottled, errs.DidNotRun)
+	_, err = client.Put(t.Context(), "a", nil, platform.Condition{})
+	expect(t, err, errs.PlatformThrottled, errs.DidNotRun)
+	assert.Equal(t, p.Calls().Total(), uint64(2))
+	assert.DeepEqual(t, client.Calls(), platform.Calls{
+		Sent: map[platform.Kind]uint64{platform.KindPut: 1, platform.KindGet: 1}, Throttled: 1, Rejected: 1,
+	})
+}
+
+// Guards against a write that took effect being reported as not run when its
+// caller gives up before the slow reply.
+func TestSlowReplyIsAmbiguous(t *testing.T) {
+	p, client := start(t, fake.PlatformConfig{})
+	p.SetDelay(time.Hour)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		until(t, func() bool { return p.Calls().Put == 1 })
+		watched := platform.NewClient(platform.Config{URL: p.URL()})
+		defer watched.Close()
+		_, _ = watched.Watch(t.Context(), "a", 1, time.Hour)
+		cancel()
+	}()
+	_, err := client.Put(ctx, "a", []byte("1"), platform.Condition{})
+	expect(t, err, errs.PlatformDown, errs.MayHaveRun)
+	p.SetDelay(0)
+	stored, err := client.Get(t.Context(), "a")
+	assert.NilError(t, err)
+	assert.Equal(t, string(stored.Value), "1")
+}
+
+// Guards against a write to an unreachable platform being reported as
+// ambiguous, and against waiting for good on one that never answers.
+func TestUnreachableAndMute(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	mute := platform.NewClient(platform.Config{URL: "http://" + l.Addr().String(), CallTimeout: 20 * time.Millisecond})
+	_, err = mute.Put(t.Context(), "a", nil, platform.Condition{})
+	expect(t, err, errs.PlatformDown, errs.MayHaveRun)
+	_, err = mute.Watch(t.Context(), "a", 1, time.Millisecond)
+	expect(t, err, errs.PlatformDown, errs.DidNotRun)
+	assert.NilError(t, l.Close())
+	_, err = mute.Put(t.Context(), "a", nil, platform.Condition{})
+	expect(t, err, errs.PlatformDown, errs.DidNotRun)
+	assert.Equal(t, mute.Calls().Failed, uint64(3))
+}
+
+// Guards against unbounded replies and against server errors of writes that
+// are taken for a promise that nothing happened.
+func TestBadReplies(t *testing.T) {
+	status, body := http.StatusOK, ""
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(body))
+	}))
+	defer server.Close()
+	client := platform.NewClient(platform.Config{URL: server.URL})
+	defer client.Close()
+	_, err := client.Put(t.Context(), "a", nil, platform.Condition{})
+	expect(t, err, errs.PlatformDown, errs.MayHaveRun)
+	_, err = client.VMs(t.Context())
+	expect(t, err, errs.PlatformDown, errs.DidNotRun)
+	body = strings.Repeat("x", platform.MaxValue+1)
+	_, err = client.Get(t.Context(), "a")
+	expect(t, err, errs.PlatformDown, errs.DidNotRun)
+	status, body = http.StatusInternalServerError, ""
+	_, err = client.Put(t.Context(), "a", nil, platform.Condition{})
+	expect(t, err, errs.PlatformDown, errs.MayHaveRun)
+	expect(t, client.Delete(t.Context(), "a", platform.Condition{}), errs.PlatformDown, errs.MayHaveRun)
+	status = http.StatusUnauthorized
+	_, err = client.Get(t.Context(), "a")
+	expect(t, err, errs.Unauthorized, errs.DidNotRun)
+	_, err = client.Put(t.Context(), "a", make([]byte, platform.MaxValue+1), platform.Condition{})
+	expect(t, err, errs.TooLarge, errs.DidNotRun)
+}
+
+// Guards against a watch that misses a change made while it waits, and one
+// that outlives an outage.
+func TestWatchWaits(t *testing.T) {
+	p, client := start(t, fake.PlatformConfig{Token: "secret"})
+	go func() {
+		until(t, func() bool { return p.Calls().Watch == 1 })
+		_, _ = client.Put(t.Context(), "a/1", []byte("1"), platform.Condition{})
+	}()
+	watched, err := client.Watch(t.Context(), "a/", 1, time.Hour)
+	assert.NilError(t, err)
+	assert.Equal(t, len(watched.Events), 1)
+	assert.Equal(t, watched.Events[0].Key, "a/1")
+	go func() {
+		until(t, func() bool { return p.Calls().Watch == 2 })
+		p.SetDown(true)
+	}()
+	_, err = client.Watch(t.Context(), "a/", watched.Revision, time.Hour)
+	expect(t, err, errs.PlatformDown, errs.DidNotRun)
+}
+
+// Guards against a lost reply that is resolved from a stale read to "did not
+// run" although the write took effect, and against a second write of it.
+func TestStaleReadResolvesNothing(t *testing.T) {
+	p, client := start(t, fake.PlatformConfig{})
+	version, err := client.Put(t.Context(), "a", []byte("old"), platform.Condition{})
+	assert.NilError(t, err)
+	p.SetStale(1, 0)
+	p.LoseReplies(1)
+	same := func(stored []byte) bool { return string(stored) == "new" }
+	_, err = platform.PutResolved(t.Context(), client, "a", []byte("new"), platform.Condition{Match: version}, same)
+	expect(t, err, errs.PlatformDown, errs.MayHaveRun)
+	p.SetStale(0, 0)
+	stored, err := client.Get(t.Context(), "a")
+	assert.NilError(t, err)
+	assert.Equal(t, string(stored.Value), "new")
+	assert.Equal(t, stored.Version, "3")
+}
+
+// Guards against another writer's value being taken for the own one.
+func TestOtherWriterWins(t *testing.T) {
+	p, client := start(t, fake.PlatformConfig{})
+	other := func(stored []byte) bool { return false }
+	p.LoseReplies(1)
+	_, err := platform.PutResolved(t.Context(), client, "a", []byte("1"), platform.Condition{Absent: true}, other)
+	expect(t, err, errs.PlatformConflict, errs.MayHaveRun)
+	assert.Equal(t, p.Calls().Put, uint64(1))
+}
+
+// Guards against VM states that are lost or invented.
+func TestVMs(t *testing.T) {
+	p, client := start(t, fake.PlatformConfig{})
+	live := model.VM{ID: "a", Addr: "127.0.0.1:1", Domain: "d", Region: "r"}
+	leaving := model.VM{ID: "b", Addr: "127.0.0.1:2", Domain: "d", Region: "r", State: model.Leaving}
+	p.SetVMs([]model.VM{live, leaving, {ID: "c", State: model.Dead}})
+	p.ListLag(time.Hour)
+	p.SetVMs(nil)
+	vms, err := client.VMs(t.Context())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, vms, []model.VM{live, leaving})
+	p.ListLag(0)
+	vms, err = client.VMs(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, len(vms), 0)
+}
