Add the cold-start window of a replica

Change: pkg/ramp holds the window. It doubles per 500 ms of busy time on answers within 2 x baseline (1 s while the baseline rests on fewer than 64 answers), grows by 1 slot/s above half of the window of the last reduction, and halves on sheds, losses and 4 answers in a row above 3 x baseline. The baseline is kept over restarts, per operation, and can be seeded. Before: nothing. Mutation checks, each seen to fail a test: idle time counted as evidence (TestIdleTimeIsNoEvidence), slow answers grow the window and jump ignored (TestSilentColdPhase), no hold between reductions (TestShedAndLossHalve), instance change ignored (TestRestartKeepsTheBaseline), no fast return of the baseline (TestBaselineLearnedWhileColdFollowsDown), no drift (TestLastingSlowdownBecomesNormal), one baseline for all operations and no bound on operations (TestOperationsHaveTheirOwnBaseline), cap ignored (TestCap). Conclusion: pkg/limit can build on it.

--- /dev/null
+++ b/pkg/ramp/ramp_test.go
@@ -0,0 +1,210 @@
+package ramp
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+var start = time.Unix(1000, 0)
+
+// drive completes requests one after the other for d and returns the time after it.
+func drive(w *Window, now time.Time, d, service time.Duration) time.Time {
+	end := now.Add(d)
+	for now.Before(end) {
+		now = now.Add(service)
+		w.Completed(now, service)
+		now = now.Add(w.Gap())
+	}
+	return now
+}
+
+func warm(t *testing.T) (*Window, time.Time) {
+	t.Helper()
+	w := New(Config{Slots: 3, Cold: 0.1}, start)
+	now := drive(w, start, 6*time.Second, 10*ms)
+	assert.Equal(t, w.Concurrency(), 3)
+	return w, now
+}
+
+// Guards against a replica that gets full load right after its start, and one
+// that is kept from its slots for long.
+func TestGrowsToFullSlotsWithinSeconds(t *testing.T) {
+	for _, service := range []time.Duration{ms, 10 * ms, 50 * ms, 100 * ms} {
+		w := New(Config{Slots: 4, Cold: 0.1}, start)
+		now := drive(w, start, time.Second, service)
+		assert.Assert(t, w.Value() < 2, "%s: %f after 1 s", service, w.Value())
+		drive(w, now, 5*time.Second, service)
+		assert.Equal(t, w.Concurrency(), 4, service.String())
+	}
+}
+
+// Guards against growth that is owed to the passing of time and not to answers.
+func TestIdleTimeIsNoEvidence(t *testing.T) {
+	w := New(Config{Slots: 4, Cold: 1}, start)
+	w.Completed(start.Add(10*ms), 10*ms)
+	before := w.Value()
+	w.Completed(start.Add(time.Hour), 10*ms)
+	assert.Assert(t, w.Value() < before*1.05, "%f to %f", before, w.Value())
+}
+
+// Guards against refusals and broken connections that leave the load as it was,
+// and against counting one refusal of several requests more than once.
+func TestShedAndLossHalve(t *testing.T) {
+	for _, report := range []func(*Window, time.Time){(*Window).Shed, (*Window).Lost} {
+		w, now := warm(t)
+		for range 3 {
+			report(w, now)
+		}
+		assert.Equal(t, w.Value(), 1.5)
+		for range 10 {
+			now = now.Add(ReduceHold)
+			report(w, now)
+		}
+		assert.Equal(t, w.Value(), MinWindow)
+	}
+}
+
+// Guards against a replica that becomes cold without a word and keeps its load,
+// and one whose slow answers count as normal before it is warm again.
+func TestSilentColdPhase(t *testing.T) {
+	w, now := warm(t)
+	for range JumpRun - 1 {
+		now = now.Add(35 * ms)
+		w.Completed(now, 35*ms)
+	}
+	assert.Equal(t, w.Concurrency(), 3)
+	now = drive(w, now.Add(35*ms), 5*time.Second, 35*ms)
+	assert.Equal(t, w.Value(), 0.1)
+	now = drive(w, now, time.Second, 25*ms)
+	assert.Equal(t, w.Value(), 0.1)
+	drive(w, now, 5*time.Second, 10*ms)
+	assert.Equal(t, w.Concurrency(), 3)
+}
+
+// Guards against a baseline learned from a cold replica that hides the next cold phase.
+func TestBaselineLearnedWhileColdFollowsDown(t *testing.T) {
+	w := New(Config{Slots: 3, Cold: 0.5}, start)
+	now := drive(w, start, time.Second, 80*ms)
+	for range recentSize {
+		now = now.Add(10 * ms)
+		w.Completed(now, 10*ms)
+	}
+	normal, _ := w.Baseline("")
+	assert.Equal(t, normal, 10*ms)
+	now = drive(w, now, 4*time.Second, 10*ms)
+	assert.Equal(t, w.Concurrency(), 3)
+	drive(w, now, 2*time.Second, 80*ms)
+	assert.Equal(t, w.Value(), 0.5)
+}
+
+// Guards against slow answers after a restart that grow the window because the
+// baseline was forgotten or, with a seed, never known.
+func TestRestartKeepsTheBaseline(t *testing.T) {
+	w, now := warm(t)
+	w.Instance(now, "a")
+	assert.Equal(t, w.Concurrency(), 3)
+	w.Instance(now, "")
+	w.Instance(now, "b")
+	assert.Equal(t, w.Value(), 0.1)
+	drive(w, now, 3*time.Second, 25*ms)
+	assert.Equal(t, w.Value(), 0.1)
+
+	seeded := New(Config{Slots: 3, Cold: 0.1}, start)
+	seeded.Seed("", 10*ms)
+	drive(seeded, start, 3*time.Second, 25*ms)
+	assert.Equal(t, seeded.Value(), 0.1)
+}
+
+// Guards against a lasting change of the workload that keeps the window small for ever.
+func TestLastingSlowdownBecomesNormal(t *testing.T) {
+	w, now := warm(t)
+	drive(w, now, 90*time.Second, 40*ms)
+	assert.Equal(t, w.Concurrency(), 3)
+}
+
+// Guards against reductions caused by a mix of quick and slow operations.
+func TestOperationsHaveTheirOwnBaseline(t *testing.T) {
+	w, now := warm(t)
+	for i := range 1000 {
+		op, service := "check", ms
+		if i%16 >= 8 {
+			op, service = "search", 20*ms
+		}
+		now = now.Add(service)
+		w.CompletedOperation(now, op, service)
+		assert.Equal(t, w.Concurrency(), 3)
+	}
+	for i := range 100 {
+		w.baselineOf(string(rune('a' + i)))
+	}
+	assert.Assert(t, len(w.baselines) <= maxOperations+1)
+}
+
+// Guards against a takeover cap that is exceeded or lifted without evidence.
+func TestCap(t *testing.T) {
+	w, now := warm(t)
+	w.Cap(1)
+	now = drive(w, now, time.Second, 10*ms)
+	assert.Equal(t, w.Value(), 1.0)
+	w.Cap(0)
+	assert.Equal(t, w.Value(), 1.0)
+	drive(w, now, 2*time.Second, 10*ms)
+	assert.Equal(t, w.Concurrency(), 3)
+}
+
+// TestModelWindow guards against a window outside its bounds, a growth faster
+// than one doubling in DoubleAfter, and a shrink without cause.
+func TestModelWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 8).Draw(t, "slots")
+		cold := rapid.Float64Range(0, 2).Draw(t, "cold")
+		now := start
+		w := New(Config{Slots: slots, Cold: cold}, now)
+		limit := 0.0
+		check := func(*rapid.T) {
+			assert.Assert(t, w.Value() >= MinWindow && w.Value() <= float64(slots))
+			assert.Assert(t, limit == 0 || w.Value() <= limit)
+			assert.Assert(t, w.Concurrency() >= 1 && w.Concurrency() <= slots)
+			assert.Assert(t, w.Gap() >= 0 && w.Gap() <= MaxGap)
+			assert.Assert(t, (w.Gap() == 0) == (w.Value() >= 1))
+		}
+		report := rapid.SampledFrom([]func(*Window, time.Time){(*Window).Shed, (*Window).Lost, (*Window).Restart})
+		t.Repeat(map[string]func(*rapid.T){
+			"completed": func(t *rapid.T) {
+				service := time.Duration(rapid.IntRange(1, 500).Draw(t, "service")) * ms
+				idle := time.Duration(rapid.IntRange(0, 2000).Draw(t, "idle")) * ms
+				before := w.Value()
+				now = now.Add(service + idle)
+				w.Completed(now, service)
+				assert.Assert(t, w.Value() <= before*MaxStep)
+				assert.Assert(t, w.Value() >= before/2 || w.Value() == MinWindow)
+			},
+			"report": func(t *rapid.T) {
+				before := w.Value()
+				now = now.Add(ReduceHold)
+				report.Draw(t, "report")(w, now)
+				assert.Assert(t, w.Value() <= before/2 || w.Value() == MinWindow || w.Value() <= w.cold)
+			},
+			"cap": func(t *rapid.T) {
+				limit = float64(rapid.IntRange(0, 4).Draw(t, "cap"))
+				w.Cap(limit)
+			},
+			"": check,
+		})
+	})
+}
+
+func BenchmarkCompleted(b *testing.B) {
+	w := New(Config{Slots: 3, Cold: 0.1}, start)
+	now := start
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(10 * ms)
+		w.Completed(now, 10*ms)
+	}
+}
