Add the gate of a replica and its fair queue

Change: pkg/limit bounds concurrent work by slots and window, keeps the idle gap below a window of 1, runs one suspect at a time, refuses at once what cannot finish and expires queued work. pkg/fairqueue orders waiting work in rounds over callers and by deadline within a round; admission will use it too. One caller fills at most two thirds of a queue, so nothing has to be evicted. Conclusion: the owner side can build on both packages.

--- /dev/null
+++ b/pkg/fairqueue/fairqueue_test.go
@@ -0,0 +1,198 @@
+package fairqueue
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+// Guards against a caller whose many queued requests keep others from a place.
+func TestOneCallerLeavesRoom(t *testing.T) {
+	q := New(30)
+	n := 0
+	for ; q.Room("flood") == Fits; n++ {
+		q.Push(Item{ID: uint64(n), Deadline: start, Caller: "flood"})
+	}
+	assert.Equal(t, n, 20)
+	assert.Equal(t, q.Room("flood"), ShareExceeded)
+	assert.Equal(t, q.Room("other"), Fits)
+	for ; q.Room(fmt.Sprint(n)) == Fits; n++ {
+		q.Push(Item{ID: uint64(n), Deadline: start, Caller: fmt.Sprint(n)})
+	}
+	assert.Equal(t, q.Len(), 30)
+	assert.Equal(t, q.Room("other"), Full)
+}
+
+// Guards against memory that grows with the number of callers ever seen.
+func TestCallersAreForgotten(t *testing.T) {
+	q := New(8)
+	q.Push(Item{ID: 1, Deadline: start.Add(time.Hour), Caller: "stays", Exclusive: true})
+	for i := range 10000 {
+		q.Push(Item{ID: uint64(i + 2), Deadline: start, Caller: fmt.Sprint(i)})
+		_, ok := q.Pop(start, false)
+		assert.Assert(t, ok)
+	}
+	assert.Assert(t, len(q.callers) < 20, "%d", len(q.callers))
+}
+
+// Guards against a caller that gains by leaving the queue and coming back.
+func TestReturningCallerWaitsForTheNextRound(t *testing.T) {
+	q := New(8)
+	q.Push(Item{ID: 1, Deadline: start.Add(time.Hour), Caller: "waits"})
+	for id := uint64(2); id < 4; id++ {
+		q.Push(Item{ID: id, Deadline: start, Caller: "returns"})
+		it, _ := q.Pop(start, true)
+		assert.Equal(t, it.ID, []uint64{2, 1}[id-2])
+	}
+}
+
+// Guards against a newcomer that waits for more than one request of a flood.
+func TestNewcomerJoinsTheCurrentRound(t *testing.T) {
+	q := New(30)
+	for id := range uint64(10) {
+		q.Push(Item{ID: id, Deadline: start, Caller: "flood"})
+	}
+	q.Pop(start, true)
+	q.Push(Item{ID: 100, Deadline: start.Add(time.Hour), Caller: "newcomer"})
+	q.Pop(start, true)
+	it, _ := q.Pop(start, true)
+	assert.Equal(t, it.ID, uint64(100))
+}
+
+// Guards against a caller that was blocked for some rounds and then takes
+// several turns in a row.
+func TestBlockedCallerCatchesUpOnce(t *testing.T) {
+	q := New(30)
+	for id := range uint64(10) {
+		q.Push(Item{ID: id, Deadline: start, Caller: "blocked", Exclusive: true})
+		q.Push(Item{ID: 100 + id, Deadline: start.Add(time.Hour), Caller: "other"})
+	}
+	for range 8 {
+		q.Pop(start, false)
+	}
+	served := map[string]int{}
+	for range 4 {
+		it, _ := q.Pop(start, true)
+		served[it.Caller]++
+	}
+	assert.Assert(t, served["other"] >= 1)
+}
+
+// TestModelQueue compares the queue with a list. It guards against lost or
+// repeated requests, wrong deadline order within a caller, and a caller that
+// is served more often than the rounds allow while another one waits.
+func TestModelQueue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(12)
+		var model []Item
+		var id uint64
+		// passed counts, for each waiting first request, what it saw of each other caller.
+		passed := map[string]map[string]int{}
+		served := map[string]bool{}
+		drop := func(i int) {
+			delete(passed, model[i].Caller)
+			model = slices.Delete(model, i, i+1)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				id++
+				it := Item{
+					ID:        id,
+					Deadline:  start.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "deadline")) * time.Second),
+					Caller:    rapid.SampledFrom([]string{"a", "a", "b", "b", "c", "d", "e", "f"}).Draw(t, "caller"),
+					Exclusive: rapid.IntRange(0, 5).Draw(t, "exclusive") == 0,
+				}
+				if q.Room(it.Caller) != Fits {
+					return
+				}
+				own := slices.ContainsFunc(model, func(o Item) bool { return o.Caller == it.Caller })
+				if !own {
+					passed[it.Caller] = map[string]int{}
+				}
+				if it.Exclusive {
+					delete(passed, it.Caller)
+				}
+				q.Push(it)
+				model = append(model, it)
+				assert.Assert(t, len(model) <= 12)
+			},
+			"pop": func(t *rapid.T) {
+				earliest := start.Add(time.Duration(rapid.IntRange(0, 8).Draw(t, "earliest")) * time.Second)
+				exclusive := rapid.Bool().Draw(t, "exclusive")
+				may := func(it Item) bool {
+					return !it.Deadline.Before(earliest) && (exclusive || !it.Exclusive)
+				}
+				it, ok := q.Pop(earliest, exclusive)
+				assert.Equal(t, ok, slices.ContainsFunc(model, may))
+				if !ok {
+					return
+				}
+				at := slices.Index(model, it)
+				assert.Assert(t, at >= 0 && may(it))
+				for _, o := range model {
+					assert.Assert(t, o.Caller != it.Caller || !may(o) || !o.Deadline.Before(it.Deadline))
+				}
+				drop(at)
+				served[it.Caller] = true
+				for waiting, seen := range passed {
+					first := slices.IndexFunc(model, func(o Item) bool { return o.Caller == waiting })
+					if may(model[first]) {
+						seen[it.Caller]++
+						bound := 1
+						if served[waiting] {
+							bound = 2
+						}
+						assert.Assert(t, seen[it.Caller] <= bound, "%s is served again while %s waits", it.Caller, waiting)
+					}
+				}
+			},
+			"expire": func(t *rapid.T) {
+				earliest := start.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, "earliest")) * time.Second)
+				ids := q.Expire(earliest)
+				for i := len(model) - 1; i >= 0; i-- {
+					out := model[i].Deadline.Before(earliest)
+					assert.Equal(t, slices.Contains(ids, model[i].ID), out)
+					if out {
+						drop(i)
+					}
+				}
+			},
+			"remove": func(t *rapid.T) {
+				id := rapid.Uint64Range(1, id+1).Draw(t, "id")
+				at := slices.IndexFunc(model, func(o Item) bool { return o.ID == id })
+				assert.Equal(t, q.Remove(id), at >= 0)
+				if at >= 0 {
+					drop(at)
+				}
+			},
+			"": func(t *rapid.T) {
+				assert.Equal(t, q.Len(), len(model))
+				if len(model) == 0 {
+					clear(served)
+				}
+			},
+		})
+	})
+}
+
+func BenchmarkPushPop(b *testing.B) {
+	for _, n := range []int{16, 256, 1024} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			q := New(10 * n)
+			for i := range n {
+				q.Push(Item{ID: uint64(i), Deadline: start.Add(time.Duration(i)), Caller: fmt.Sprint(i % 8)})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				it, _ := q.Pop(start, true)
+				q.Push(it)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pkg/limit/estimate.go
@@ -0,0 +1,76 @@
+package limit
+
+import (
+	"time"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/fairqueue"
+)
+
+// estimate returns the service time used to refuse work, or 0 if it is unknown or old.
+func (g *Gate) estimate(now time.Time) time.Duration {
+	if now.Sub(g.serviceAt) > EstimateMaxAge {
+		return 0
+	}
+	return g.service
+}
+
+// pace is the mean time between two starts while work is waiting.
+func (g *Gate) pace(now time.Time) time.Duration {
+	rate := g.window.Value()
+	if rate >= 1 {
+		rate = float64(min(g.window.Concurrency(), max(1, g.config.Slots)))
+	}
+	return time.Duration(float64(g.estimate(now)) / rate)
+}
+
+// inadmissible refuses requests that must neither run nor wait.
+func (g *Gate) inadmissible(now time.Time, r Request) *errs.Refusal {
+	if _, ok := g.running[r.ID]; ok {
+		return errs.Refuse(errs.Internal, "request id %d is already running", r.ID)
+	}
+	if _, ok := g.waiting[r.ID]; ok {
+		return errs.Refuse(errs.Internal, "request id %d is already queued", r.ID)
+	}
+	if !r.Deadline.After(now) {
+		return errs.Refuse(errs.DeadlineExceeded, "deadline passed before the start")
+	}
+	return nil
+}
+
+// unqueueable refuses requests that find no place or cannot finish in time.
+func (g *Gate) unqueueable(now time.Time, r Request) *errs.Refusal {
+	pace := g.pace(now)
+	switch g.queue.Room(r.Caller) {
+	case fairqueue.Full:
+		return errs.Refuse(errs.QueueFull, "queue of %d is full", g.config.QueueLimit).
+			WithRetryAfter(retryAfter(pace * time.Duration(g.queue.Len())))
+	case fairqueue.ShareExceeded:
+		return errs.Refuse(errs.ShareExceeded, "caller holds its share of the queue of %d", g.config.QueueLimit).
+			WithRetryAfter(retryAfter(pace * time.Duration(g.queue.Callers())))
+	}
+	finish := g.finish(now, r)
+	late := finish - r.Deadline.Sub(now)
+	if late <= 0 {
+		return nil
+	}
+	return errs.Refuse(errs.Overloaded, "cannot finish before the deadline, needs %s more", late).
+		WithRetryAfter(retryAfter(late))
+}
+
+// finish estimates the time until a request that has to wait is complete. A
+// running attempt is taken to be half done.
+func (g *Gate) finish(now time.Time, r Request) time.Duration {
+	service := g.estimate(now)
+	all, suspects := g.queue.Ahead(r.Caller, r.Deadline)
+	wait := time.Duration((float64(all) + 0.5) * float64(g.pace(now)))
+	if r.Suspect {
+		alone := time.Duration((float64(suspects) + 0.5*float64(g.suspects)) * float64(service))
+		wait = max(wait, alone)
+	}
+	return wait + service
+}
+
+func retryAfter(d time.Duration) time.Duration {
+	return max(d, MinRetryAfter)
+}
--- /dev/null
+++ b/pkg/limit/limit_test.go
@@ -0,0 +1,295 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/ramp"
+)
+
+const ms = time.Millisecond
+
+var start = time.Unix(1000, 0)
+
+func newGate(slots, queue int, cold float64) (*Gate, *ramp.Window) {
+	w := ramp.New(ramp.Config{Slots: slots, Cold: cold}, start)
+	return NewGate(Config{Slots: slots, QueueLimit: queue}, w), w
+}
+
+func request(id uint64, d time.Duration) Request {
+	return Request{ID: id, Deadline: start.Add(d), Caller: "a"}
+}
+
+// Guards against work that waits although it cannot finish in time, and
+// against an old estimate that refuses work for ever.
+func TestRefusesAtOnceWhatCannotFinish(t *testing.T) {
+	g, _ := newGate(1, 10, 1)
+	assert.Equal(t, g.Offer(start, request(1, time.Second)).Verdict, Granted)
+	g.Done(start, 1, Succeeded, 100*ms)
+	g.Offer(start, request(2, time.Second))
+	assert.Equal(t, g.Offer(start, request(3, 300*ms)).Verdict, Queued)
+	d := g.Offer(start, request(4, 240*ms))
+	assert.Equal(t, d.Verdict, Queued, "served before the later deadline")
+	d = g.Offer(start, request(5, 242*ms)) // needs 100 + 50 + 100 ms
+	assert.Equal(t, d.Verdict, Refused)
+	assert.Equal(t, d.Refusal.Code, errs.Overloaded)
+	assert.Equal(t, d.Refusal.RunState, errs.DidNotRun)
+	assert.Equal(t, d.Refusal.RetryAfter, 8*ms)
+	late := start.Add(2 * EstimateMaxAge)
+	assert.Equal(t, g.Offer(late, Request{ID: 6, Deadline: late.Add(ms)}).Verdict, Queued)
+	assert.Equal(t, g.Offer(late, Request{ID: 7, Deadline: late}).Refusal.Code, errs.DeadlineExceeded)
+}
+
+// Guards against expired work that is sent, and work that is never reported.
+func TestPollExpires(t *testing.T) {
+	g, _ := newGate(1, 10, 1)
+	g.Offer(start, request(1, time.Second))
+	g.Offer(start, request(2, 50*ms))
+	at, ok := g.Wake(start)
+	assert.Assert(t, ok && at.Equal(start.Add(50*ms)))
+	assert.Equal(t, len(g.Done(at, 1, Succeeded, 50*ms)), 0)
+	granted, expired := g.Poll(at)
+	assert.DeepEqual(t, expired, []uint64{2})
+	assert.Equal(t, len(granted), 0)
+}
+
+// Guards against a cold replica that gets requests without the idle gap.
+func TestGapBelowWindowOfOne(t *testing.T) {
+	g, w := newGate(3, 10, 0.25)
+	g.Offer(start, request(1, time.Minute))
+	g.Offer(start, request(2, time.Minute))
+	assert.Equal(t, g.InFlight(), 1)
+	assert.Equal(t, len(g.Done(start, 1, Failed, 10*ms)), 0)
+	at, ok := g.Wake(start)
+	assert.Assert(t, ok && at.Equal(start.Add(w.Gap())))
+	assert.Equal(t, w.Gap(), 30*ms)
+	granted, _ := g.Poll(at.Add(-1))
+	assert.Equal(t, len(granted), 0)
+	granted, _ = g.Poll(at)
+	assert.DeepEqual(t, granted, []uint64{2})
+	assert.Equal(t, g.Offer(at, request(3, time.Minute)).Verdict, Queued)
+	assert.DeepEqual(t, g.Done(at, 2, NotSent, 0), []uint64{3})
+}
+
+// Guards against ramp evidence that is lost between the gate and the window.
+func TestOutcomesReachTheWindow(t *testing.T) {
+	for o, want := range map[Outcome]float64{Shed: 1, Lost: 1, Failed: 2, NotSent: 2, Withdrawn: 2} {
+		g, w := newGate(2, 10, 2)
+		g.Offer(start, request(1, time.Second))
+		g.Done(start, 1, o, 10*ms)
+		assert.Equal(t, w.Value(), want, "%d", o)
+		g.Done(start.Add(time.Second), 1, o, 10*ms)
+		assert.Equal(t, w.Value(), want, "a repeated report counts")
+	}
+	g, w := newGate(2, 10, 1)
+	g.Offer(start, request(1, time.Second))
+	g.Done(start.Add(10*ms), 1, Succeeded, 10*ms)
+	assert.Assert(t, w.Value() > 1)
+	assert.Equal(t, g.Hint().Service, 10*ms)
+}
+
+// Guards against a caller that fills the queue and makes another one wait for all of it.
+func TestFloodDoesNotDelayOthers(t *testing.T) {
+	g, _ := newGate(1, 30, 1)
+	g.Offer(start, request(1, time.Minute))
+	refused := errs.Code("")
+	for id := uint64(2); refused == ""; id++ {
+		if d := g.Offer(start, request(id, time.Minute)); d.Verdict == Refused {
+			refused = d.Refusal.Code
+		}
+	}
+	assert.Equal(t, refused, errs.ShareExceeded)
+	g.Offer(start, Request{ID: 100, Deadline: start.Add(time.Hour), Caller: "b"})
+	first := g.Done(start, 1, Succeeded, 10*ms)
+	second := g.Done(start, first[0], Succeeded, 10*ms)
+	assert.DeepEqual(t, second, []uint64{100})
+}
+
+// Guards against two suspects at one replica: if one of them crashes it, the
+// other, innocent one would be blamed as well.
+func TestSuspectsRunAlone(t *testing.T) {
+	g, _ := newGate(3, 10, 3)
+	suspect := func(id uint64) Request {
+		return Request{ID: id, Deadline: start.Add(time.Minute), Suspect: true}
+	}
+	assert.Equal(t, g.Offer(start, suspect(1)).Verdict, Granted)
+	assert.Equal(t, g.Offer(start, suspect(2)).Verdict, Queued)
+	assert.Equal(t, g.Offer(start, request(3, time.Hour)).Verdict, Granted, "others pass a waiting suspect")
+	assert.Equal(t, g.Offer(start, suspect(4)).Verdict, Queued)
+	assert.DeepEqual(t, g.Done(start, 1, Failed, 0), []uint64{2})
+}
+
+// Guards against a new request that passes queued ones when the window grows
+// without an event at the gate.
+func TestNewRequestDoesNotPassTheQueue(t *testing.T) {
+	g, w := newGate(2, 10, 2)
+	w.Cap(1)
+	g.Offer(start, request(1, time.Hour))
+	g.Offer(start, request(2, time.Hour))
+	w.Cap(0)
+	w.Restart(start)
+	assert.Equal(t, g.Offer(start, request(3, time.Hour)).Verdict, Queued)
+	granted, _ := g.Poll(start)
+	assert.DeepEqual(t, granted, []uint64{2})
+}
+
+type state struct {
+	Request
+	running bool
+}
+
+// TestModelGate compares the gate with a map of requests. It guards against
+// too much concurrent work, two suspects at a time, starts inside the idle gap
+// or after the deadline, idle slots while work waits, and requests that get no
+// or two outcomes.
+func TestModelGate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 4).Draw(t, "slots")
+		g, w := newGate(slots, 8, rapid.SampledFrom([]float64{0.1, 0.5, 1, 4}).Draw(t, "cold"))
+		model := map[uint64]*state{}
+		now, gap, id := start, start, uint64(0)
+		count := func(running bool) (n, suspects int) {
+			for _, s := range model {
+				if s.running == running {
+					n++
+					if s.Suspect {
+						suspects++
+					}
+				}
+			}
+			return n, suspects
+		}
+		granted := func(ids ...uint64) {
+			for _, id := range ids {
+				s := model[id]
+				assert.Assert(t, s != nil && !s.running)
+				assert.Assert(t, s.Deadline.After(now))
+				assert.Assert(t, w.Value() >= 1 || !now.Before(gap))
+				s.running = true
+			}
+			n, suspects := count(true)
+			assert.Assert(t, len(ids) == 0 || n <= min(slots, w.Concurrency()))
+			assert.Assert(t, suspects <= 1)
+		}
+		pick := func(t *rapid.T, running bool) (uint64, bool) {
+			var ids []uint64
+			for i := uint64(1); i <= id; i++ {
+				if s := model[i]; s != nil && s.running == running {
+					ids = append(ids, i)
+				}
+			}
+			if len(ids) == 0 {
+				return 0, false
+			}
+			return rapid.SampledFrom(ids).Draw(t, "id"), true
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"offer": func(t *rapid.T) {
+				id++
+				r := Request{
+					ID:       id,
+					Deadline: now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "deadline")) * ms),
+					Caller:   rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "caller"),
+					Suspect:  rapid.IntRange(0, 3).Draw(t, "suspect") == 0,
+				}
+				d := g.Offer(now, r)
+				assert.Equal(t, d.Refusal != nil, d.Verdict == Refused)
+				if d.Verdict == Refused {
+					assert.Equal(t, d.Refusal.RunState, errs.DidNotRun)
+					return
+				}
+				model[id] = &state{Request: r}
+				if d.Verdict == Granted {
+					granted(id)
+				}
+			},
+			"done": func(t *rapid.T) {
+				id, ok := pick(t, true)
+				if !ok {
+					return
+				}
+				delete(model, id)
+				o := Outcome(rapid.IntRange(0, 5).Draw(t, "outcome"))
+				ids := g.Done(now, id, o, time.Duration(rapid.IntRange(1, 60).Draw(t, "service"))*ms)
+				if o != NotSent {
+					gap = now.Add(w.Gap())
+				}
+				granted(ids...)
+			},
+			"withdraw": func(t *rapid.T) {
+				if id, ok := pick(t, false); ok {
+					delete(model, id)
+					granted(g.Withdraw(now, id)...)
+				}
+			},
+			"poll": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "wait")) * ms)
+				ids, expired := g.Poll(now)
+				for _, id := range expired {
+					assert.Assert(t, !model[id].running)
+					delete(model, id)
+				}
+				granted(ids...)
+				running, suspects := count(true)
+				waiting, suspectsWaiting := count(false)
+				idle := running < w.Concurrency() && (w.Value() >= 1 || !now.Before(gap))
+				assert.Assert(t, !idle || waiting == suspectsWaiting && (suspects > 0 || waiting == 0))
+				if at, ok := g.Wake(now); ok {
+					assert.Assert(t, at.After(now), "wakes for nothing")
+				}
+			},
+			"drain": func(t *rapid.T) {
+				for _, id := range g.Drain() {
+					assert.Assert(t, !model[id].running)
+					delete(model, id)
+				}
+				waiting, _ := count(false)
+				assert.Equal(t, waiting, 0)
+			},
+			"restart": func(*rapid.T) { w.Restart(now) },
+			"": func(t *rapid.T) {
+				running, _ := count(true)
+				waiting, _ := count(false)
+				assert.Equal(t, g.InFlight(), running)
+				assert.Equal(t, g.Hint().Outstanding, running+waiting)
+				assert.Assert(t, waiting <= 8)
+			},
+		})
+	})
+}
+
+func BenchmarkOfferDone(b *testing.B) {
+	g, _ := newGate(3, 64, 3)
+	now := start
+	id := uint64(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		id++
+		now = now.Add(ms)
+		g.Offer(now, Request{ID: id, Deadline: now.Add(time.Second), Caller: "a"})
+		g.Done(now, id, Succeeded, ms)
+	}
+}
+
+func BenchmarkOfferDoneQueued(b *testing.B) {
+	g, _ := newGate(3, 64, 3)
+	now := start
+	running := []uint64{}
+	b.ReportAllocs()
+	id := uint64(0)
+	for b.Loop() {
+		for g.Hint().Outstanding < 35 {
+			id++
+			if g.Offer(now, Request{ID: id, Deadline: now.Add(time.Hour), Caller: string(rune('a' + id%8))}).Verdict == Granted {
+				running = append(running, id)
+			}
+		}
+		now = now.Add(ms)
+		done := running[0]
+		running = append(running[1:], g.Done(now, done, Succeeded, ms)...)
+	}
+}
