Publish correctly under stale reads of the platform

Cause: a read that shows an older manifest than the operator has seen was reported as a conflict, and a plain conflict was resolved by repeated reads although its outcome is known. Change: Publish reads again until the platform shows the version that the caller names; a conflict without an earlier lost reply is final. Before: a wrong conflict, or seconds of repeats. After: a test with the platform stand-in and the real client covers lost replies and stale reads.

--- a/pkg/config/publish.go
+++ b/pkg/config/publish.go
@@ -68,6 +68,25 @@
 	return stored{manifest: m, object: obj.Version}, nil
 }
 
+// readSince returns the manifest in force, which is empty when there is none.
+// It reads again while the platform shows an older one than the caller has
+// already seen.
+func readSince(ctx context.Context, s platform.Store, seen uint64) (stored, error) {
+	for attempt := range publishAttempts {
+		cur, err := readManifest(ctx, s)
+		if err != nil && !errs.Is(err, errs.PlatformNotFound) {
+			return stored{}, err
+		}
+		if cur.manifest.Version >= seen {
+			return cur, nil
+		}
+		if err := pause(ctx, attempt); err != nil {
+			return stored{}, err
+		}
+	}
+	return stored{}, errs.Refuse(errs.PlatformDown, "the platform does not show configuration %d", seen)
+}
+
 // FetchSections reads the sections that m names and have does not know from
 // the platform. It returns all bodies by hash.
 func FetchSections(ctx context.Context, s platform.Store, m Manifest, have func(hash string) ([]byte, bool)) (map[string][]byte, error) {
@@ -124,8 +143,8 @@
 // read. Lost replies are resolved by reading the manifest back; a refusal
 // with run state MayHaveRun means that the platform stayed unreachable.
 func Publish(ctx context.Context, s platform.Store, d *model.Document, readVersion uint64) (uint64, error) {
-	cur, err := readManifest(ctx, s)
-	if err != nil && !errs.Is(err, errs.PlatformNotFound) {
+	cur, err := readSince(ctx, s, readVersion)
+	if err != nil {
 		return 0, err
 	}
 	if cur.manifest.Version != readVersion {
@@ -207,8 +226,8 @@
 			return nil
 		}
 		written = written || ambiguous(err)
-		if !written && !errs.Is(err, errs.PlatformConflict) {
-			return err
+		if !written {
+			return lostRace(ctx, s, cur, err)
 		}
 		done, rerr := resolve(ctx, s, cur, token)
 		if done {
@@ -222,7 +241,19 @@
 	return errs.Ambiguous(errs.PlatformDown, "publication of configuration %d not confirmed: %v", next.Version, err)
 }
 
-// resolve reads the manifest back after a lost reply or a conflict. It
+// lostRace names the version that won, if the refusal is a conflict.
+func lostRace(ctx context.Context, s platform.Store, cur stored, err error) error {
+	if !errs.Is(err, errs.PlatformConflict) {
+		return err
+	}
+	now, rerr := readManifest(ctx, s)
+	if rerr != nil || now.manifest.Version <= cur.manifest.Version {
+		return errs.Refuse(errs.PlatformConflict, "configuration %d was replaced after it was read", cur.manifest.Version)
+	}
+	return conflict(cur.manifest.Version, now.manifest.Version)
+}
+
+// resolve reads the manifest back after a lost reply. It
 // reports whether the outcome is known.
 func resolve(ctx context.Context, s platform.Store, cur stored, token string) (bool, error) {
 	now, err := readManifest(ctx, s)
--- a/pkg/config/publish_test.go
+++ b/pkg/config/publish_test.go
@@ -10,7 +10,9 @@
 	"pgregory.net/rapid"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/fake"
 	"github.com/nutmeghitch/nutmeghitch/pkg/model"
+	"github.com/nutmeghitch/nutmeghitch/pkg/platform"
 )
 
 func sample(site string, groups int) *model.Document {
@@ -174,3 +176,32 @@
 	_, err := Publish(context.Background(), s, sample("x", 1), 0)
 	assert.Equal(t, errs.As(err).RunState, errs.MayHaveRun)
 }
+
+// Guards against lost replies and stale reads of the real API being reported
+// as lost races, with the stand-in of the platform behind the real client.
+func TestPublishOverHTTP(t *testing.T) {
+	retryPause = 0
+	ctx := context.Background()
+	p := fake.NewPlatform(fake.PlatformConfig{Token: "token"})
+	defer p.Close()
+	s := platform.NewClient(platform.Config{URL: p.URL(), Token: "token"})
+	defer s.Close()
+	p.LoseReplies(6)
+	v, err := Publish(ctx, s, sample("x", 3), 0)
+	assert.NilError(t, err)
+	p.SetStale(1, 0)
+	v, err = Publish(ctx, s, sample("y", 3), v)
+	assert.Equal(t, errs.As(err).Code, errs.PlatformDown, "the manifest that was read is not shown: %v", err)
+	assert.Equal(t, v, uint64(0))
+	p.SetStale(0, 0)
+	p.LoseReplies(1)
+	v, err = Publish(ctx, s, sample("y", 3), 1)
+	assert.NilError(t, err)
+	d, _, err := Fetch(ctx, s)
+	assert.NilError(t, err)
+	assert.Equal(t, d.Site, "y")
+	assert.Equal(t, v, d.Version)
+	p.SetStale(2, 0)
+	_, err = Publish(ctx, s, sample("z", 3), 1)
+	assert.Assert(t, errs.Is(err, errs.PlatformConflict), "%v", err)
+}
