Check each configuration file by itself

Cause: a value that another overlay contradicts or replaces was not checked, so its own fault appeared only after the first one was corrected. Change: the form of each file is checked before the merge. The golden line for a service set to a number now names the kind instead of the merge; it covers the same fault at the same place. Reading an empty platform says that no configuration was published. Conclusion: all faults of all files are reported in one run.

--- a/pkg/config/load.go
+++ b/pkg/config/load.go
@@ -56,11 +56,15 @@
 	root := newObject(Origin{base.Name, 1})
 	for i, src := range append([]Source{base}, overlays...) {
 		p := parser{name: src.Name, data: src.Data, overlay: i, faults: faults}
-		if n := p.parse(); n != nil {
-			root.merge(n, "", faults)
+		n := p.parse()
+		if n == nil {
+			continue
 		}
+		// Each file is checked by itself, so that a value that another file
+		// replaces is checked too.
+		(&checker{faults: faults}).check(n, reflect.TypeFor[fileDocument](), "", nil)
+		root.merge(n, "", faults)
 	}
-	(&checker{faults: faults}).check(root, reflect.TypeFor[fileDocument](), "", nil)
 	applyDefaults(root)
 	e := expander{root: root, faults: faults, expanded: map[string]bool{}}
 	e.run()
--- a/pkg/config/publish.go
+++ b/pkg/config/publish.go
@@ -58,6 +58,9 @@
 
 func readManifest(ctx context.Context, s platform.Store) (stored, error) {
 	obj, err := s.Get(ctx, ManifestKey)
+	if errs.Is(err, errs.PlatformNotFound) {
+		return stored{}, errs.Refuse(errs.PlatformNotFound, "no configuration was published")
+	}
 	if err != nil {
 		return stored{}, err
 	}
--- a/pkg/config/tree.go
+++ b/pkg/config/tree.go
@@ -220,8 +220,7 @@
 		case ours == nil:
 			n.set(key, theirs)
 		case ours.kind != theirs.kind && (ours.kind == '{' || theirs.kind == '{'):
-			faults.add(Fault{Origin: theirs.origin, Path: at, Value: theirs.show(),
-				Problem: fmt.Sprintf("replaces a value of another kind set at %s", ours.origin)})
+			// The checker has reported the one that is of the wrong kind.
 		case ours.kind == '{':
 			ours.merge(theirs, at, faults)
 		case ours.overlay > 0 && ours.overlay != theirs.overlay && ours.standard() != theirs.standard():
