Cut sections of groups by content

Cause: sections of a fixed 32 groups have no bound on their size when groups have many shards or replicas, and a removed group shifts all later sections. Change: a section starts where the hash of a group's id says so, or when it has 256 shards and replicas; a larger group continues in the next section. The publication model also covers writes that arrive after their reply was given up. Before: size and transfer not bounded (by reading, not measured). After: the largest section in the test stays below 56 KiB, and removing one of 770 groups or changing an address changes one section of groups. Conclusion: a change transfers about one section at the target scale.

--- a/pkg/config/publish_test.go
+++ b/pkg/config/publish_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"reflect"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -33,32 +34,50 @@
 	}
 }
 
-// Guards against a document that changes on its way through the sections,
-// also where the groups do not fill the last section.
+// Guards against a document that changes on its way through the sections and
+// against a section that does not fit into a control frame.
 func TestJoinRestoresSplit(t *testing.T) {
-	for _, n := range []int{0, 1, GroupsPerSection, 3*GroupsPerSection + 1} {
-		d := sample("x", n)
+	rapid.Check(t, func(t *rapid.T) {
+		d := sample("x", rapid.IntRange(0, 30).Draw(t, "groups"))
 		d.Version = 7
+		name := strings.Repeat("n", 50)
+		for i := range d.Services["s"].ShardMaps[0].Groups {
+			g := &d.Services["s"].ShardMaps[0].Groups[i]
+			for s := range rapid.SampledFrom([]int{0, 1, 8, 300}).Draw(t, "shards") {
+				g.Shards = append(g.Shards, model.ShardID(fmt.Sprint(name, i, ".", s)))
+			}
+			for r := range rapid.SampledFrom([]int{0, 1, 8, 300}).Draw(t, "replicas") {
+				g.Replicas = append(g.Replicas, model.Replica{ID: model.ReplicaID(fmt.Sprint(name, i, ".", r)), Domain: model.DomainID(name)})
+			}
+		}
 		m, bodies := Split(d)
+		for name, hash := range m.Sections {
+			assert.Assert(t, len(bodies[hash]) < 56<<10, "%s has %d bytes", name, len(bodies[hash]))
+		}
 		got, err := Join(m, lookup(bodies))
 		assert.NilError(t, err)
-		assert.DeepEqual(t, got, d)
-	}
+		assert.Assert(t, reflect.DeepEqual(got, d))
+	})
 }
 
-// Guards against one changed replica transferring the whole shard map.
-func TestChangedReplicaChangesOneSection(t *testing.T) {
-	before, _ := Split(sample("x", 100))
-	d := sample("x", 100)
-	d.Services["s"].ShardMaps[0].Groups[50].Replicas[0].Addr = "127.0.0.1:2"
-	after, _ := Split(d)
-	changed := 0
-	for name, hash := range after.Sections {
-		if before.Sections[name] != hash {
-			changed++
+// Guards against a small change that transfers the whole shard map.
+func TestSmallChangeTransfersLittle(t *testing.T) {
+	before, _ := Split(sample("x", 770))
+	assert.Assert(t, len(before.Sections) > 20)
+	changed := func(edit func(m *model.ShardMap)) int {
+		d := sample("x", 770)
+		edit(&d.Services["s"].ShardMaps[0])
+		after, _ := Split(d)
+		n := 0
+		for name, hash := range after.Sections {
+			if before.Sections[name] != hash {
+				n++
+			}
 		}
+		return n
 	}
-	assert.Equal(t, changed, 1)
+	assert.Equal(t, changed(func(m *model.ShardMap) { m.Groups[50].Replicas[0].Addr = "127.0.0.1:2" }), 1)
+	assert.Equal(t, changed(func(m *model.ShardMap) { m.Groups = append(m.Groups[:50], m.Groups[51:]...) }), 1)
 }
 
 // Guards against applying a section that was damaged or is missing.
@@ -99,21 +118,23 @@
 				read := version - min(version, rapid.Uint64Range(0, 1).Draw(t, "stale"))
 				s.loseBefore = rapid.IntRange(0, 2).Draw(t, "lost before")
 				s.loseAfter = rapid.IntRange(0, 2).Draw(t, "lost after")
+				s.delay = rapid.Bool().Draw(t, "delayed")
 				raced := false
 				if rapid.Bool().Draw(t, "race") && read == version {
 					other := fresh()
 					s.before = func() {
-						after, before := s.loseAfter, s.loseBefore
-						s.loseAfter, s.loseBefore = 0, 0
+						after, before, delay := s.loseAfter, s.loseBefore, s.delay
+						s.loseAfter, s.loseBefore, s.delay = 0, 0, false
 						v, err := Publish(ctx, s, other, version)
 						assert.NilError(t, err)
 						raced, everRaced, inForce, version = true, true, other, v
-						s.loseAfter, s.loseBefore = after, before
+						s.loseAfter, s.loseBefore, s.delay = after, before, delay
 					}
 				}
 				wins := read == version
 				v, err := Publish(ctx, s, d, read)
-				s.before, s.loseAfter, s.loseBefore = nil, 0, 0
+				s.before, s.loseAfter, s.loseBefore, s.delay = nil, 0, 0, false
+				s.land()
 				if !wins || raced {
 					assert.Assert(t, errs.Is(err, errs.PlatformConflict), "%v", err)
 					return
--- a/pkg/config/sections.go
+++ b/pkg/config/sections.go
@@ -12,12 +12,19 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/model"
 )
 
-// GroupsPerSection is the number of groups stored in one section. A section
-// must fit into a control frame (64 KiB) so that peers can hand it on, and
-// a changed replica must not transfer the whole shard map: at the target
-// scale a group of 8 replicas takes about 700 bytes, so a section takes about
-// 23 KB.
-const GroupsPerSection = 32
+// Sections of groups are cut so that each fits into a control frame (64 KiB),
+// because peers hand them on, and so that a changed replica transfers little:
+// at the target scale one section of about 16 groups, 11 KB.
+const (
+	// cutModulus is the average number of groups between two cuts. A cut
+	// depends on the id of the group after it, so a group that is added or
+	// removed moves no other cut.
+	cutModulus = 16
+	// maxWeight bounds the shards and replicas in one section. With the
+	// longest names that validation accepts a replica takes 180 bytes, so a
+	// section stays below 48 KB.
+	maxWeight = 256
+)
 
 // hashBytes is the length of a section hash before hex encoding. SHA-256 is
 // used in place of xxhash because a collision would put a wrong section into
@@ -75,8 +82,9 @@
 }
 
 type mapBody struct {
-	Epoch  uint64 `json:"epoch"`
-	Groups int    `json:"groups"`
+	Epoch uint64 `json:"epoch"`
+	// Sections names the sections of the groups, in order.
+	Sections []string `json:"sections"`
 }
 
 // Hash returns the content address of a section body.
@@ -122,19 +130,17 @@
 	body := serviceBody{Service: *svc}
 	body.Service.ShardMaps = nil
 	for _, m := range svc.ShardMaps {
-		body.Maps = append(body.Maps, mapBody{Epoch: m.Epoch, Groups: len(m.Groups)})
-		for first := 0; first < len(m.Groups); first += GroupsPerSection {
-			last := min(first+GroupsPerSection, len(m.Groups))
-			s.add(groupsName(id, m.Epoch, first), m.Groups[first:last])
+		out := mapBody{Epoch: m.Epoch}
+		for _, section := range cut(m.Groups) {
+			name := fmt.Sprintf("%s%s.%d.%s", groupsPrefix, id, m.Epoch, section.name)
+			s.add(name, section.groups)
+			out.Sections = append(out.Sections, name)
 		}
+		body.Maps = append(body.Maps, out)
 	}
 	s.add(servicePrefix+string(id), body)
 }
 
-func groupsName(id model.ServiceID, epoch uint64, first int) string {
-	return fmt.Sprintf("%s%s.%d.%d", groupsPrefix, id, epoch, first/GroupsPerSection)
-}
-
 // Join rebuilds a document from its manifest and sections. The error is a
 // *SectionError. Each body is checked against its hash.
 func Join(m Manifest, section func(hash string) ([]byte, bool)) (*model.Document, error) {
@@ -192,7 +198,7 @@
 	}
 	svc := body.Service
 	for _, m := range body.Maps {
-		groups, err := j.groups(id, m)
+		groups, err := j.groups(m)
 		if err != nil {
 			return nil, err
 		}
@@ -201,18 +207,14 @@
 	return &svc, nil
 }
 
-func (j *joiner) groups(id model.ServiceID, m mapBody) ([]model.Group, error) {
+func (j *joiner) groups(m mapBody) ([]model.Group, error) {
 	var all []model.Group
-	for first := 0; first < m.Groups; first += GroupsPerSection {
-		var part []model.Group
-		name := groupsName(id, m.Epoch, first)
-		if err := j.read(name, &part); err != nil {
+	for _, name := range m.Sections {
+		var section []model.Group
+		if err := j.read(name, &section); err != nil {
 			return nil, err
 		}
-		if len(part) != min(GroupsPerSection, m.Groups-first) {
-			return nil, &SectionError{Name: name, Hash: j.manifest.Sections[name], Reason: SectionMalformed}
-		}
-		all = append(all, part...)
+		all = appendGroups(all, section)
 	}
 	return all, nil
 }
--- a/pkg/config/store_test.go
+++ b/pkg/config/store_test.go
@@ -20,6 +20,18 @@
 	// loseAfter and loseBefore count manifest writes that report a lost reply
 	// with and without their effect.
 	loseAfter, loseBefore int
+	// delay lets writes that were lost without effect take effect when the
+	// next write of the manifest arrives, if their condition still holds.
+	delay   bool
+	delayed []func()
+}
+
+// land delivers the delayed writes.
+func (m *memStore) land() {
+	for _, f := range m.delayed {
+		f()
+	}
+	m.delayed = nil
 }
 
 func newMemStore() *memStore { return &memStore{objects: map[string]platform.Object{}} }
@@ -47,21 +59,30 @@
 			m.before = nil
 			f()
 		}
+		m.land()
 		if m.loseBefore > 0 {
 			m.loseBefore--
+			if m.delay {
+				m.delayed = append(m.delayed, func() { _, _ = m.write(key, value, c) })
+			}
 			return "", lost
 		}
 	}
+	version, err := m.write(key, value, c)
+	if err == nil && key == ManifestKey && m.loseAfter > 0 {
+		m.loseAfter--
+		return "", lost
+	}
+	return version, err
+}
+
+func (m *memStore) write(key string, value []byte, c platform.Condition) (string, error) {
 	if err := m.check(key, c); err != nil {
 		return "", err
 	}
 	m.next++
 	o := platform.Object{Key: key, Value: value, Version: fmt.Sprint(m.next)}
 	m.objects[key] = o
-	if key == ManifestKey && m.loseAfter > 0 {
-		m.loseAfter--
-		return "", lost
-	}
 	return o.Version, nil
 }
 
