--- a/pkg/fairqueue/fairqueue_test.go
+++ b/pkg/fairqueue/fairqueue_test.go
@@ -1,6 +1,7 @@
 package fairqueue
 
 import (
+	"flag"
 	"fmt"
 	"slices"
 	"testing"
@@ -12,6 +13,9 @@
 
 var start = time.Unix(1000, 0)
 
+// A fixed seed gives every test run the same verdict; a flag overrides it.
+func init() { _ = flag.Set("rapid.seed", "20261204") }
+
 // Guards against a caller whose many queued requests keep others from a place.
 func TestOneCallerLeavesRoom(t *testing.T) {
 	q := New(30)
--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"flag"
 	"testing"
 	"time"
 
@@ -15,6 +16,9 @@
 
 var start = time.Unix(1000, 0)
 
+// A fixed seed gives every test run the same verdict; a flag overrides it.
+func init() { _ = flag.Set("rapid.seed", "20261204") }
+
 func newGate(slots, queue int, cold float64) (*Gate, *ramp.Window) {
 	w := ramp.New(ramp.Config{Slots: slots, Cold: cold}, start)
 	return NewGate(Config{Slots: slots, QueueLimit: queue}, w), w
--- a/pkg/ramp/ramp_test.go
+++ b/pkg/ramp/ramp_test.go
@@ -1,6 +1,7 @@
 package ramp
 
 import (
+	"flag"
 	"testing"
 	"time"
 
@@ -12,6 +13,9 @@
 
 var start = time.Unix(1000, 0)
 
+// A fixed seed gives every test run the same verdict; a flag overrides it.
+func init() { _ = flag.Set("rapid.seed", "20261204") }
+
 // drive completes requests one after the other for d and returns the time after it.
 func drive(w *Window, now time.Time, d, service time.Duration) time.Time {
 	end := now.Add(d)
