--- a/pkg/claim/partition_test.go
+++ b/pkg/claim/partition_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	_ "github.com/nutmeghitch/nutmeghitch/pkg/modeltest"
 	"github.com/nutmeghitch/nutmeghitch/pkg/platform"
 	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
 )
--- a/pkg/fairqueue/fairqueue_test.go
+++ b/pkg/fairqueue/fairqueue_test.go
@@ -9,6 +9,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	_ "github.com/nutmeghitch/nutmeghitch/pkg/modeltest"
 )
 
 var start = time.Unix(1000, 0)
--- a/pkg/kernel/kernel_test.go
+++ b/pkg/kernel/kernel_test.go
@@ -10,6 +10,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	_ "github.com/nutmeghitch/nutmeghitch/pkg/modeltest"
 )
 
 type part struct {
--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	_ "github.com/nutmeghitch/nutmeghitch/pkg/modeltest"
 	"github.com/nutmeghitch/nutmeghitch/pkg/ramp"
 )
 
--- a/pkg/merge/merge_test.go
+++ b/pkg/merge/merge_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/model"
+	_ "github.com/nutmeghitch/nutmeghitch/pkg/modeltest"
 	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
 )
 
--- a/pkg/ramp/ramp_test.go
+++ b/pkg/ramp/ramp_test.go
@@ -7,6 +7,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	_ "github.com/nutmeghitch/nutmeghitch/pkg/modeltest"
 )
 
 const ms = time.Millisecond
