--- /dev/null
+++ b/pkg/wire/codec.go
@@ -0,0 +1,174 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Protocol is the version of the peer protocol. Both ends of a connection
+// must have the same version.
+const Protocol uint8 = 1
+
+const (
+	// HeaderSize is the size of a frame header in bytes: length, version, kind, stream.
+	HeaderSize = 14
+	// MaxControlFrame is the size limit of a frame on the control lane in bytes.
+	MaxControlFrame = 64 << 10
+	// MaxTrafficFrame is the size limit of a frame on the traffic lane in bytes.
+	MaxTrafficFrame = 4 << 20
+
+	lengthSize = 4
+	// keepBuffer is the largest read buffer that is kept between frames. One
+	// large result must not hold 4 MiB for the life of a connection.
+	keepBuffer = 64 << 10
+)
+
+// registry maps each kind to a constructor of its message type.
+var registry = [256]func() Message{
+	KindHello:          func() Message { return new(Hello) },
+	KindProof:          func() Message { return new(Proof) },
+	KindPing:           func() Message { return new(Ping) },
+	KindAck:            func() Message { return new(Ack) },
+	KindPingRequest:    func() Message { return new(PingRequest) },
+	KindPingResult:     func() Message { return new(PingResult) },
+	KindSyncRequest:    func() Message { return new(SyncRequest) },
+	KindSyncReply:      func() Message { return new(SyncReply) },
+	KindConfigRequest:  func() Message { return new(ConfigRequest) },
+	KindConfigReply:    func() Message { return new(ConfigReply) },
+	KindRelease:        func() Message { return new(Release) },
+	KindSearchBatch:    func() Message { return new(SearchBatch) },
+	KindSearchPartial:  func() Message { return new(SearchPartial) },
+	KindCancelAttempts: func() Message { return new(CancelAttempts) },
+	KindCallRequest:    func() Message { return new(CallRequest) },
+	KindCallReply:      func() Message { return new(CallReply) },
+	KindPoisonReport:   func() Message { return new(PoisonReport) },
+	KindPoisonAck:      func() Message { return new(PoisonAck) },
+	KindFailure:        func() Message { return new(Failure) },
+	KindStreamEnd:      func() Message { return new(StreamEnd) },
+	KindProbe:          func() Message { return new(Probe) },
+	KindProbeReply:     func() Message { return new(ProbeReply) },
+}
+
+// appender is an io.Writer that appends to a slice.
+type appender struct{ b []byte }
+
+// Write implements io.Writer.
+func (a *appender) Write(p []byte) (int, error) {
+	a.b = append(a.b, p...)
+	return len(p), nil
+}
+
+// Append appends the frame of m to dst. On error dst is returned unchanged,
+// so a frame is appended completely or not at all.
+func Append(dst []byte, stream uint64, m Message, limit int) ([]byte, error) {
+	var header [HeaderSize]byte
+	a := appender{b: append(dst, header[:]...)}
+	enc := msgpack.GetEncoder()
+	enc.Reset(&a)
+	enc.UseCompactInts(true)
+	err := enc.Encode(m)
+	msgpack.PutEncoder(enc)
+	if err != nil {
+		return dst, errs.Refuse(errs.FrameMalformed, "encode kind %d: %v", m.Kind(), err)
+	}
+	frame := a.b[len(dst):]
+	if len(frame) > limit {
+		return dst, errs.Refuse(errs.FrameTooLarge, "frame of kind %d has %d bytes, limit %d", m.Kind(), len(frame), limit)
+	}
+	binary.BigEndian.PutUint32(frame, uint32(len(frame)-lengthSize))
+	frame[4] = Protocol
+	frame[5] = byte(m.Kind())
+	binary.BigEndian.PutUint64(frame[6:], stream)
+	return a.b, nil
+}
+
+// Write writes the frame of m to w in one call.
+func Write(w io.Writer, stream uint64, m Message, limit int) error {
+	frame, err := Append(nil, stream, m, limit)
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(frame)
+	return err
+}
+
+// Reader reads frames. It is not safe for concurrent use.
+type Reader struct {
+	r     io.Reader
+	limit int
+	buf   []byte
+	body  bytes.Reader
+}
+
+// NewReader returns a Reader that refuses frames larger than limit bytes.
+func NewReader(r io.Reader, limit int) *Reader { return &Reader{r: r, limit: limit} }
+
+// SetLimit changes the size limit of the frames that follow.
+func (r *Reader) SetLimit(limit int) { r.limit = limit }
+
+// Next returns the next message and its stream. It fails with FrameTooLarge,
+// FrameMalformed, ProtocolMismatch or the error of the underlying reader.
+func (r *Reader) Next() (uint64, Message, error) {
+	var h [HeaderSize]byte
+	if _, err := io.ReadFull(r.r, h[:]); err != nil {
+		return 0, nil, err
+	}
+	// The version is checked first: the rest of the header may have another
+	// layout in another version.
+	if h[4] != Protocol {
+		return 0, nil, errs.Refuse(errs.ProtocolMismatch, "peer speaks version %d, this VM %d", h[4], Protocol)
+	}
+	size := uint64(binary.BigEndian.Uint32(h[:])) + lengthSize
+	if size < HeaderSize {
+		return 0, nil, errs.Refuse(errs.FrameMalformed, "frame length %d is shorter than a header", size)
+	}
+	if size > uint64(r.limit) {
+		return 0, nil, errs.Refuse(errs.FrameTooLarge, "frame of kind %d has %d bytes, limit %d", h[5], size, r.limit)
+	}
+	body, err := r.readBody(int(size) - HeaderSize)
+	if err != nil {
+		return 0, nil, err
+	}
+	m, err := r.decode(Kind(h[5]), body)
+	return binary.BigEndian.Uint64(h[6:]), m, err
+}
+
+func (r *Reader) readBody(n int) ([]byte, error) {
+	body := r.buf
+	if n > cap(body) {
+		body = make([]byte, n)
+	}
+	body = body[:n]
+	if n <= keepBuffer {
+		r.buf = body
+	}
+	_, err := io.ReadFull(r.r, body)
+	return body, err
+}
+
+func (r *Reader) decode(k Kind, body []byte) (Message, error) {
+	construct := registry[k]
+	if construct == nil {
+		return nil, errs.Refuse(errs.FrameMalformed, "unknown kind %d", k)
+	}
+	m := construct()
+	r.body.Reset(body)
+	dec := msgpack.GetDecoder()
+	dec.Reset(&r.body)
+	// Loose decoding gives one integer and one float type for the values of
+	// sort keys, whatever width the sender chose.
+	dec.UseLooseInterfaceDecoding(true)
+	err := dec.Decode(m)
+	msgpack.PutDecoder(dec)
+	if err != nil {
+		return nil, errs.Refuse(errs.FrameMalformed, "decode kind %d: %v", k, err)
+	}
+	if r.body.Len() > 0 {
+		return nil, errs.Refuse(errs.FrameMalformed, "kind %d has %d extra bytes", k, r.body.Len())
+	}
+	return m, nil
+}
--- /dev/null
+++ b/pkg/wire/codec_test.go
@@ -0,0 +1,120 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against a message type that is missing from the registry or loses
+// fields on the way.
+func TestRoundTripOfEveryKind(t *testing.T) {
+	for k, construct := range registry {
+		if construct == nil {
+			continue
+		}
+		m := construct()
+		assert.Equal(t, m.Kind(), Kind(k))
+		frame, err := Append(nil, 7, m, MaxTrafficFrame)
+		assert.NilError(t, err)
+		stream, got, err := NewReader(bytes.NewReader(frame), MaxTrafficFrame).Next()
+		assert.NilError(t, err)
+		assert.Equal(t, stream, uint64(7))
+		assert.DeepEqual(t, got, m)
+	}
+	p := &SearchPartial{QueryID: "q", Rows: []Row{{Group: "g", Key: []any{int64(3), "a", 1.5}, Data: []byte("x")}}, Last: true}
+	frame, err := Append(nil, 1, p, MaxTrafficFrame)
+	assert.NilError(t, err)
+	_, got, err := NewReader(bytes.NewReader(frame), MaxTrafficFrame).Next()
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, p)
+}
+
+// Guards against an unbounded allocation for a frame that announces a large
+// size, and against a partly written oversized frame.
+func TestFrameLimits(t *testing.T) {
+	big := &Proof{MAC: make([]byte, MaxControlFrame)}
+	dst := []byte("kept")
+	out, err := Append(dst, 1, big, MaxControlFrame)
+	assert.Assert(t, errs.Is(err, errs.FrameTooLarge))
+	assert.Equal(t, string(out), "kept")
+	frame, err := Append(nil, 1, big, MaxTrafficFrame)
+	assert.NilError(t, err)
+	_, _, err = NewReader(bytes.NewReader(frame), MaxControlFrame).Next()
+	assert.Assert(t, errs.Is(err, errs.FrameTooLarge))
+}
+
+// Guards against reading frames of another protocol version.
+func TestProtocolMismatch(t *testing.T) {
+	frame, err := Append(nil, 1, &Probe{}, MaxControlFrame)
+	assert.NilError(t, err)
+	frame[4] = Protocol + 1
+	_, _, err = NewReader(bytes.NewReader(frame), MaxControlFrame).Next()
+	assert.Assert(t, errs.Is(err, errs.ProtocolMismatch))
+}
+
+// Guards against panics and untyped errors on arbitrary input.
+func TestModelMalformedFrames(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		body := rapid.SliceOfN(rapid.Byte(), 0, 64).Draw(t, "body")
+		frame := make([]byte, HeaderSize, HeaderSize+len(body))
+		binary.BigEndian.PutUint32(frame, rapid.Uint32Range(0, 80).Draw(t, "length"))
+		frame[4] = Protocol
+		frame[5] = rapid.Byte().Draw(t, "kind")
+		_, m, err := NewReader(bytes.NewReader(append(frame, body...)), MaxControlFrame).Next()
+		typed := errs.Is(err, errs.FrameMalformed) || errs.Is(err, errs.FrameTooLarge)
+		short := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+		if (err == nil) != (m != nil) || (err != nil && !typed && !short) {
+			t.Fatalf("message %v, error %v", m, err)
+		}
+	})
+}
+
+func benchmarkBatch() *SearchBatch {
+	return &SearchBatch{QueryID: "7c0a1a52-90cf-4b6d-8f5e-2f2f44f0a001", Service: "assistance", Operation: "search",
+		Remaining: 300 * time.Millisecond, Payload: make([]byte, 200), Limit: 20, Caller: "desk",
+		Items: []SearchItem{{"g1", "r1", 1}, {"g2", "r2", 1}, {"g3", "r3", 1}, {"g4", "r4", 1}}}
+}
+
+func BenchmarkAppend(b *testing.B) {
+	messages := map[string]Message{
+		"ping":  &Ping{Sequence: 1, From: Member{ID: "vm-1", Addr: "10.0.0.1:7000"}, Members: make([]Member, 10)},
+		"batch": benchmarkBatch(),
+	}
+	for name, m := range messages {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			buf := make([]byte, 0, 4096)
+			for b.Loop() {
+				out, err := Append(buf, 1, m, MaxTrafficFrame)
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.SetBytes(int64(len(out)))
+			}
+		})
+	}
+}
+
+func BenchmarkNext(b *testing.B) {
+	frame, err := Append(nil, 1, benchmarkBatch(), MaxTrafficFrame)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	src := bytes.NewReader(nil)
+	r := NewReader(src, MaxTrafficFrame)
+	for b.Loop() {
+		src.Reset(frame)
+		if _, _, err := r.Next(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/pkg/wire/messages.go
+++ b/pkg/wire/messages.go
@@ -34,6 +34,9 @@
 	KindPoisonReport
 	KindPoisonAck
 	KindFailure
+	KindStreamEnd
+	KindProbe
+	KindProbeReply
 )
 
 // Message is implemented by every message of the protocol.
