Add hedging delay, extra-load budget and retry rules

Stragglers are part of the recent latencies, so the later quantile of them is the time of a straggler's own answer.

--- /dev/null
+++ b/pkg/hedge/hedge.go
@@ -0,0 +1,168 @@
+// Package hedge decides when a second attempt is sent, how many second
+// attempts a service may add to its load, and which failures may be repeated.
+// It performs no I/O.
+package hedge
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+)
+
+const (
+	// HedgeShare is the part of the extra-load budget that the delay is
+	// computed for. The rest stays for retries.
+	HedgeShare = 0.8
+	// MinSamples is the number of answers before the first hedge.
+	MinSamples = 32
+	// NeverHedge is the delay during warm-up. It is longer than any deadline.
+	NeverHedge = time.Hour
+	// MinDelay is the shortest delay; below it the estimate is timer noise.
+	MinDelay = time.Millisecond
+	// UpperFactor times the upper quartile bounds the delay. Stragglers are
+	// part of the observed latencies, and a share of them above the budget
+	// would otherwise move the delay behind their own answers.
+	UpperFactor = 3.0
+	// MinBurst is the least number of extra attempts that a full budget allows at once.
+	MinBurst = 10
+
+	upperQuartile = 0.75
+	// refreshEvery is the number of answers between two computations of the delay.
+	refreshEvery = 64
+	// tokenUnit makes the budget an integer, so that deposits are never lost to rounding.
+	tokenUnit = 1_000_000
+)
+
+// Config describes one service.
+type Config struct {
+	// Groups is the number of groups of a query; 1 for a lookup.
+	Groups int
+	// TargetQuantile is the share of queries that must not wait for a straggler.
+	TargetQuantile float64
+	// ExtraLoad is the share of primary sends that extra attempts may add.
+	ExtraLoad float64
+}
+
+// Policy decides on the extra attempts of one service at one entry VM. It may
+// be used by many goroutines.
+type Policy struct {
+	quantile float64
+	burst    int64
+	deposit  int64
+	tokens   atomic.Int64
+	delay    atomic.Int64
+
+	mu        sync.Mutex
+	histogram histogram
+}
+
+// NewPolicy returns a policy with a full budget and no latencies.
+func NewPolicy(c Config) *Policy {
+	p := &Policy{
+		quantile: Quantile(c),
+		burst:    int64(max(MinBurst, c.Groups)) * tokenUnit,
+		deposit:  int64(math.Round(math.Max(0, c.ExtraLoad) * tokenUnit)),
+	}
+	if p.deposit > 0 {
+		p.tokens.Store(p.burst)
+	}
+	p.delay.Store(int64(NeverHedge))
+	return p
+}
+
+// Quantile returns the quantile of group latencies at which a hedge is sent:
+// as early as the budget allows, but not after the quantile that each group
+// must meet for the whole query to meet its target.
+func Quantile(c Config) float64 {
+	budget := 1 - HedgeShare*math.Max(0, c.ExtraLoad)
+	target := math.Pow(c.TargetQuantile, 1/math.Max(1, float64(c.Groups)))
+	if c.TargetQuantile <= 0 || c.TargetQuantile >= 1 {
+		return budget
+	}
+	return math.Min(budget, target)
+}
+
+// Burst returns the number of extra attempts that a full budget allows at
+// once. Over any period extra attempts are at most Burst plus the budget's
+// share of the primary sends.
+func (p *Policy) Burst() int { return int(p.burst / tokenUnit) }
+
+// Observe takes in the time one group needed for its first answer.
+func (p *Policy) Observe(latency time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := p.histogram.add(latency)
+	if n%refreshEvery == 0 || n == MinSamples {
+		p.delay.Store(int64(p.compute()))
+	}
+}
+
+// Delay returns the time after which a group without an answer gets a hedge.
+func (p *Policy) Delay() time.Duration { return time.Duration(p.delay.Load()) }
+
+func (p *Policy) compute() time.Duration {
+	d := p.histogram.quantile(p.quantile)
+	upper := time.Duration(UpperFactor * float64(p.histogram.quantile(upperQuartile)))
+	return max(min(d, upper), MinDelay)
+}
+
+// Primary reports n primary sends.
+func (p *Policy) Primary(n int) {
+	add := int64(max(0, n)) * p.deposit
+	for {
+		have := p.tokens.Load()
+		if p.tokens.CompareAndSwap(have, min(p.burst, have+add)) {
+			return
+		}
+	}
+}
+
+// TryExtra takes n extra attempts from the budget, all or none. The error is
+// an *errs.Refusal with code BudgetSpent.
+func (p *Policy) TryExtra(n int) error {
+	take := int64(max(0, n)) * tokenUnit
+	for {
+		have := p.tokens.Load()
+		if have < take {
+			return errs.Refuse(errs.BudgetSpent, "extra-load budget allows %d of %d attempts", have/tokenUnit, n)
+		}
+		if p.tokens.CompareAndSwap(have, have-take) {
+			return nil
+		}
+	}
+}
+
+// RetryLegal tells whether a failed attempt may be repeated: it did not run,
+// or running it twice has the effect of running it once. Failures that a
+// repetition cannot change are final.
+func RetryLegal(err error, idempotent bool) bool {
+	r := errs.As(err)
+	if r == nil || final(r.Code) {
+		return false
+	}
+	return r.RunState == errs.DidNotRun || idempotent
+}
+
+// Moved tells whether the attempt reached a VM that does not own the replica
+// and did not run there. It is sent again without touching the budget.
+func Moved(err error) bool {
+	r := errs.As(err)
+	if r == nil || r.RunState != errs.DidNotRun {
+		return false
+	}
+	return r.Code == errs.NotOwner || r.Code == errs.StaleView
+}
+
+func final(code errs.Code) bool {
+	switch code {
+	case errs.InvalidRequest, errs.UnknownService, errs.UnknownOperation, errs.TooLarge,
+		errs.Unauthorized, errs.KeyRequired, errs.KeyReused, errs.Poisoned, errs.OutcomeUnknown,
+		errs.DeadlineExceeded, errs.Canceled, errs.BudgetSpent, errs.FrameTooLarge:
+		return true
+	default:
+		return false
+	}
+}
