Add admission at the entry VM

Change: pkg/admission bounds running requests per service and, if configured, of the VM; waiting requests have one bounded queue per service and class with rounds over callers. What cannot finish in the mean service time plus two mean deviations is refused at once or expired. With a total bound the service that uses the least of its concurrency is served first. Conclusion: the frontend can admit requests.

--- /dev/null
+++ b/pkg/admission/admission_test.go
@@ -0,0 +1,227 @@
+package admission
+
+import (
+	"flag"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/model"
+)
+
+const ms = time.Millisecond
+
+var start = time.Unix(1000, 0)
+
+// A fixed seed gives every test run the same verdict; a flag overrides it.
+func init() { _ = flag.Set("rapid.seed", "20261204") }
+
+func ticket(id uint64, service model.ServiceID, d time.Duration) Ticket {
+	return Ticket{ID: id, Service: service, Class: model.Search, Caller: "a", Deadline: start.Add(d)}
+}
+
+// Guards against a service that takes every place of the VM while another one waits.
+func TestServicesShareTheTotal(t *testing.T) {
+	c := NewController(Config{Total: 4})
+	c.Configure(map[model.ServiceID]Limits{"a": {Concurrency: 8, Queue: 20}, "b": {Concurrency: 8, Queue: 20}})
+	for id := uint64(1); id <= 12; id++ {
+		c.Offer(start, ticket(id, "a", time.Second))
+	}
+	for id := uint64(21); id <= 24; id++ {
+		assert.Equal(t, c.Offer(start, ticket(id, "b", time.Minute)).Verdict, Queued)
+	}
+	var granted []uint64
+	for id := uint64(1); id <= 4; id++ {
+		granted = append(granted, c.Done(start, id, 0)...)
+	}
+	assert.DeepEqual(t, granted, []uint64{21, 22, 5, 6})
+}
+
+// Guards against a class of requests that waits behind the queue of another one.
+func TestClassesHaveTheirOwnQueue(t *testing.T) {
+	c := NewController(Config{})
+	c.Configure(map[model.ServiceID]Limits{"s": {Concurrency: 1, Queue: 10}})
+	for id := uint64(1); id < 6; id++ {
+		c.Offer(start, ticket(id, "s", time.Second))
+	}
+	lookup := ticket(10, "s", time.Hour)
+	lookup.Class = model.Lookup
+	c.Offer(start, lookup)
+	assert.DeepEqual(t, c.Done(start, 1, 0), []uint64{10})
+}
+
+// Guards against requests that wait although they cannot finish in time, and
+// against a removed service that loses the requests it still has.
+func TestRefusalsAndRemoval(t *testing.T) {
+	c := NewController(Config{})
+	c.Configure(map[model.ServiceID]Limits{"s": {Concurrency: 2, Queue: 3}})
+	assert.Equal(t, c.Offer(start, ticket(1, "s", 0)).Refusal.Code, errs.DeadlineExceeded)
+	assert.Equal(t, c.Offer(start, ticket(1, "x", ms)).Refusal.Code, errs.UnknownService)
+	for id := uint64(1); id < 4; id++ {
+		c.Offer(start, ticket(id, "s", time.Second))
+	}
+	c.Done(start, 1, 100*ms)
+	d := c.Offer(start, ticket(4, "s", 110*ms)) // needs 25 + 100 ms
+	assert.Equal(t, d.Refusal.Code, errs.Overloaded)
+	assert.Equal(t, d.Refusal.RunState, errs.DidNotRun)
+	assert.Equal(t, d.Refusal.RetryAfter, 15*ms)
+	assert.Equal(t, c.Offer(start, ticket(5, "s", 130*ms)).Verdict, Queued)
+	assert.Equal(t, c.Offer(start, ticket(6, "s", time.Second)).Verdict, Queued)
+	assert.Equal(t, c.Offer(start, ticket(7, "s", time.Second)).Refusal.Code, errs.ShareExceeded)
+	lookup := ticket(8, "s", time.Hour)
+	lookup.Class = model.Lookup
+	assert.Equal(t, c.Offer(start, lookup).Verdict, Queued)
+
+	c.Configure(nil)
+	assert.Equal(t, c.Offer(start, ticket(9, "s", time.Second)).Refusal.Code, errs.UnknownService)
+	expired, _ := c.Expire(start.Add(140 * ms))
+	assert.DeepEqual(t, expired, []uint64{5})
+	assert.DeepEqual(t, c.Done(start, 2, ms), []uint64{8})
+	assert.DeepEqual(t, c.Cancel(start, 8), []uint64{6})
+	c.Done(start, 3, ms)
+	c.Done(start, 6, ms)
+	assert.Equal(t, len(c.services)+len(c.lanes)+len(c.order)+len(c.tickets), 0)
+}
+
+// Guards against an old estimate that refuses work for ever, and against
+// limits that are forgotten, or a queue that is passed, when they change.
+func TestOldEstimateAndChangedLimits(t *testing.T) {
+	one := map[model.ServiceID]Limits{"s": {Concurrency: 1, Queue: 10}}
+	c := NewController(Config{})
+	c.Configure(one)
+	c.Offer(start, ticket(1, "s", time.Second))
+	c.Done(start, 1, 100*ms)
+	c.Offer(start, ticket(2, "s", time.Second))
+	assert.Equal(t, c.Offer(start, ticket(3, "s", 110*ms)).Verdict, Refused)
+	late := EstimateMaxAge + ms
+	assert.Equal(t, c.Offer(start.Add(late), ticket(3, "s", late+ms)).Verdict, Queued)
+	c.Cancel(start, 3)
+	c.Configure(nil)
+	c.Configure(one)
+	assert.Equal(t, c.Offer(start, ticket(4, "s", time.Second)).Verdict, Queued)
+	c.Configure(map[model.ServiceID]Limits{"s": {Concurrency: 2, Queue: 10}})
+	assert.Equal(t, c.Offer(start, ticket(5, "s", time.Second)).Verdict, Queued)
+	_, granted := c.Expire(start)
+	assert.DeepEqual(t, granted, []uint64{4})
+}
+
+// TestModelController compares the controller with a map of requests. It
+// guards against work beyond the limits, starts after the deadline, places
+// that stay empty while work waits, and requests with no or two outcomes.
+func TestModelController(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		total := rapid.IntRange(0, 5).Draw(t, "total")
+		c := NewController(Config{Total: total})
+		limits := map[model.ServiceID]Limits{"a": {2, 4}, "b": {3, 4}}
+		c.Configure(limits)
+		model := map[uint64]Ticket{}
+		running := map[uint64]bool{}
+		now, id := start, uint64(0)
+		count := func(s string, run bool) (n int) {
+			for id, t := range model {
+				if running[id] == run && (s == "" || string(t.Service) == s) {
+					n++
+				}
+			}
+			return n
+		}
+		granted := func(ids ...uint64) {
+			for _, id := range ids {
+				_, ok := model[id]
+				assert.Assert(t, ok && !running[id] && model[id].Deadline.After(now))
+				running[id] = true
+			}
+			assert.Assert(t, total == 0 || count("", true) <= total)
+			for s, l := range limits {
+				assert.Assert(t, count(string(s), true) <= l.Concurrency)
+			}
+		}
+		pick := func(t *rapid.T, run bool) (uint64, bool) {
+			var ids []uint64
+			for id := range model {
+				if running[id] == run {
+					ids = append(ids, id)
+				}
+			}
+			if len(ids) == 0 {
+				return 0, false
+			}
+			slices.Sort(ids)
+			id := rapid.SampledFrom(ids).Draw(t, "id")
+			delete(model, id)
+			delete(running, id)
+			return id, true
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"offer": func(t *rapid.T) {
+				id++
+				tk := ticket(id, "a", now.Sub(start)+time.Duration(rapid.IntRange(0, 100).Draw(t, "deadline"))*ms)
+				if rapid.Bool().Draw(t, "other") {
+					tk.Service = "b"
+				}
+				tk.Caller = rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "caller")
+				d := c.Offer(now, tk)
+				assert.Equal(t, d.Refusal != nil, d.Verdict == Refused)
+				if d.Verdict != Refused {
+					model[id] = tk
+				}
+				if d.Verdict == Granted {
+					granted(id)
+				}
+			},
+			"done": func(t *rapid.T) {
+				if id, ok := pick(t, true); ok {
+					granted(c.Done(now, id, time.Duration(rapid.IntRange(0, 50).Draw(t, "took"))*ms)...)
+				}
+			},
+			"cancel": func(t *rapid.T) {
+				if id, ok := pick(t, rapid.Bool().Draw(t, "running")); ok {
+					granted(c.Cancel(now, id)...)
+				}
+			},
+			"expire": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "wait")) * ms)
+				expired, ids := c.Expire(now)
+				for _, id := range expired {
+					assert.Assert(t, !running[id])
+					delete(model, id)
+				}
+				granted(ids...)
+				for s, l := range limits {
+					full := count(string(s), true) == l.Concurrency || total > 0 && count("", true) == total
+					assert.Assert(t, full || count(string(s), false) == 0)
+				}
+				if at, ok := c.Wake(now); ok {
+					assert.Assert(t, at.After(now), "wakes for nothing")
+				}
+			},
+			"": func(t *rapid.T) {
+				r, w := c.Load()
+				assert.Equal(t, r, count("", true))
+				assert.Equal(t, w, count("", false))
+			},
+		})
+	})
+}
+
+func BenchmarkOfferDone(b *testing.B) {
+	p := newControlled()
+	now, id := start, uint64(0)
+	var running []uint64
+	b.ReportAllocs()
+	for b.Loop() {
+		for _, waiting := p.c.Load(); waiting < 32; _, waiting = p.c.Load() {
+			id++
+			t := Ticket{ID: id, Service: "s", Caller: string(rune('a' + id%8)), Deadline: now.Add(time.Hour)}
+			if p.c.Offer(now, t).Verdict == Granted {
+				running = append(running, id)
+			}
+		}
+		done := running[0]
+		running = append(running[1:], p.c.Done(now, done, ms)...)
+	}
+}
