--- /dev/null
+++ b/pkg/claim/bench_test.go
@@ -0,0 +1,87 @@
+package claim
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/platform"
+)
+
+// benchLatency is the time of one platform call.
+const benchLatency = 2 * time.Millisecond
+
+// inParallel runs b.N cycles of claim and outcome from so many requests.
+func inParallel(b *testing.B, requests int, store *memoryStore, cycle func(i int64) error) {
+	var next atomic.Int64
+	var group sync.WaitGroup
+	b.ResetTimer()
+	for range requests {
+		group.Go(func() {
+			for i := next.Add(1); i <= int64(b.N); i = next.Add(1) {
+				if err := cycle(i); err != nil {
+					b.Error(err)
+					return
+				}
+			}
+		})
+	}
+	group.Wait()
+	b.ReportMetric(float64(store.puts)/float64(b.N), "updates/claim")
+	b.ReportMetric(float64(store.bytes)/float64(b.N), "B-written/claim")
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "claims/s")
+}
+
+// BenchmarkClaims counts conditional updates for a claim and its outcome. The
+// answer has 200 bytes. The pace is the default of 300 updates a second over
+// all partitions, or 1e9, which does not pace.
+func BenchmarkClaims(b *testing.B) {
+	answer := make([]byte, 200)
+	for _, requests := range []int{1, 10, 100, 1000} {
+		for _, partitions := range []int{16, 64, 256} {
+			for _, pace := range []float64{DefaultWritesPerSecond, 1e9} {
+				b.Run(fmt.Sprintf("group/requests=%d/partitions=%d/pace=%g", requests, partitions, pace), func(b *testing.B) {
+					store := newMemoryStore(benchLatency)
+					n := newTier(1, store, partitions)
+					defer n.close()
+					s := n.services["vm0"]
+					s.config.WritesPerSecond = pace
+					inParallel(b, requests, store, func(i int64) error {
+						g, _, err := s.Claim(b.Context(), request(fmt.Sprint(i), time.Minute))
+						if err != nil {
+							return err
+						}
+						return s.Record(b.Context(), g, 200, answer)
+					})
+				})
+			}
+		}
+		b.Run(fmt.Sprintf("object-per-key/requests=%d", requests), func(b *testing.B) {
+			store := newMemoryStore(benchLatency)
+			inParallel(b, requests, store, func(i int64) error { return perKey(b, store, fmt.Sprint(i), answer) })
+		})
+	}
+}
+
+// perKey is the baseline: one object for each key, written absent and then
+// replaced.
+func perKey(b *testing.B, store platform.Store, key string, answer []byte) error {
+	p := NewPartition()
+	p.put(Entry{KeyHash: HashKey("trips", key), Token: "0123456789abcdef", State: Claimed})
+	value, err := p.Encode()
+	if err != nil {
+		return err
+	}
+	version, err := store.Put(b.Context(), "claims/key/"+key, value, platform.Condition{Absent: true})
+	if err != nil {
+		return err
+	}
+	p.put(Entry{KeyHash: HashKey("trips", key), Token: "0123456789abcdef", State: Done, Status: 200, Answer: answer})
+	if value, err = p.Encode(); err != nil {
+		return err
+	}
+	_, err = store.Put(b.Context(), "claims/key/"+key, value, platform.Condition{Match: version})
+	return err
+}
