--- a/pkg/admission/admission_test.go
+++ b/pkg/admission/admission_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/model"
+	_ "github.com/nutmeghitch/nutmeghitch/pkg/modeltest"
 )
 
 const ms = time.Millisecond
--- a/pkg/claim/committer.go
+++ b/pkg/claim/committer.go
@@ -6,8 +6,6 @@
 	"math/rand/v2"
 	"sync"
 	"time"
-
-	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
 )
 
 // committer runs the Machine of one partition. Its goroutine lives while the
@@ -135,7 +133,7 @@
 		if sink := c.sinks[r.ID]; sink != nil {
 			sink(r)
 		}
-		if r.Verdict != wire.ClaimWaiting {
+		if r.Verdict.Final() {
 			delete(c.sinks, r.ID)
 		}
 	}
--- a/pkg/claim/harness_test.go
+++ b/pkg/claim/harness_test.go
@@ -25,6 +25,8 @@
 	version int
 	objects map[string]platform.Object
 	puts    int
+	gets    int
+	rejects int
 	bytes   int
 }
 
@@ -55,6 +57,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.gets++
 	o, ok := s.objects[key]
 	switch {
 	case s.down:
@@ -78,6 +81,7 @@
 	s.bytes += len(value)
 	o, ok := s.objects[key]
 	if (c.Absent && ok) || (c.Match != "" && c.Match != o.Version) {
+		s.rejects++
 		return "", errs.Refuse(errs.PlatformConflict, "version is %s", o.Version)
 	}
 	s.version++
--- a/pkg/claim/op.go
+++ b/pkg/claim/op.go
@@ -56,8 +56,8 @@
 // Reply takes a result and reports whether it settles the attempt. A
 // ClaimUnavailable does not settle while another Machine has the operation.
 func (a *Attempt) Reply(r Result) bool {
-	if r.Verdict == wire.ClaimWaiting {
-		a.waiting = true
+	if !r.Verdict.Final() {
+		a.waiting = a.waiting || r.Verdict == wire.ClaimWaiting
 		return false
 	}
 	a.outstanding--
--- a/pkg/claim/service_test.go
+++ b/pkg/claim/service_test.go
@@ -34,6 +34,7 @@
 		inTier(t, func(t *testing.T, n *tier) {
 			n.unreachable["vm0"] = !reachable
 			answers := make(chan string, 2)
+			begin := time.Now()
 			for _, vm := range []*Service{n.services["vm0"], n.services["vm1"]} {
 				go func() {
 					g, prior, err := vm.Claim(t.Context(), request("k", 3*time.Second))
@@ -48,6 +49,9 @@
 				}()
 			}
 			got := map[string]int{<-answers: 1, <-answers: 1}
+			// A repeat that waits at the owner is answered by the update that
+			// records the outcome, not by the next poll at 350 ms.
+			assert.Assert(t, !reachable || time.Since(begin) < 350*time.Millisecond, "%s", time.Since(begin))
 			assert.DeepEqual(t, got, map[string]int{"ran": 1, "prior 200 booked": 1})
 			_, _, err := n.services["vm1"].Claim(t.Context(), Request{Service: "trips", Key: "k", Fingerprint: 2, Deadline: time.Now().Add(time.Second)})
 			did(t, err, errs.KeyReused, errs.DidNotRun)
@@ -130,6 +134,23 @@
 	})
 }
 
+// TestDisconnectedCaller guards against an outcome that is dropped because its
+// caller left while the owner was silent.
+func TestDisconnectedCaller(t *testing.T) {
+	inTier(t, func(t *testing.T, n *tier) {
+		g, _, err := n.services["vm1"].Claim(t.Context(), request("k", time.Second))
+		assert.NilError(t, err)
+		n.silent["vm0"] = true
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		did(t, n.services["vm1"].Record(ctx, g, 200, []byte("booked")), errs.OutcomeUnknown, errs.MayHaveRun)
+		assert.NilError(t, n.services["vm1"].Flush(t.Context()))
+		_, prior, err := n.services["vm0"].Claim(t.Context(), request("k", time.Second))
+		assert.NilError(t, err)
+		assert.Equal(t, string(prior.Answer), "booked")
+	})
+}
+
 // TestRepeatOfUnfinished guards against a repeat that runs, or ends before its
 // deadline, while the outcome of the first run is not known; and against a
 // read of the platform for each poll.
@@ -153,6 +174,7 @@
 			did(t, <-results, errs.OutcomeUnknown, errs.MayHaveRun)
 		}
 		assert.Assert(t, time.Since(begin) > 9900*time.Millisecond && time.Since(begin) <= 10*time.Second, "%s", time.Since(begin))
+		assert.Assert(t, n.store.gets < 20, "%d reads", n.store.gets)
 	})
 }
 
@@ -191,3 +213,39 @@
 		later.close()
 	})
 }
+
+// TestSlowPlatform guards against VMs that take a slow platform for a silent
+// owner, update the partition beside it and add conflicts to the load.
+func TestSlowPlatform(t *testing.T) {
+	inTier(t, func(t *testing.T, n *tier) {
+		n.store.set(func() { n.store.latency = 400 * time.Millisecond })
+		results := make(chan error)
+		for i := range 50 {
+			go func() {
+				_, _, err := n.services["vm1"].Claim(t.Context(), request(fmt.Sprint(i), 5*time.Second))
+				results <- err
+			}()
+		}
+		for range 50 {
+			assert.NilError(t, <-results)
+		}
+		assert.NilError(t, n.services["vm1"].Flush(t.Context()))
+		assert.Equal(t, n.store.rejects, 0)
+	})
+}
+
+// TestStaleOwner guards against an owner that refuses an outcome because it
+// has not read the claim that another VM stored.
+func TestStaleOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newTier(2, newMemoryStore(5*time.Millisecond), 1)
+		_, _, err := n.services["vm0"].Claim(t.Context(), request("warm", time.Second))
+		assert.NilError(t, err)
+		n.unreachable["vm0"] = true
+		g, _, err := n.services["vm1"].Claim(t.Context(), request("k", time.Second))
+		assert.NilError(t, err)
+		n.unreachable["vm0"] = false
+		assert.NilError(t, n.services["vm1"].Record(t.Context(), g, 200, []byte("booked")))
+		n.close()
+	})
+}
--- a/pkg/hedge/hedge_test.go
+++ b/pkg/hedge/hedge_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	_ "github.com/nutmeghitch/nutmeghitch/pkg/modeltest"
 )
 
 const ms = time.Millisecond
--- a/pkg/wire/claim.go
+++ b/pkg/wire/claim.go
@@ -29,7 +29,7 @@
 // ClaimVerdict is the outcome of a step.
 type ClaimVerdict uint8
 
-// Verdicts. ClaimWaiting is the only one that another reply follows.
+// Verdicts. Another reply follows ClaimAccepted and ClaimWaiting only.
 const (
 	// ClaimGranted: the token is stored as the holder of the key.
 	ClaimGranted ClaimVerdict = iota + 1
@@ -53,18 +53,23 @@
 	ClaimLost
 	// ClaimUnavailable: nothing could be stored in time.
 	ClaimUnavailable
+	// ClaimAccepted: the owner has the request and works on it.
+	ClaimAccepted
 )
 
 // String returns the lower-case name of the verdict.
 func (v ClaimVerdict) String() string {
 	names := [...]string{"none", "granted", "done", "waiting", "unknown", "reused", "full", "withdrawn",
-		"recorded", "released", "lost", "unavailable"}
+		"recorded", "released", "lost", "unavailable", "accepted"}
 	if int(v) >= len(names) {
 		return "invalid"
 	}
 	return names[v]
 }
 
+// Final reports whether no other reply follows.
+func (v ClaimVerdict) Final() bool { return v != ClaimAccepted && v != ClaimWaiting }
+
 // ClaimRequest asks the claim owner of a partition for one step of a claim.
 type ClaimRequest struct {
 	Partition   int           `msgpack:"p"`
--- a/pkg/wire/codec_test.go
+++ b/pkg/wire/codec_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	_ "github.com/nutmeghitch/nutmeghitch/pkg/modeltest"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
