--- /dev/null
+++ b/pkg/upstream/client_test.go
@@ -0,0 +1,325 @@
+package upstream_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/fake"
+	"github.com/nutmeghitch/nutmeghitch/pkg/model"
+	"github.com/nutmeghitch/nutmeghitch/pkg/upstream"
+)
+
+var bookings = fake.AssistanceBookings(7, 100)
+
+// start runs an upstream of a lookup service.
+func start(t interface {
+	assert.TestingT
+	Cleanup(func())
+}, c fake.UpstreamConfig) *fake.Upstream {
+	c.Data = bookings
+	if c.Kind == "" {
+		c.Kind = model.Lookup
+		c.Operations = map[string]model.Operation{"book": {}}
+	}
+	u, err := fake.NewUpstream(c)
+	assert.NilError(t, err)
+	t.Cleanup(u.Close)
+	return u
+}
+
+// connect returns a client of the upstream without spare connections.
+func connect(t interface{ Cleanup(func()) }, u *fake.Upstream, maxConns int) *upstream.Client {
+	c := upstream.New(upstream.Config{Replica: "r", Addr: u.Addr(), MaxConns: maxConns, Spare: -1})
+	t.Cleanup(c.Close)
+	return c
+}
+
+// book returns a request that may run only once.
+func book(id string) upstream.RunRequest {
+	return upstream.RunRequest{
+		RequestID: id, Operation: "book", Deadline: time.Now().Add(time.Minute),
+		Payload: []byte(`{"id":"MS-000001"}`),
+	}
+}
+
+// expect checks the code and the run state of a failure.
+func expect(t assert.TestingT, err error, code errs.Code, state errs.RunState) {
+	assert.Assert(t, errs.Is(err, code), "%v", err)
+	assert.Equal(t, errs.As(err).RunState, state, "%v", err)
+}
+
+// running is a condition for Await.
+func running(n int) func(fake.UpstreamCounters, int) bool {
+	return func(_ fake.UpstreamCounters, running int) bool { return running == n }
+}
+
+// Guards against fields that are lost or mixed up on the way.
+func TestSearch(t *testing.T) {
+	shards := []model.ShardID{"s0", "s1"}
+	version := fake.IndexVersion{Version: 4, Epoch: 2, Map: shards, Held: shards}
+	order := []model.OrderKey{{Field: "urgency", Desc: true}, {Field: "id"}}
+	u := start(t, fake.UpstreamConfig{Kind: model.Search, Versions: []fake.IndexVersion{version}, Order: order, Slots: 5})
+	c := connect(t, u, 4)
+	request := upstream.RunRequest{
+		RequestID: "q", Operation: "search", Snapshot: model.Snapshot{Version: 4, Epoch: 2}, Shards: shards[:1],
+		Deadline: time.Now().Add(time.Minute), Payload: []byte(`{"equals":{"status":"open"}}`), Limit: 3,
+	}
+	response, err := c.Run(t.Context(), request)
+	assert.NilError(t, err)
+	assert.NilError(t, upstream.Check(request, response))
+	assert.Equal(t, response.Instance, u.Instance())
+	wanted := bookings.Search(version, shards[:1], fake.Query{Equals: map[string]any{"status": "open"}}, order, 3)
+	assert.Equal(t, len(response.Rows), 3)
+	for i, row := range response.Rows {
+		assert.DeepEqual(t, row.Key, wanted[i].Key)
+		assert.Equal(t, string(row.Data), string(wanted[i].Data))
+	}
+	status, err := c.Status(t.Context())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, status, upstream.Status{
+		Instance: u.Instance(), State: "ready", Slots: 5, Snapshots: []model.Snapshot{{Version: 4, Epoch: 2}},
+	})
+	u.FailReplies(fake.ReplyOtherVersion, 1)
+	response, err = c.Run(t.Context(), request)
+	assert.NilError(t, err)
+	expect(t, upstream.Check(request, response), errs.ResponseMismatch, errs.MayHaveRun)
+	request.Shards = shards
+	response.Snapshot = request.Snapshot
+	expect(t, upstream.Check(request, response), errs.ResponseMismatch, errs.MayHaveRun)
+	u.DropVersion(4)
+	_, err = c.Run(t.Context(), request)
+	expect(t, err, errs.VersionGone, errs.DidNotRun)
+}
+
+// Guards against explicit refusals that lose their code or their run state.
+func TestExplicitRefusals(t *testing.T) {
+	u := start(t, fake.UpstreamConfig{Slots: 1, Cold: fake.ColdConfig{Runs: 1}, StartWarm: true})
+	c := connect(t, u, 4)
+	refused := func(id string, code errs.Code) {
+		t.Helper()
+		_, err := c.Run(t.Context(), book(id))
+		expect(t, err, code, errs.DidNotRun)
+	}
+	u.Shed(1)
+	refused("shed", errs.UpstreamShed)
+	u.Drain(true)
+	refused("draining", errs.UpstreamDraining)
+	u.Drain(false)
+	u.Hang(true)
+	done := make(chan error, 1)
+	go func() {
+		_, err := c.Run(t.Context(), book("first"))
+		done <- err
+	}()
+	assert.NilError(t, u.Await(t.Context(), running(1)))
+	refused("busy", errs.UpstreamShed)
+	u.GoCold()
+	refused("cold", errs.UpstreamCold)
+	u.Hang(false)
+	assert.NilError(t, <-done)
+	unknown := book("unknown")
+	unknown.Operation = "other"
+	_, err := c.Run(t.Context(), unknown)
+	expect(t, err, errs.UnknownOperation, errs.DidNotRun)
+	late := book("late")
+	late.Deadline = time.Now()
+	_, err = c.Run(t.Context(), late)
+	expect(t, err, errs.DeadlineExceeded, errs.DidNotRun)
+	assert.Equal(t, u.Executions().Total(), 1)
+}
+
+// Guards against broken replies that are believed, repeated or reported as
+// not run, and against a broken connection that is used again.
+func TestBrokenReplies(t *testing.T) {
+	faults := map[fake.ReplyFault]errs.Code{
+		fake.ReplyLost:         errs.UpstreamLost,
+		fake.ReplyTruncated:    errs.ResponseMismatch,
+		fake.ReplyMisaddressed: errs.ResponseMismatch,
+		fake.ReplyMiscounted:   errs.ResponseMismatch,
+		fake.ReplyOversized:    errs.ResponseMismatch,
+		fake.ReplyMalformed:    errs.ResponseMismatch,
+	}
+	for fault, code := range faults {
+		t.Run(fmt.Sprint(fault), func(t *testing.T) {
+			u := start(t, fake.UpstreamConfig{})
+			c := connect(t, u, 2)
+			_, err := c.Run(t.Context(), book("before"))
+			assert.NilError(t, err)
+			u.FailReplies(fault, 1)
+			_, err = c.Run(t.Context(), book("broken"))
+			expect(t, err, code, errs.MayHaveRun)
+			assert.Equal(t, u.Executions().Count("broken"), 1)
+			assert.NilError(t, u.Await(t.Context(), running(0)))
+			// The connection that closes may still refuse the next request.
+			for err != nil {
+				_, err = c.Run(t.Context(), book("after"))
+				assert.Assert(t, err == nil || errs.As(err).RunState == errs.DidNotRun, "%v", err)
+			}
+			assert.Equal(t, u.Executions().Count("after"), 1)
+			assert.Equal(t, u.Counters().Connections, 2)
+		})
+	}
+}
+
+// Guards against a crash in mid-run that is reported as not run, and a refused
+// connection that is reported as ambiguous.
+func TestCrashAndRefusedConnection(t *testing.T) {
+	u := start(t, fake.UpstreamConfig{})
+	c := connect(t, u, 2)
+	u.CrashOn(func(r fake.UpstreamRequest) bool { return r.RequestID == "poison" })
+	_, err := c.Run(t.Context(), book("poison"))
+	expect(t, err, errs.UpstreamLost, errs.MayHaveRun)
+	_, err = c.Run(t.Context(), book("refused"))
+	expect(t, err, errs.UpstreamLost, errs.DidNotRun)
+	_, err = c.Status(t.Context())
+	expect(t, err, errs.UpstreamLost, errs.DidNotRun)
+	assert.NilError(t, u.Restart())
+	_, err = c.Run(t.Context(), book("again"))
+	assert.NilError(t, err)
+}
+
+// Guards against further requests that are sent into silent connections.
+func TestSilentConnections(t *testing.T) {
+	u := start(t, fake.UpstreamConfig{Slots: 3})
+	c := upstream.New(upstream.Config{Addr: u.Addr(), MaxConns: 6})
+	defer c.Close()
+	u.Hang(true)
+	var open sync.WaitGroup
+	for i := range 3 {
+		open.Go(func() { _, _ = c.Run(t.Context(), book(fmt.Sprint("open", i))) })
+	}
+	assert.NilError(t, u.Await(t.Context(), running(3)))
+	u.Hang(false)
+	open.Wait()
+	_, err := c.Status(t.Context())
+	assert.NilError(t, err)
+	u.Silence()
+	silent := book("silent")
+	silent.Progress = 20 * time.Millisecond
+	_, err = c.Run(t.Context(), silent)
+	expect(t, err, errs.ConnectionSilent, errs.MayHaveRun)
+	for i := range 3 {
+		_, err = c.Run(t.Context(), book(fmt.Sprint("after", i)))
+		assert.NilError(t, err)
+	}
+	_, err = c.Status(t.Context())
+	assert.NilError(t, err)
+}
+
+// Guards against a cancelled request that costs its connection, and against a
+// request that never left being reported as ambiguous.
+func TestCancelKeepsTheConnection(t *testing.T) {
+	u := start(t, fake.UpstreamConfig{})
+	c := connect(t, u, 2)
+	u.Hang(true)
+	ctx, cancel := context.WithCancel(t.Context())
+	first := make(chan error, 1)
+	go func() {
+		_, err := c.Run(ctx, book("first"))
+		first <- err
+	}()
+	assert.NilError(t, u.Await(t.Context(), running(1)))
+	waiting, giveUp := context.WithCancel(t.Context())
+	second := make(chan error, 1)
+	go func() {
+		_, err := c.Run(waiting, book("second"))
+		second <- err
+	}()
+	giveUp()
+	expect(t, <-second, errs.Canceled, errs.DidNotRun)
+	cancel()
+	expect(t, <-first, errs.Canceled, errs.MayHaveRun)
+	c.Cancel("first")
+	assert.NilError(t, u.Await(t.Context(), running(0)))
+	u.Hang(false)
+	_, err := c.Run(t.Context(), book("third"))
+	assert.NilError(t, err)
+	assert.Equal(t, u.Counters().Connections, 2)
+	assert.Equal(t, u.Counters().Cancels, 1)
+	assert.Equal(t, u.Counters().Sends, 2)
+	u.Hang(true)
+	late := book("late")
+	late.Deadline = time.Now().Add(20 * time.Millisecond)
+	_, err = c.Run(t.Context(), late)
+	assert.Assert(t, errs.Is(err, errs.DeadlineExceeded), "%v", err)
+}
+
+// Guards against more connections than the limit, spares included.
+func TestConnectionLimit(t *testing.T) {
+	u := start(t, fake.UpstreamConfig{Slots: 100, MaxConns: 5})
+	c := upstream.New(upstream.Config{Addr: u.Addr(), MaxConns: 5, Spare: 3})
+	defer c.Close()
+	var all sync.WaitGroup
+	for i := range 60 {
+		all.Go(func() {
+			_, err := c.Run(t.Context(), book(fmt.Sprint(i)))
+			assert.Check(t, err)
+			_, err = c.Status(t.Context())
+			assert.Check(t, err)
+		})
+	}
+	all.Wait()
+	assert.Equal(t, u.Counters().RefusedConnections, 0)
+	assert.Equal(t, u.Executions().Total(), 60)
+}
+
+// brokenConn fails writes after it accepted some bytes.
+type brokenConn struct {
+	net.Conn
+	accepts int
+}
+
+// Write implements net.Conn.
+func (c brokenConn) Write(b []byte) (int, error) {
+	n, _ := c.Conn.Write(b[:min(c.accepts, len(b))])
+	return n, syscall.EPIPE
+}
+
+// Guards against a failed write being reported as not run although a part of
+// the request left, and the other way round.
+func TestFailedWrites(t *testing.T) {
+	u := start(t, fake.UpstreamConfig{})
+	for accepts, state := range map[int]errs.RunState{0: errs.DidNotRun, 1: errs.MayHaveRun} {
+		c := upstream.New(upstream.Config{Addr: u.Addr(), Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+			return brokenConn{conn, accepts}, err
+		}})
+		_, err := c.Run(t.Context(), book("broken"))
+		expect(t, err, errs.UpstreamLost, state)
+		c.Close()
+	}
+	assert.Equal(t, u.Executions().Total(), 0)
+}
+
+// Guards against believing a did_not_run that is meant for another request, or
+// comes from something that does not speak the protocol.
+func TestForeignFailures(t *testing.T) {
+	var reply any
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_ = json.NewEncoder(w).Encode(reply)
+	}))
+	defer server.Close()
+	c := upstream.New(upstream.Config{Addr: server.Listener.Addr().String(), Spare: -1})
+	defer c.Close()
+	reply = map[string]any{"did_not_run": true, "code": "shed"}
+	_, err := c.Run(t.Context(), book("mine"))
+	expect(t, err, errs.UpstreamFailed, errs.MayHaveRun)
+	reply = map[string]any{"request_id": "mine", "did_not_run": true, "code": "new_code"}
+	_, err = c.Run(t.Context(), book("mine"))
+	expect(t, err, errs.UpstreamFailed, errs.DidNotRun)
+	reply = map[string]any{"request_id": "other", "did_not_run": true, "code": "shed"}
+	_, err = c.Run(t.Context(), book("mine"))
+	expect(t, err, errs.ResponseMismatch, errs.MayHaveRun)
+}
