Count the variation of the service time in the gate

Cause: the admission simulation showed that work started with only the mean service time left often finishes too late; the gate had the same rule. Change: a gate starts and accepts work that has the mean plus two mean deviations left, as pkg/admission does. Before: TestVariationCounts fails, the request with 25 ms left is queued. After: it is refused at once, one with 40 ms is queued. Mutation check: without deviations TestVariationCounts fails. Conclusion: both queues use one rule.

--- a/pkg/limit/estimate.go
+++ b/pkg/limit/estimate.go
@@ -7,21 +7,31 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/fairqueue"
 )
 
-// estimate returns the service time used to refuse work, or 0 if it is unknown or old.
-func (g *Gate) estimate(now time.Time) time.Duration {
+// mean returns the mean service time, or 0 if it is unknown or old.
+func (g *Gate) mean(now time.Time) time.Duration {
 	if now.Sub(g.serviceAt) > EstimateMaxAge {
 		return 0
 	}
 	return g.service
 }
 
+// estimate returns the time that work needs to finish with some certainty, or
+// 0 if it is not known.
+func (g *Gate) estimate(now time.Time) time.Duration {
+	mean := g.mean(now)
+	if mean == 0 {
+		return 0
+	}
+	return mean + deviations*g.deviation
+}
+
 // pace is the mean time between two starts while work is waiting.
 func (g *Gate) pace(now time.Time) time.Duration {
 	rate := g.window.Value()
 	if rate >= 1 {
 		rate = float64(min(g.window.Concurrency(), max(1, g.config.Slots)))
 	}
-	return time.Duration(float64(g.estimate(now)) / rate)
+	return time.Duration(float64(g.mean(now)) / rate)
 }
 
 // inadmissible refuses requests that must neither run nor wait.
@@ -61,14 +71,14 @@
 // finish estimates the time until a request that has to wait is complete. A
 // running attempt is taken to be half done.
 func (g *Gate) finish(now time.Time, r Request) time.Duration {
-	service := g.estimate(now)
+	service := g.mean(now)
 	all, suspects := g.queue.Ahead(r.Caller, r.Deadline)
 	wait := time.Duration((float64(all) + 0.5) * float64(g.pace(now)))
 	if r.Suspect {
 		alone := time.Duration((float64(suspects) + 0.5*float64(g.suspects)) * float64(service))
 		wait = max(wait, alone)
 	}
-	return wait + service
+	return wait + g.estimate(now)
 }
 
 func retryAfter(d time.Duration) time.Duration {
--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -18,6 +18,10 @@
 	EstimateMaxAge = time.Second
 	// MinRetryAfter is the shortest wait a refusal asks for.
 	MinRetryAfter = 5 * time.Millisecond
+	// deviations is the number of mean deviations that work needs beside the
+	// mean service time to count as able to finish; see TestGoodputUnderOverload
+	// in pkg/admission.
+	deviations = 2
 	// serviceWeight makes the service time follow about the last 8 answers.
 	serviceWeight = 8
 )
@@ -90,6 +94,7 @@
 	gapUntil time.Time // end of the idle gap of a window below 1
 
 	service   time.Duration // decaying mean of answers
+	deviation time.Duration // decaying mean distance from it
 	serviceAt time.Time
 }
 
@@ -264,6 +269,7 @@
 		g.service = service
 		return
 	}
+	g.deviation += ((service - g.service).Abs() - g.deviation) / serviceWeight
 	g.service += (service - g.service) / serviceWeight
 }
 
--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -48,6 +48,18 @@
 	assert.Equal(t, g.Offer(late, Request{ID: 7, Deadline: late}).Refusal.Code, errs.DeadlineExceeded)
 }
 
+// Guards against work that is started although answers vary too much to finish it in time.
+func TestVariationCounts(t *testing.T) {
+	g, _ := newGate(1, 10, 1)
+	for id := range uint64(40) {
+		g.Offer(start, request(id, time.Second))
+		g.Done(start, id, Succeeded, 10*ms+time.Duration(id%2)*10*ms)
+	}
+	g.Offer(start, request(100, time.Second))
+	assert.Equal(t, g.Offer(start, request(101, 25*ms)).Verdict, Refused) // needs 7.5 + 15 + 2 x 5 ms
+	assert.Equal(t, g.Offer(start, request(102, 40*ms)).Verdict, Queued)
+}
+
 // Guards against expired work that is sent, and work that is never reported.
 func TestPollExpires(t *testing.T) {
 	g, _ := newGate(1, 10, 1)
