Add the ledger of poison requests

Change: pkg/poison keeps, per fingerprint, the lost instances and which of them were cleared. Entries merge by union, so neither order nor repetition matters, two losses seen by two VMs count as two, and an older entry undoes no lift. A merge prolongs a verdict only by a loss that was not known; otherwise two VMs could prolong it for ever. An expired verdict counts as cleared. PoisonEntry in pkg/model gets the fields Instances and Cleared for this; it stays comparable. Before: nothing. After: a poison request loses 2 instances in TestPoisonIsBlockedAndInnocentIsNot and the three requests beside it are cleared. Mutation checks, each seen to fail a test: no block, block ended by a success, suspect not cleared (TestPoisonIsBlockedAndInnocentIsNot), anonymous losses counted never or always (TestOneLossCountsOnce), no term for blocks, verdict without end, expired loss counted, clearing that prolongs, proof without end (TestVerdictsExpire), union that does not block, cleared flag ignored or reset (TestMergeCountsInstancesAndKeepsLifts), flags not moved with their instances (TestModelLedgers), no eviction, blocks evicted first, ended records kept, proven set unbounded, cleared losses keep their places (TestMemoryIsBounded), no delimiters (TestFingerprintDelimitsParts). Conclusion: the dispatcher and the gateway can ask for verdicts.

--- a/pkg/model/view.go
+++ b/pkg/model/view.go
@@ -76,13 +76,26 @@
 	Released bool
 }
 
-// PoisonEntry is the tier-wide verdict on one request fingerprint.
+// PoisonInstances is the number of lost upstream instances that a PoisonEntry can name.
+const PoisonInstances = 8
+
+// PoisonEntry is the tier-wide verdict on one request fingerprint. Entries of
+// one fingerprint merge by union of Instances and of the cleared ones, so their
+// order does not matter and an older entry cannot undo a lift or a clearing.
 type PoisonEntry struct {
-	Fingerprint uint64        `msgpack:"fp"`
-	Losses      int           `msgpack:"losses"`
-	Blocked     bool          `msgpack:"blocked"`
-	Lifted      bool          `msgpack:"lifted"`
-	TTL         time.Duration `msgpack:"ttl"`
+	Fingerprint uint64 `msgpack:"fp"`
+	// Losses is the number of Instances that are not cleared.
+	Losses  int  `msgpack:"losses"`
+	Blocked bool `msgpack:"blocked"`
+	// Lifted is set if all Instances are cleared.
+	Lifted bool `msgpack:"lifted"`
+	// TTL is how long the verdict still holds.
+	TTL time.Duration `msgpack:"ttl"`
+	// Instances holds hashes of the upstream instances that were lost with the
+	// request in flight, in ascending order; 0 is an unused place.
+	Instances [PoisonInstances]uint64 `msgpack:"instances"`
+	// Cleared has bit i set if Instances[i] was cleared by a success or a lift.
+	Cleared uint8 `msgpack:"cleared"`
 }
 
 // ViewMaxAge is the age after which a VM dispatches nothing new on a View.
--- /dev/null
+++ b/pkg/poison/poison_test.go
@@ -0,0 +1,298 @@
+package poison
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/model"
+)
+
+var (
+	start  = time.Unix(1000, 0)
+	config = Config{BlockFor: 10 * time.Minute, SuspectFor: time.Minute, RecentFor: 30 * time.Second}
+)
+
+// A fixed seed gives every test run the same verdict; a flag overrides it.
+func init() { _ = flag.Set("rapid.seed", "20261204") }
+
+// Guards against a poison request that takes down one upstream after the
+// other, and innocent requests that are blocked because they shared them.
+func TestPoisonIsBlockedAndInnocentIsNot(t *testing.T) {
+	l, now, lost := NewLedger(config), start, 0
+	const poison = 99
+	innocent := []uint64{1, 2, 3}
+	for round := range 20 {
+		now = now.Add(time.Second)
+		verdict := l.Check(now, poison)
+		if verdict == Blocked {
+			continue
+		}
+		lost++
+		inFlight := []uint64{poison}
+		for _, fp := range innocent {
+			// A suspect does not run beside another one.
+			if verdict != Suspect || l.Check(now, fp) != Suspect {
+				inFlight = append(inFlight, fp)
+			}
+		}
+		l.Lost(now, "r", fmt.Sprint(round), inFlight)
+	}
+	assert.Equal(t, lost, DefaultLimit)
+	for _, fp := range innocent {
+		assert.Equal(t, l.Check(now, fp), Suspect)
+		e, tell := l.Succeeded(now, fp)
+		assert.Assert(t, tell && e.Lifted)
+		assert.Equal(t, l.Check(now, fp), Proven)
+	}
+	_, tell := l.Succeeded(now, poison)
+	assert.Assert(t, !tell)
+	assert.Equal(t, l.Check(now, poison), Blocked)
+}
+
+// Guards against one crash that is reported by several connections and counts
+// as several, with and without a known instance.
+func TestOneLossCountsOnce(t *testing.T) {
+	for _, instance := range []string{"a", ""} {
+		l := NewLedger(config)
+		assert.Equal(t, len(l.Lost(start, "r", instance, []uint64{1, 2, 1})), 2)
+		assert.Equal(t, len(l.Lost(start.Add(time.Second), "r", instance, []uint64{1})), 0)
+		assert.Equal(t, l.Check(start, 1), Suspect)
+		assert.Equal(t, len(l.Lost(start.Add(time.Second), "other", instance, []uint64{1})), 1)
+		assert.Equal(t, l.Check(start.Add(time.Second), 1), Blocked)
+	}
+	l := NewLedger(config)
+	l.Lost(start, "r", "", []uint64{1})
+	l.Lost(start.Add(2*anonymousWindow), "r", "", []uint64{1})
+	assert.Equal(t, l.Check(start.Add(2*anonymousWindow), 1), Blocked)
+}
+
+// Guards against verdicts that never end, also when VMs keep telling each other.
+func TestVerdictsExpire(t *testing.T) {
+	a, b, now := NewLedger(config), NewLedger(config), start
+	a.Lost(now, "r", "1", []uint64{1, 2})
+	a.Lost(now, "r", "2", []uint64{2})
+	for now.Before(start.Add(config.BlockFor + 5*time.Second)) {
+		for _, e := range a.List(now) {
+			b.Merge(now.Add(time.Second), e)
+		}
+		now = now.Add(time.Second)
+		for _, e := range b.List(now) {
+			a.Merge(now.Add(time.Second), e)
+		}
+		if now.After(start.Add(config.SuspectFor + time.Second)) {
+			assert.Equal(t, a.Check(now, 1), Unknown)
+		}
+		if now.Before(start.Add(config.BlockFor - 2*time.Second)) {
+			assert.Equal(t, a.Check(now, 2), Blocked)
+		}
+	}
+	assert.Equal(t, len(a.List(now))+len(b.List(now)), 0)
+	a.Lost(now, "r", "9", []uint64{1})
+	assert.Equal(t, a.Check(now, 1), Suspect, "an expired loss does not count")
+
+	c := NewLedger(config)
+	for _, instance := range []string{"1", "2", "3"} {
+		c.Lost(start, "r", instance, []uint64{1})
+	}
+	b = NewLedger(config)
+	b.Lost(start, "r", "1", []uint64{1})
+	cleared, _ := b.Succeeded(start, 1)
+	assert.Assert(t, c.Merge(start.Add(config.BlockFor/2), cleared))
+	assert.Equal(t, c.Check(start.Add(config.BlockFor), 1), Unknown, "a clearing prolongs nothing")
+	a.Succeeded(now, 3)
+	assert.Equal(t, a.Check(now.Add(config.RecentFor), 3), Proven)
+	assert.Equal(t, a.Check(now.Add(config.RecentFor+1), 3), Unknown)
+}
+
+// Guards against two losses, seen by two VMs, that count as one, and against an
+// old entry that undoes a lift.
+func TestMergeCountsInstancesAndKeepsLifts(t *testing.T) {
+	a, b := NewLedger(config), NewLedger(config)
+	fromA := a.Lost(start, "r1", "x", []uint64{1})[0]
+	fromB := b.Lost(start, "r2", "y", []uint64{1})[0]
+	assert.Assert(t, a.Merge(start, fromB) && b.Merge(start, fromA))
+	blocked := a.List(start)[0]
+	assert.Assert(t, blocked.Blocked && blocked.TTL == config.BlockFor)
+	assert.DeepEqual(t, a.List(start), b.List(start))
+	lift, ok := b.Lift(start, 1)
+	assert.Assert(t, ok && lift.Lifted)
+	c := NewLedger(config)
+	for range 2 {
+		for _, e := range []model.PoisonEntry{lift, blocked, fromA, fromB} {
+			a.Merge(start, e)
+			c.Merge(start, e)
+		}
+	}
+	assert.Equal(t, a.Check(start, 1), Unknown)
+	assert.Equal(t, c.Check(start, 1), Unknown)
+	b.Lost(start, "r1", "z", []uint64{1})
+	assert.Equal(t, b.Check(start, 1), Suspect, "a new loss counts from the lift")
+}
+
+// Guards against memory that grows with the number of requests, and blocks
+// that are forgotten for suspects.
+func TestMemoryIsBounded(t *testing.T) {
+	l := NewLedger(config)
+	l.Lost(start, "r", "1", []uint64{1})
+	l.Lost(start, "r", "2", []uint64{1})
+	late := start.Add(config.BlockFor - config.SuspectFor/2)
+	for fp := range uint64(3 * MaxProven) {
+		l.Lost(late, "r", "3", []uint64{fp + 10})
+		l.Succeeded(late, fp+1e9)
+	}
+	assert.Assert(t, len(l.records) <= MaxRecords)
+	assert.Assert(t, len(l.proven.current)+len(l.proven.older) <= MaxProven)
+	assert.Equal(t, l.Check(late, 1), Blocked)
+	for fp := range uint64(MaxRecords / 2) {
+		l.Lost(start.Add(time.Hour), "r", "4", []uint64{fp})
+	}
+	assert.Assert(t, len(l.records) <= MaxRecords/2, "what has ended is dropped first")
+	for i := range 2 * model.PoisonInstances {
+		l.Succeeded(start, 5)
+		l.Lost(start, "r", fmt.Sprint("5-", i), []uint64{5})
+	}
+	l.Lost(start, "r", "5-last", []uint64{5})
+	assert.Equal(t, l.Check(start, 5), Blocked, "cleared losses make room for new ones")
+}
+
+// Guards against different requests that share a fingerprint because their
+// parts are joined without a delimiter.
+func TestFingerprintDelimitsParts(t *testing.T) {
+	assert.Assert(t, Fingerprint("ab", "c", nil) != Fingerprint("a", "bc", nil))
+	assert.Assert(t, Fingerprint("a", "b", []byte("c")) != Fingerprint("a", "bc", nil))
+	zeros := make([]byte, 'a')
+	assert.Assert(t, Fingerprint("", string(zeros), nil) != Fingerprint("a", "", zeros[1:]))
+	assert.Equal(t, Fingerprint("a", "b", []byte("c")), Fingerprint("a", "b", []byte("c")))
+}
+
+// TestModelLedgers compares three ledgers that exchange entries, late, in any
+// order and repeatedly, with sets of lost and cleared instances. It guards
+// against verdicts that depend on the order.
+func TestModelLedgers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type set = map[int]bool // lost instance to whether it was cleared
+		var ledgers [3]*Ledger
+		var known [3]set
+		for i := range ledgers {
+			ledgers[i], known[i] = NewLedger(config), set{}
+		}
+		type sent struct {
+			entry model.PoisonEntry
+			known set
+		}
+		var net []sent
+		losses := 0
+		copyOf := func(s set) set {
+			c := set{}
+			for k, v := range s {
+				c[k] = v
+			}
+			return c
+		}
+		active := func(s set) (n int) {
+			for _, cleared := range s {
+				if !cleared {
+					n++
+				}
+			}
+			return n
+		}
+		clearAll := func(s set) {
+			for k := range s {
+				s[k] = true
+			}
+		}
+		vm := rapid.IntRange(0, 2)
+		t.Repeat(map[string]func(*rapid.T){
+			"lost": func(t *rapid.T) {
+				if losses == model.PoisonInstances {
+					return
+				}
+				i := vm.Draw(t, "vm")
+				losses++
+				known[i][losses] = false
+				for _, e := range ledgers[i].Lost(start, "r", fmt.Sprint(losses), []uint64{7}) {
+					net = append(net, sent{e, copyOf(known[i])})
+				}
+			},
+			"succeeded": func(t *rapid.T) {
+				i := vm.Draw(t, "vm")
+				n := active(known[i])
+				e, tell := ledgers[i].Succeeded(start, 7)
+				assert.Equal(t, tell, n > 0 && n < DefaultLimit)
+				if tell {
+					clearAll(known[i])
+					net = append(net, sent{e, copyOf(known[i])})
+				}
+			},
+			"lift": func(t *rapid.T) {
+				i := vm.Draw(t, "vm")
+				e, ok := ledgers[i].Lift(start, 7)
+				assert.Equal(t, ok, active(known[i]) > 0)
+				if ok {
+					clearAll(known[i])
+					net = append(net, sent{e, copyOf(known[i])})
+				}
+			},
+			"deliver": func(t *rapid.T) {
+				if len(net) == 0 {
+					return
+				}
+				i := vm.Draw(t, "vm")
+				m := rapid.SampledFrom(net).Draw(t, "message")
+				before := fmt.Sprint(known[i])
+				for k, cleared := range m.known {
+					known[i][k] = known[i][k] || cleared
+				}
+				assert.Equal(t, ledgers[i].Merge(start, m.entry), fmt.Sprint(known[i]) != before)
+			},
+			"": func(t *rapid.T) {
+				for i, l := range ledgers {
+					n := active(known[i])
+					assert.Equal(t, l.Check(start, 7) == Blocked, n >= DefaultLimit)
+					assert.Equal(t, l.Check(start, 7) == Suspect, n > 0 && n < DefaultLimit)
+					assert.Equal(t, len(l.List(start)), min(n, 1))
+				}
+			},
+		})
+	})
+}
+
+func BenchmarkCheck(b *testing.B) {
+	l := NewLedger(config)
+	for fp := range uint64(MaxRecords) {
+		l.Lost(start, "r", "1", []uint64{fp})
+	}
+	for name, fp := range map[string]uint64{"suspect": 5, "unknown": 1 << 40} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					l.Check(start, fp)
+				}
+			})
+		})
+	}
+}
+
+func BenchmarkSucceeded(b *testing.B) {
+	l, fp := NewLedger(config), uint64(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		fp++
+		l.Succeeded(start, fp)
+	}
+}
+
+func BenchmarkFingerprint(b *testing.B) {
+	body := make([]byte, 1024)
+	b.ReportAllocs()
+	for b.Loop() {
+		Fingerprint("assistance", "search", body)
+	}
+}
