--- a/pkg/claim/bench_test.go
+++ b/pkg/claim/bench_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/platform"
+	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
 )
 
 // benchLatency is the time of one platform call.
@@ -85,3 +86,24 @@
 	_, err = store.Put(b.Context(), "claims/key/"+key, value, platform.Condition{Match: version})
 	return err
 }
+
+// BenchmarkCapacity counts the finished claims that fit into one partition.
+func BenchmarkCapacity(b *testing.B) {
+	for _, size := range []int{100, 200, 1000} {
+		b.Run(fmt.Sprintf("answer=%d", size), func(b *testing.B) {
+			now := time.UnixMilli(1)
+			claims := 0
+			for b.Loop() {
+				p := NewPartition()
+				for claims = 0; ; claims++ {
+					op := Op{Step: wire.ClaimTake, KeyHash: fmt.Sprintf("%016d", claims), Token: fmt.Sprintf("%016d", claims), Status: 200, Answer: make([]byte, size)}
+					if p.judge(&op, now).verdict != wire.ClaimGranted {
+						break
+					}
+					p.put(op.entry(Done, now))
+				}
+			}
+			b.ReportMetric(float64(claims), "claims/partition")
+		})
+	}
+}
--- a/pkg/claim/service.go
+++ b/pkg/claim/service.go
@@ -149,10 +149,14 @@
 	return errs.Refuse(errs.ClaimUnavailable, format, args...).WithRetryAfter(time.Second)
 }
 
-// Record stores the outcome of a run. When it returns an error, the outcome
-// is tried again in the background for Linger, and the caller must be told
-// OutcomeUnknown.
+// Record stores the outcome of a run. An answer above MaxAnswer gives TooLarge
+// and is not stored; a repeat of the key then gets OutcomeUnknown. After any
+// other error the outcome is tried again in the background for Linger, and
+// the caller must be told OutcomeUnknown.
 func (s *Service) Record(ctx context.Context, g Grant, status int, answer []byte) error {
+	if len(answer) > MaxAnswer {
+		return errs.Ambiguous(errs.TooLarge, "the answer has %d bytes, recorded are up to %d", len(answer), MaxAnswer)
+	}
 	op := Op{
 		Step: wire.ClaimRecord, KeyHash: g.KeyHash, Token: g.Token, Status: status, Answer: answer,
 		Deadline: time.Now().Add(Linger),
