--- a/pkg/frontend/server_test.go
+++ b/pkg/frontend/server_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -184,3 +185,28 @@
 		assert.NilError(t, server.Stop(t.Context()))
 	})
 }
+
+// TestTLS guards against a listener that ignores its TLS settings, loses the
+// connection limit under TLS, or lets one connection carry many requests at a
+// time with HTTP/2.
+func TestTLS(t *testing.T) {
+	certified := httptest.NewTLSServer(nil)
+	defer certified.Close()
+	handler := NewCallers(CallersConfig{Gateway: &scripted{}, View: fixedView{testView()}, Log: quiet()})
+	server := NewServer(ServerConfig{Handler: handler, Log: quiet(), TLS: certified.TLS, MaxConns: 1})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { assert.Check(t, server.Serve(l)) }()
+	client := certified.Client()
+	for _, want := range []int{200, 503} {
+		client.Transport = client.Transport.(*http.Transport).Clone()
+		response, err := client.Post("https://"+l.Addr().String()+"/v1/search/assist", "application/json", strings.NewReader(`{"query":1}`))
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		assert.Equal(t, response.StatusCode, want)
+		assert.Equal(t, response.Proto, "HTTP/1.1")
+	}
+	assert.NilError(t, server.Stop(t.Context()))
+}
