claim: try again sooner after an outage, release only what may be stored

A claim that came right after an outage could be refused without one call to the platform: the delay after failures grew to one second, which is also how long a claim waits while the platform fails. TestPlatformDown showed it. The delay is now at most 400 ms.

A claim whose update certainly failed left a release that was tried for a minute, one goroutine for each refused claim during an outage. It no longer counts as stored. A lost reply or a conflict still does.

--- a/pkg/claim/machine.go
+++ b/pkg/claim/machine.go
@@ -17,9 +17,11 @@
 	// MaxAnswer it bounds their memory to 32 MB, reached only if each of them
 	// records the longest answer.
 	MaxPending = 2_000
-	// minBackoff and maxBackoff bound the delay after a failed call.
+	// minBackoff and maxBackoff bound the delay after a failed call. Two
+	// calls must fit into DownPatience: at one second a claim that came right
+	// after an outage was refused without a call.
 	minBackoff = 20 * time.Millisecond
-	maxBackoff = time.Second
+	maxBackoff = 400 * time.Millisecond
 	// conflictStep bounds the random delay after the first conflict; it
 	// doubles up to conflictDoublings times.
 	conflictStep      = 2 * time.Millisecond
@@ -63,6 +65,8 @@
 type judged struct {
 	op     *waiting
 	ruling ruling
+	// exposed is the operation's state before the Put.
+	exposed bool
 }
 
 // Machine applies operations to one partition object by conditional updates,
@@ -190,7 +194,7 @@
 			}
 			next.put(r.entry)
 		}
-		batch = append(batch, judged{w, r})
+		batch = append(batch, judged{w, r, w.exposed})
 	}
 	return batch, next, true
 }
@@ -281,6 +285,9 @@
 		m.state = nil
 		m.failed(now, err)
 	default:
+		for _, j := range batch {
+			j.op.exposed = j.exposed
+		}
 		m.failed(now, err)
 	}
 }
--- a/pkg/claim/service_test.go
+++ b/pkg/claim/service_test.go
@@ -114,6 +114,13 @@
 		_, prior, err := n.services["vm0"].Claim(t.Context(), request("k", time.Second))
 		assert.NilError(t, err)
 		assert.Assert(t, prior == nil)
+		// A claim that was certainly not stored leaves nothing to release.
+		n.store.set(func() { n.store.down = true })
+		_, _, err = n.services["vm0"].Claim(t.Context(), request("k2", time.Minute))
+		did(t, err, errs.ClaimUnavailable, errs.DidNotRun)
+		begin = time.Now()
+		assert.NilError(t, n.services["vm0"].Flush(t.Context()))
+		assert.Equal(t, time.Since(begin), time.Duration(0))
 	})
 }
 
