--- a/pkg/frontend/callers_test.go
+++ b/pkg/frontend/callers_test.go
@@ -131,3 +131,19 @@
 		assert.NilError(t, server.Stop(t.Context()))
 	})
 }
+
+// TestHeaderTooLarge guards against headers without a bound.
+func TestHeaderTooLarge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server, l := start(t, &scripted{}, testView(), 0)
+		conn, err := l.dial()
+		assert.NilError(t, err)
+		large := "X-Large: " + strings.Repeat("x", 2*DefaultMaxHeader) + "\r\n"
+		response, _, err := exchangeRaw(conn, with(searchLine, large, `{"query":1}`))
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, 431)
+		assert.Assert(t, response.Close)
+		assert.NilError(t, conn.Close())
+		assert.NilError(t, server.Stop(t.Context()))
+	})
+}
