Test reused connections, status lag and rates

Cause: two mutations of the upstream client survived its tests: not resetting the byte count when a connection is reused, and a body that net/http can rewind. The stand-ins' status lag, connection cost and rate had no test. Change: TestFailedWrites breaks a connection that was used before and counts the dials; pkg/fake tests the three switches. The new test showed that the upstream stand-in ran a request whose connection was closed before its set-up time had passed; such a request is now dropped. Conclusion: a request of which no byte left is DidNotRun on reused connections too, and net/http does not send it again.

--- a/pkg/fake/platform_test.go
+++ b/pkg/fake/platform_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -60,3 +61,18 @@
 	assert.Equal(t, status, http.StatusTooManyRequests)
 	assert.DeepEqual(t, p.Calls(), PlatformCalls{Get: 2, Put: 4, Delete: 2, List: 1, Watch: 2, VMs: 1, Throttled: 1})
 }
+
+// Guards against a rate limit that lets everything or nothing through.
+func TestBucketHoldsOneSecond(t *testing.T) {
+	b := bucket{rate: 2}
+	now := time.Now()
+	taken := 0
+	for range 5 {
+		if b.take(now) {
+			taken++
+		}
+	}
+	assert.Equal(t, taken, 2)
+	assert.Assert(t, b.take(now.Add(500*time.Millisecond)))
+	assert.Assert(t, !b.take(now.Add(500*time.Millisecond)))
+}
--- a/pkg/fake/upstream_http.go
+++ b/pkg/fake/upstream_http.go
@@ -82,6 +82,9 @@
 		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
 			sleep(r.Context(), nil, time.Until(c.ready))
 		}
+		if r.Context().Err() != nil {
+			panic(http.ErrAbortHandler) // the connection was never set up completely
+		}
 		mux.ServeHTTP(w, r)
 	})
 }
--- a/pkg/fake/upstream_test.go
+++ b/pkg/fake/upstream_test.go
@@ -191,3 +191,30 @@
 	u.Crash()
 	assert.Equal(t, u.Connections(), 0)
 }
+
+// Guards against a status that is always fresh, and against a new connection
+// that costs nothing.
+func TestStatusLagAndConnectionCost(t *testing.T) {
+	u := startUpstream(t, UpstreamConfig{Versions: []IndexVersion{testVersion(1)}})
+	state := func() any {
+		response, err := single.Get("http://" + u.Addr() + "/status")
+		assert.NilError(t, err)
+		defer response.Body.Close()
+		var status map[string]any
+		assert.NilError(t, json.NewDecoder(response.Body).Decode(&status))
+		return status["state"]
+	}
+	u.SetStatusLag(time.Hour)
+	assert.Equal(t, state(), "ready")
+	u.Drain(true)
+	assert.Equal(t, state(), "ready")
+	u.SetStatusLag(0)
+	assert.Equal(t, state(), "draining")
+	slow := startUpstream(t, UpstreamConfig{ConnCost: time.Hour})
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	request, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+slow.Addr()+"/status", nil)
+	_, err := single.Do(request)
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	assert.Equal(t, slow.Counters().StatusCalls, 0)
+}
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -274,32 +275,44 @@
 	assert.Equal(t, u.Executions().Total(), 60)
 }
 
-// brokenConn fails writes after it accepted some bytes.
+// brokenConn fails writes, after it accepted some bytes, once it is broken.
 type brokenConn struct {
 	net.Conn
+	broken  *atomic.Bool
 	accepts int
 }
 
 // Write implements net.Conn.
 func (c brokenConn) Write(b []byte) (int, error) {
+	if !c.broken.Load() {
+		return c.Conn.Write(b)
+	}
 	n, _ := c.Conn.Write(b[:min(c.accepts, len(b))])
 	return n, syscall.EPIPE
 }
 
 // Guards against a failed write being reported as not run although a part of
-// the request left, and the other way round.
+// the request left, and the other way round, and against net/http sending a
+// request again on another connection.
 func TestFailedWrites(t *testing.T) {
 	u := start(t, fake.UpstreamConfig{})
 	for accepts, state := range map[int]errs.RunState{0: errs.DidNotRun, 1: errs.MayHaveRun} {
-		c := upstream.New(upstream.Config{Addr: u.Addr(), Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
+		var dials atomic.Int32
+		var broken atomic.Bool
+		c := upstream.New(upstream.Config{Addr: u.Addr(), Spare: -1, Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			dials.Add(1)
 			conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
-			return brokenConn{conn, accepts}, err
+			return brokenConn{conn, &broken, accepts}, err
 		}})
-		_, err := c.Run(t.Context(), book("broken"))
+		_, err := c.Run(t.Context(), book(fmt.Sprint("whole", accepts)))
+		assert.NilError(t, err)
+		broken.Store(true)
+		_, err = c.Run(t.Context(), book("broken"))
 		expect(t, err, errs.UpstreamLost, state)
+		assert.Equal(t, dials.Load(), int32(1))
 		c.Close()
 	}
-	assert.Equal(t, u.Executions().Total(), 0)
+	assert.Equal(t, u.Executions().Count("broken"), 0)
 }
 
 // Guards against believing a did_not_run that is meant for another request, or
