Add the membership state machine

Cause: VMs must agree on who is alive without a coordination service, while messages are lost, VMs pause or restart and failure domains are cut off. A claim of death in a state exchange is checked with the VM before it is believed, so healing a partition suspects nobody. After a pause of its own the machine discards late probes. The model test found that a restarted VM could publish an item with the same sequence and origin as in its former life, so that peers kept different payloads. Sequences now follow the clock and the payload breaks ties; TestRestartedOriginReplacesItsItems covers it.

--- /dev/null
+++ b/pkg/membership/gossip.go
@@ -0,0 +1,239 @@
+package membership
+
+import (
+	"bytes"
+	"math/bits"
+	"time"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/model"
+	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
+)
+
+const (
+	// PiggybackLimit is the size limit of a Ping or Ack frame in bytes. It
+	// keeps the control traffic of a VM near 11 KB/s.
+	PiggybackLimit = 1400
+	// retransmit is multiplied by log2 of the number of VMs to give how often
+	// an update is sent.
+	retransmit = 3
+	// pingOverhead bounds the encoded size of a Ping without members and items.
+	pingOverhead = wire.HeaderSize + 48
+	// memberOverhead and itemOverhead bound the encoded size of an entry
+	// without its strings.
+	memberOverhead = 34
+	itemOverhead   = 48
+)
+
+// itemKey identifies an item.
+type itemKey struct {
+	kind wire.ItemKind
+	key  string
+}
+
+type storedItem struct {
+	item wire.Item
+	// expires is zero for an item without a TTL.
+	expires time.Time
+}
+
+func memberSize(w wire.Member) int {
+	return memberOverhead + len(w.ID) + len(w.Addr) + len(w.Domain) + len(w.Region)
+}
+
+func itemSize(it wire.Item) int {
+	return itemOverhead + len(it.Key) + len(it.Origin) + len(it.Payload)
+}
+
+// updateKey names what an update is about: a VM or an item.
+type updateKey struct {
+	vm   model.VMID
+	item itemKey
+}
+
+type update struct {
+	key  updateKey
+	sent int
+	// replaced marks an update whose key was queued again.
+	replaced bool
+}
+
+// queue holds updates to gossip, those that were never sent first.
+type queue struct {
+	pending map[updateKey]*update
+	fresh   []*update
+	sent    []*update
+}
+
+func (q *queue) init() { q.pending = map[updateKey]*update{} }
+
+func (q *queue) add(k updateKey) {
+	if old := q.pending[k]; old != nil {
+		old.replaced = true
+	}
+	u := &update{key: k}
+	q.pending[k] = u
+	q.fresh = append(q.fresh, u)
+}
+
+// pop returns the next update, or nil.
+func (q *queue) pop() *update {
+	for _, list := range []*[]*update{&q.fresh, &q.sent} {
+		for len(*list) > 0 {
+			u := (*list)[0]
+			*list = (*list)[1:]
+			if !u.replaced {
+				return u
+			}
+		}
+	}
+	return nil
+}
+
+// piggyback adds queued updates to the entries that a message must carry.
+func (m *Machine) piggyback(from wire.Member, members []wire.Member) ([]wire.Member, []wire.Item) {
+	room := PiggybackLimit - pingOverhead - memberSize(from)
+	for _, w := range members {
+		room -= memberSize(w)
+	}
+	limit := retransmit * bits.Len(uint(m.live+1))
+	var items []wire.Item
+	var again []*update
+	for {
+		u := m.queue.pop()
+		if u == nil {
+			break
+		}
+		w, it, ok := m.content(u.key)
+		size := memberSize(w)
+		if it.Kind != 0 {
+			size = itemSize(it)
+		}
+		if !ok || size > PiggybackLimit/2 {
+			// Large items spread by state exchange only.
+			delete(m.queue.pending, u.key)
+			continue
+		}
+		if size > room {
+			m.queue.fresh = append([]*update{u}, m.queue.fresh...)
+			break
+		}
+		room -= size
+		if it.Kind != 0 {
+			items = append(items, it)
+		} else {
+			members = append(members, w)
+		}
+		u.sent++
+		again = append(again, u)
+	}
+	for _, u := range again {
+		if u.sent < limit {
+			m.queue.sent = append(m.queue.sent, u)
+		} else {
+			delete(m.queue.pending, u.key)
+		}
+	}
+	return members, items
+}
+
+// content returns the current state behind an update.
+func (m *Machine) content(k updateKey) (wire.Member, wire.Item, bool) {
+	if k.vm == m.self.ID {
+		return m.member(), wire.Item{}, true
+	}
+	if k.vm != "" {
+		r := m.records[k.vm]
+		if r == nil {
+			return wire.Member{}, wire.Item{}, false
+		}
+		return wire.MemberOf(r.vm), wire.Item{}, true
+	}
+	s := m.items[k.item]
+	if s == nil {
+		return wire.Member{}, wire.Item{}, false
+	}
+	return wire.Member{}, s.at(m.lastTick), true
+}
+
+// at returns the item with the lifetime that remains.
+func (s *storedItem) at(now time.Time) wire.Item {
+	it := s.item
+	if !s.expires.IsZero() {
+		it.TTL = max(time.Millisecond, s.expires.Sub(now))
+	}
+	return it
+}
+
+// Publish sets an item from this VM. It outranks every item known under the
+// key. Sequences follow the clock, so that a VM that restarted outranks the
+// items of its former life, which it does not know.
+func (m *Machine) Publish(now time.Time, kind wire.ItemKind, key string, payload []byte, ttl time.Duration) {
+	it := wire.Item{Kind: kind, Key: key, Origin: m.self.ID, Payload: payload, TTL: ttl}
+	it.Sequence = uint64(now.UnixMilli())
+	if old := m.items[itemKey{kind, key}]; old != nil {
+		it.Sequence = max(it.Sequence, old.item.Sequence+1)
+	}
+	m.storeItem(now, it)
+}
+
+// mergeItem takes an item of a peer if it outranks the known one.
+func (m *Machine) mergeItem(now time.Time, it wire.Item) {
+	if it.Kind == 0 {
+		return
+	}
+	old := m.items[itemKey{it.Kind, it.Key}]
+	if old != nil && !outranks(it, old.item) {
+		return
+	}
+	m.storeItem(now, it)
+	m.changed[itemKey{it.Kind, it.Key}] = true
+}
+
+// outranks is a total order. The payload decides between items that two lives
+// of one VM published under the same sequence.
+func outranks(a, b wire.Item) bool {
+	if a.Sequence != b.Sequence {
+		return a.Sequence > b.Sequence
+	}
+	if a.Origin != b.Origin {
+		return a.Origin > b.Origin
+	}
+	return bytes.Compare(a.Payload, b.Payload) > 0
+}
+
+func (m *Machine) storeItem(now time.Time, it wire.Item) {
+	k := itemKey{it.Kind, it.Key}
+	s := &storedItem{item: it}
+	if it.TTL > 0 {
+		s.expires = now.Add(it.TTL)
+	}
+	m.items[k] = s
+	m.queue.add(updateKey{item: k})
+}
+
+func (m *Machine) expireItems(now time.Time) {
+	for k, s := range m.items {
+		if !s.expires.IsZero() && !now.Before(s.expires) {
+			delete(m.items, k)
+		}
+	}
+}
+
+// TakeChanged returns the items that peers changed since the last call.
+func (m *Machine) TakeChanged() []wire.Item {
+	if len(m.changed) == 0 {
+		return nil
+	}
+	var list []wire.Item
+	for k := range m.changed {
+		if s := m.items[k]; s != nil {
+			list = append(list, s.at(m.lastTick))
+		}
+	}
+	clear(m.changed)
+	return list
+}
+
+// Forget removes an item that no longer has a meaning, such as the status of
+// a replica that left the configuration.
+func (m *Machine) Forget(kind wire.ItemKind, key string) { delete(m.items, itemKey{kind, key}) }
