--- a/pkg/membership/sync.go
+++ b/pkg/membership/sync.go
@@ -78,7 +78,7 @@
 	}
 	var out []Envelope
 	for _, to := range targets {
-		out = append(out, Envelope{To: to, Message: &wire.SyncRequest{From: m.member(), Digest: m.digest()}})
+		out = append(out, Envelope{To: to, Message: &wire.SyncRequest{From: m.member(), ConfigVersion: m.config, Digest: m.digest()}})
 	}
 	return out
 }
@@ -165,7 +165,7 @@
 	if !m.merge(now, from, q.From, q.Members, q.Items, exchanged) || len(q.Digest) != buckets*digestSize {
 		return nil
 	}
-	reply := &wire.SyncReply{From: m.member(), Members: m.correction(q.From)}
+	reply := &wire.SyncReply{From: m.member(), ConfigVersion: m.config, Members: m.correction(q.From)}
 	mine := m.digest()
 	members, items := m.entries()
 	start := m.rng.IntN(buckets)
@@ -201,7 +201,7 @@
 	}
 	joining := !m.joined
 	m.joined = m.joined || !p.More
-	back := &wire.SyncRequest{From: m.member(), Members: m.correction(p.From)}
+	back := &wire.SyncRequest{From: m.member(), ConfigVersion: m.config, Members: m.correction(p.From)}
 	m.addDifferences(back, p)
 	if joining && p.More {
 		back.Digest = m.digest()
--- a/pkg/wire/control.go
+++ b/pkg/wire/control.go
@@ -119,20 +119,22 @@
 // for each bucket of members and items. Members and Items are the sender's
 // entries in buckets that an earlier SyncReply reported as different.
 type SyncRequest struct {
-	From    Member   `msgpack:"from"`
-	Digest  []byte   `msgpack:"digest"`
-	Members []Member `msgpack:"m"`
-	Items   []Item   `msgpack:"i"`
+	From          Member   `msgpack:"from"`
+	ConfigVersion uint64   `msgpack:"cfg"`
+	Digest        []byte   `msgpack:"digest"`
+	Members       []Member `msgpack:"m"`
+	Items         []Item   `msgpack:"i"`
 }
 
 // SyncReply carries the sender's entries in buckets that differ, as many as
 // fit in one chunk. Buckets lists them; More tells that others differ too.
 type SyncReply struct {
-	From    Member   `msgpack:"from"`
-	Buckets []uint8  `msgpack:"b"`
-	Members []Member `msgpack:"m"`
-	Items   []Item   `msgpack:"i"`
-	More    bool     `msgpack:"more"`
+	From          Member   `msgpack:"from"`
+	ConfigVersion uint64   `msgpack:"cfg"`
+	Buckets       []uint8  `msgpack:"b"`
+	Members       []Member `msgpack:"m"`
+	Items         []Item   `msgpack:"i"`
+	More          bool     `msgpack:"more"`
 }
 
 // ConfigRequest asks for the manifest, and for one chunk of a section when
