Register the claim messages in the peer codec

Cause: KindClaimRequest and KindClaimReply had no constructor, so the peer that received one ended the connection, and every search and call on it was lost. Change: both kinds are registered, a test walks all kinds, and the accepting side logs why a connection ended. Conclusion: a kind without a constructor now fails a test.

--- a/pkg/peer/transport.go
+++ b/pkg/peer/transport.go
@@ -227,6 +227,7 @@
 	delete(t.accepted, c)
 	t.mu.Unlock()
 	if !c.dialled {
+		t.log.Infof("peer: %s connection from %s ended: %v", c.lane, c.peer.ID, err)
 		t.incoming.Add(-1)
 		return
 	}
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -45,6 +45,8 @@
 	KindCancelAttempts: func() Message { return new(CancelAttempts) },
 	KindCallRequest:    func() Message { return new(CallRequest) },
 	KindCallReply:      func() Message { return new(CallReply) },
+	KindClaimRequest:   func() Message { return new(ClaimRequest) },
+	KindClaimReply:     func() Message { return new(ClaimReply) },
 	KindPoisonReport:   func() Message { return new(PoisonReport) },
 	KindPoisonAck:      func() Message { return new(PoisonAck) },
 	KindFailure:        func() Message { return new(Failure) },
--- a/pkg/wire/messages.go
+++ b/pkg/wire/messages.go
@@ -37,6 +37,9 @@
 	KindStreamEnd
 	KindProbe
 	KindProbeReply
+
+	// lastKind is the highest kind in use.
+	lastKind = KindProbeReply
 )
 
 // Message is implemented by every message of the protocol.
--- /dev/null
+++ b/pkg/wire/registry_test.go
@@ -0,0 +1,16 @@
+package wire
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a message kind without a constructor: the peer that gets it
+// ends the connection, and every exchange on it is lost.
+func TestEveryKindIsRegistered(t *testing.T) {
+	for k := KindHello; k <= lastKind; k++ {
+		assert.Assert(t, registry[k] != nil, "kind %d", k)
+		assert.Equal(t, registry[k]().Kind(), k)
+	}
+}
