--- a/pkg/confsync/confsync.go
+++ b/pkg/confsync/confsync.go
@@ -125,13 +125,14 @@
 }
 
 // SetVMs takes the current membership. It forgets announcements of VMs that
-// are gone and decides whether this VM watches the platform.
-func (s *Syncer) SetVMs(vms map[model.VMID]model.VM) {
+// are gone and decides whether this VM watches the platform. failing tells
+// which VMs are known to be unable to.
+func (s *Syncer) SetVMs(vms map[model.VMID]model.VM, failing func(model.VMID) bool) {
 	maps.DeleteFunc(s.announced, func(id model.VMID, _ uint64) bool {
 		v, ok := vms[id]
 		return !ok || v.State == model.Dead
 	})
-	s.watcher = isWatcher(s.self, vms)
+	s.watcher = isWatcher(s.self, vms, failing)
 }
 
 // offer takes a manifest from any source and reports whether it is newer
@@ -176,6 +177,9 @@
 	}
 }
 
+// WatchFails reports whether the last watch of this VM failed.
+func (s *Syncer) WatchFails() bool { return s.watch.failed }
+
 // Ready returns the pending manifest when all its sections are present. The
 // caller joins them and then calls Adopt or Reject.
 func (s *Syncer) Ready() (Manifest, bool) {
@@ -284,6 +288,7 @@
 func (s *Syncer) WatchDone(now time.Time, changed bool, err error) {
 	s.watch.running = false
 	s.watch.failed = err != nil
+	s.watch.established = err == nil
 	if err != nil {
 		s.watch.retryAt = now.Add(watchRetry)
 	}
--- a/pkg/confsync/model_test.go
+++ b/pkg/confsync/model_test.go
@@ -163,7 +163,7 @@
 
 func (s *sim) tick(id model.VMID, known map[model.VMID]model.VM) {
 	n := s.vms[id]
-	n.s.SetVMs(known)
+	n.s.SetVMs(known, func(other model.VMID) bool { return s.vms[other].s.WatchFails() })
 	if at, ok := s.watching[id]; ok && (s.down || at != len(s.history)) {
 		delete(s.watching, id)
 		if s.down {
--- a/pkg/confsync/schedule.go
+++ b/pkg/confsync/schedule.go
@@ -13,6 +13,9 @@
 	// watchersPerDomain is the number of VMs of a failure domain that watch.
 	// The second one covers the time until a dead first one is replaced.
 	watchersPerDomain = 2
+	// watchCandidates bounds the VMs of a failure domain that try to watch
+	// while the platform is down.
+	watchCandidates = 6
 	// watchRetry is the wait after a failed watch.
 	watchRetry = 2 * time.Second
 	// pollWatcher is the poll interval of a watcher whose watch fails.
@@ -48,12 +51,15 @@
 type watchState struct {
 	running bool
 	failed  bool
-	retryAt time.Time
+	// established is true after a watch that succeeded.
+	established bool
+	retryAt     time.Time
 }
 
 // isWatcher reports whether self is among the first VMs of its failure domain
-// by rendezvous rank.
-func isWatcher(self model.VM, vms map[model.VMID]model.VM) bool {
+// by rendezvous rank. Of the first candidates those that cannot reach the
+// platform are passed over, unless none can.
+func isWatcher(self model.VM, vms map[model.VMID]model.VM, failing func(model.VMID) bool) bool {
 	var domain []model.VM
 	for _, v := range vms {
 		if v.Domain == self.Domain && placement.Live(v) {
@@ -61,7 +67,12 @@
 		}
 	}
 	ranked := placement.Rank("config-watch/"+string(self.Domain), domain)
-	return slices.Contains(ranked[:min(len(ranked), watchersPerDomain)], self.ID)
+	ranked = ranked[:min(len(ranked), watchCandidates)]
+	able := slices.DeleteFunc(slices.Clone(ranked), failing)
+	if len(able) == 0 {
+		able = ranked
+	}
+	return slices.Contains(able[:min(len(able), watchersPerDomain)], self.ID)
 }
 
 // Watcher reports whether this VM watches the platform.
@@ -93,6 +104,11 @@
 		return nil
 	}
 	s.watch.running = true
+	if !s.watch.established {
+		// A change between the last poll and the start of the watch would be
+		// missed, so the manifest is read once more after the start.
+		s.nextPoll = now.Add(pollRecheck)
+	}
 	return []Request{{Kind: Watch}}
 }
 
--- a/pkg/membership/gossip.go
+++ b/pkg/membership/gossip.go
@@ -164,16 +164,20 @@
 	return it
 }
 
-// Publish sets an item from this VM. It outranks every item known under the
-// key. Sequences follow the clock, so that a VM that restarted outranks the
+// Merge takes an item that a peer sent outside of gossip.
+func (m *Machine) Merge(now time.Time, it wire.Item) { m.mergeItem(now, it) }
+
+// Publish sets an item from this VM and returns it. It outranks every item
+// known under the key. Sequences follow the clock, so that a VM that restarted outranks the
 // items of its former life, which it does not know.
-func (m *Machine) Publish(now time.Time, kind wire.ItemKind, key string, payload []byte, ttl time.Duration) {
+func (m *Machine) Publish(now time.Time, kind wire.ItemKind, key string, payload []byte, ttl time.Duration) wire.Item {
 	it := wire.Item{Kind: kind, Key: key, Origin: m.self.ID, Payload: payload, TTL: ttl}
 	it.Sequence = uint64(now.UnixMilli())
 	if old := m.items[itemKey{kind, key}]; old != nil {
 		it.Sequence = max(it.Sequence, old.item.Sequence+1)
 	}
 	m.storeItem(now, it)
+	return it
 }
 
 // mergeItem takes an item of a peer if it outranks the known one.
@@ -234,6 +238,12 @@
 	return list
 }
 
+// Has reports whether an item is known that has not expired.
+func (m *Machine) Has(now time.Time, kind wire.ItemKind, key string) bool {
+	s := m.items[itemKey{kind, key}]
+	return s != nil && (s.expires.IsZero() || now.Before(s.expires))
+}
+
 // Forget removes an item that no longer has a meaning, such as the status of
 // a replica that left the configuration.
 func (m *Machine) Forget(kind wire.ItemKind, key string) { delete(m.items, itemKey{kind, key}) }
--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -112,6 +112,9 @@
 // Self returns this VM with its current state and incarnation.
 func (m *Machine) Self() model.VM { return m.self }
 
+// Sequence returns the sequence of the last ping.
+func (m *Machine) Sequence() uint64 { return m.sequence }
+
 // Revision changes whenever VMs changes.
 func (m *Machine) Revision() uint64 { return m.revision }
 
--- a/pkg/wire/messages.go
+++ b/pkg/wire/messages.go
@@ -160,9 +160,11 @@
 	InFlight int               `msgpack:"inflight"`
 }
 
-// PoisonReport spreads the verdict on a fingerprint.
+// PoisonReport spreads the verdict on a fingerprint. Sequence is that of the
+// sender's gossiped item, so that the receiver can gossip the same item.
 type PoisonReport struct {
-	Entry model.PoisonEntry `msgpack:"entry"`
+	Entry    model.PoisonEntry `msgpack:"entry"`
+	Sequence uint64            `msgpack:"seq"`
 }
 
 // PoisonAck confirms a PoisonReport.
