Check announced lengths of a frame before decoding it

Cause: the msgpack decoder allocates a list of structures by its announced length and nests values without a limit. A frame of 22 bytes that announced four billion entries ended the process with "out of memory", before authentication too. Change: pkg/wire walks each body first and verifies lengths, number of elements and depth; a bad frame is FrameMalformed. Before authentication only Hello, Proof and Failure are decoded. Before: the test process died. After: TestHostileLengths passes, and the model test shows that the check accepts what the encoder writes. Conclusion: the memory that a frame can take is bounded by its number of list elements, which the check bounds by the frame's size.

--- a/pkg/peer/handshake.go
+++ b/pkg/peer/handshake.go
@@ -17,10 +17,8 @@
 	// handshakeTimeout bounds a handshake, so that a client that says nothing
 	// does not hold one of the bounded connections.
 	handshakeTimeout = 2 * time.Second
-	// handshakeFrame is the frame size limit in bytes before authentication.
-	handshakeFrame = 4 << 10
-	nonceSize      = 32
-	macContext     = "nutmeghitch peer handshake"
+	nonceSize        = 32
+	macContext       = "nutmeghitch peer handshake"
 )
 
 // Roles enter the MAC, so that a proof cannot be reflected to its sender.
@@ -35,7 +33,7 @@
 	if err != nil {
 		return err
 	}
-	if err := wire.Write(nc, 0, mine, handshakeFrame); err != nil {
+	if err := wire.Write(nc, 0, mine, wire.MaxHandshakeFrame); err != nil {
 		return unreachable(err)
 	}
 	theirs, err := readHandshake[*wire.Hello](r)
@@ -45,7 +43,7 @@
 	if theirs.VM.ID != peer.ID {
 		return errs.Refuse(errs.PeerUnreachable, "%s answers as %s, expected %s", peer.Addr, theirs.VM.ID, peer.ID)
 	}
-	if err := wire.Write(nc, 0, prove(secret, roleDialer, mine, theirs), handshakeFrame); err != nil {
+	if err := wire.Write(nc, 0, prove(secret, roleDialer, mine, theirs), wire.MaxHandshakeFrame); err != nil {
 		return unreachable(err)
 	}
 	proof, err := readHandshake[*wire.Proof](r)
@@ -62,14 +60,14 @@
 	if err != nil {
 		// A frame of this VM's version shows a dialer of another version why
 		// it is refused.
-		_ = wire.Write(nc, 0, wire.FailureOf(err), handshakeFrame)
+		_ = wire.Write(nc, 0, wire.FailureOf(err), wire.MaxHandshakeFrame)
 		return nil, err
 	}
 	mine, err := newHello(self, theirs.Lane)
 	if err != nil {
 		return nil, err
 	}
-	if err := wire.Write(nc, 0, mine, handshakeFrame); err != nil {
+	if err := wire.Write(nc, 0, mine, wire.MaxHandshakeFrame); err != nil {
 		return nil, unreachable(err)
 	}
 	proof, err := readHandshake[*wire.Proof](r)
@@ -77,13 +75,13 @@
 		return nil, err
 	}
 	if err := verify(proof, prove(secret, roleDialer, theirs, mine)); err != nil {
-		_ = wire.Write(nc, 0, wire.FailureOf(err), handshakeFrame)
+		_ = wire.Write(nc, 0, wire.FailureOf(err), wire.MaxHandshakeFrame)
 		return nil, err
 	}
 	if theirs.Lane != wire.ControlLane && theirs.Lane != wire.TrafficLane {
 		return nil, errs.Refuse(errs.FrameMalformed, "unknown lane %d", theirs.Lane)
 	}
-	if err := wire.Write(nc, 0, prove(secret, roleAcceptor, theirs, mine), handshakeFrame); err != nil {
+	if err := wire.Write(nc, 0, prove(secret, roleAcceptor, theirs, mine), wire.MaxHandshakeFrame); err != nil {
 		return nil, unreachable(err)
 	}
 	return theirs, nil
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -135,18 +135,18 @@
 // on either side of the connection.
 func TestOtherProtocolVersion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		newer, err := wire.Append(nil, 0, &wire.Hello{}, handshakeFrame)
+		newer, err := wire.Append(nil, 0, &wire.Hello{}, wire.MaxHandshakeFrame)
 		assert.NilError(t, err)
 		newer[4]++
 		for _, dialling := range []bool{true, false} {
 			mine, theirs := net.Pipe()
-			ours := wire.NewReader(bufio.NewReader(mine), handshakeFrame)
+			ours := wire.NewHandshakeReader(bufio.NewReader(mine))
 			go func() {
 				if dialling {
-					_, _ = theirs.Read(make([]byte, handshakeFrame))
+					_, _ = theirs.Read(make([]byte, wire.MaxHandshakeFrame))
 				}
 				_, _ = theirs.Write(newer)
-				_, _ = theirs.Read(make([]byte, handshakeFrame))
+				_, _ = theirs.Read(make([]byte, wire.MaxHandshakeFrame))
 			}()
 			if dialling {
 				err = dialHandshake(mine, ours, model.VM{ID: "a"}, target, nil, wire.ControlLane)
--- a/pkg/peer/serve.go
+++ b/pkg/peer/serve.go
@@ -62,7 +62,7 @@
 		nc = tls.Server(raw, t.cfg.TLS)
 	}
 	br := bufio.NewReaderSize(nc, controlReadBuffer)
-	hello, err := acceptHandshake(nc, wire.NewReader(br, handshakeFrame), t.cfg.Self, t.cfg.Secret)
+	hello, err := acceptHandshake(nc, wire.NewHandshakeReader(br), t.cfg.Self, t.cfg.Secret)
 	intime := timer.Stop()
 	open := stop()
 	if err == nil && intime && open && t.keep(nc, br, hello) {
--- a/pkg/peer/transport.go
+++ b/pkg/peer/transport.go
@@ -208,7 +208,7 @@
 		nc = tls.Client(raw, t.cfg.TLS)
 	}
 	br := bufio.NewReaderSize(nc, controlReadBuffer)
-	err = dialHandshake(nc, wire.NewReader(br, handshakeFrame), t.cfg.Self, to, t.cfg.Secret, k)
+	err = dialHandshake(nc, wire.NewHandshakeReader(br), t.cfg.Self, to, t.cfg.Secret, k)
 	if err == nil && !stop() {
 		err = errs.Refuse(errs.PeerUnreachable, "handshake with %s: %v", to.ID, ctx.Err())
 	}
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -20,6 +20,8 @@
 	MaxControlFrame = 64 << 10
 	// MaxTrafficFrame is the size limit of a frame on the traffic lane in bytes.
 	MaxTrafficFrame = 4 << 20
+	// MaxHandshakeFrame is the size limit of a frame before authentication in bytes.
+	MaxHandshakeFrame = 4 << 10
 
 	lengthSize = 4
 	// keepBuffer is the largest read buffer that is kept between frames. One
@@ -102,13 +104,20 @@
 	limit int
 	buf   []byte
 	body  bytes.Reader
+	// handshake restricts the kinds to those of the handshake.
+	handshake bool
 }
 
 // NewReader returns a Reader that refuses frames larger than limit bytes.
 func NewReader(r io.Reader, limit int) *Reader { return &Reader{r: r, limit: limit} }
 
-// SetLimit changes the size limit of the frames that follow.
-func (r *Reader) SetLimit(limit int) { r.limit = limit }
+// NewHandshakeReader returns a Reader for a peer that is not authenticated. It
+// refuses all messages but those of the handshake, undecoded.
+func NewHandshakeReader(r io.Reader) *Reader {
+	return &Reader{r: r, limit: MaxHandshakeFrame, handshake: true}
+}
+
+func inHandshake(k Kind) bool { return k == KindHello || k == KindProof || k == KindFailure }
 
 // Next returns the next message and its stream. It fails with FrameTooLarge,
 // FrameMalformed, ProtocolMismatch or the error of the underlying reader.
@@ -152,9 +161,15 @@
 
 func (r *Reader) decode(k Kind, body []byte) (Message, error) {
 	construct := registry[k]
+	if r.handshake && !inHandshake(k) {
+		return nil, errs.Refuse(errs.FrameMalformed, "kind %d before authentication", k)
+	}
 	if construct == nil {
 		return nil, errs.Refuse(errs.FrameMalformed, "unknown kind %d", k)
 	}
+	if err := checkBody(body); err != nil {
+		return nil, err
+	}
 	m := construct()
 	r.body.Reset(body)
 	dec := msgpack.GetDecoder()
@@ -167,8 +182,5 @@
 	if err != nil {
 		return nil, errs.Refuse(errs.FrameMalformed, "decode kind %d: %v", k, err)
 	}
-	if r.body.Len() > 0 {
-		return nil, errs.Refuse(errs.FrameMalformed, "kind %d has %d extra bytes", k, r.body.Len())
-	}
 	return m, nil
 }
--- a/pkg/wire/codec_test.go
+++ b/pkg/wire/codec_test.go
@@ -51,6 +51,49 @@
 	assert.Assert(t, errs.Is(err, errs.FrameTooLarge))
 }
 
+// Guards against a frame of a few bytes that ends the process: a list that
+// announces four billion entries, and lists nested without a limit.
+func TestHostileLengths(t *testing.T) {
+	nested := append([]byte("\x81\xa4rows\x91\x81\xa1k"), bytes.Repeat([]byte{0x91}, MaxControlFrame/2)...)
+	for _, body := range [][]byte{[]byte("\x81\xa1m\xdd\xff\xff\xff\xff"), []byte("\x81\xa1m\xdf\xff\xff\xff\xff"), append(nested, 0xc0)} {
+		for _, k := range []Kind{KindPing, KindSearchPartial} {
+			frame := make([]byte, HeaderSize)
+			frame[4] = Protocol
+			frame[5] = byte(k)
+			frame = append(frame, body...)
+			binary.BigEndian.PutUint32(frame, uint32(len(frame)-lengthSize))
+			_, _, err := NewReader(bytes.NewReader(frame), MaxControlFrame).Next()
+			assert.Assert(t, errs.Is(err, errs.FrameMalformed), "%v", err)
+		}
+	}
+}
+
+// Guards against messages of an unauthenticated peer that reach the decoder.
+func TestHandshakeReaderDecodesNoOtherKind(t *testing.T) {
+	frame, err := Append(nil, 0, &Ping{}, MaxHandshakeFrame)
+	assert.NilError(t, err)
+	_, _, err = NewHandshakeReader(bytes.NewReader(frame)).Next()
+	assert.Assert(t, errs.Is(err, errs.FrameMalformed))
+}
+
+// Guards against a check that refuses what the encoder writes.
+func TestModelCheckAcceptsEncodedValues(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		key := rapid.SliceOfN(rapid.OneOf(
+			rapid.Int64().AsAny(), rapid.Float64().AsAny(), rapid.String().AsAny(), rapid.Bool().AsAny(),
+			rapid.Uint64().AsAny(), rapid.SliceOfN(rapid.Byte(), 0, 70_000).AsAny(),
+			rapid.MapOfN(rapid.String(), rapid.Int().AsAny(), 0, 40).AsAny(),
+		), 0, 40).Draw(t, "key")
+		frame, err := Append(nil, 1, &SearchPartial{Rows: []Row{{Key: key}}}, MaxTrafficFrame)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, _, err := NewReader(bytes.NewReader(frame), MaxTrafficFrame).Next(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
 // Guards against reading frames of another protocol version.
 func TestProtocolMismatch(t *testing.T) {
 	frame, err := Append(nil, 1, &Probe{}, MaxControlFrame)
