--- a/pkg/control/poison.go
+++ b/pkg/control/poison.go
@@ -21,6 +21,9 @@
 	poisonRanked = 3
 	// poisonRefresh is the interval at which expired entries leave the view.
 	poisonRefresh = time.Second
+	// poisonTTL is the lifetime of an entry that names none. An item without a
+	// lifetime would be gossiped for ever.
+	poisonTTL = 10 * time.Minute
 	// spreadKeep bounds the life of the record of a report without all acks.
 	spreadKeep = time.Second
 )
@@ -55,6 +58,9 @@
 // spreadPoison gossips an entry of this VM and reports it directly.
 func (s *state) spreadPoison(now time.Time, p poisoned) {
 	s.poisonDue = true
+	if p.entry.TTL <= 0 {
+		p.entry.TTL = poisonTTL
+	}
 	payload, err := msgpack.Marshal(&p.entry)
 	if err != nil {
 		s.log.Warnf("control: poison entry %x cannot be encoded: %v", p.entry.Fingerprint, err)
