Make the baseline of the ramp robust against varying service times

Change: the baseline is the mean of the first 64 answers and then follows the means of blocks of 16. The run that makes a jump is longer where slow answers are common. From a start to full slots slow answers take back growth. Conclusion: TestVariationIsNoColdPhase keeps the fault from coming back; what is still not detected is listed in docs/decisions/0006-cold-start.md.

--- a/pkg/ramp/baseline.go
+++ b/pkg/ramp/baseline.go
@@ -3,9 +3,21 @@
 import "math"
 
 const (
-	recentSize = 8
-	// baselineWeight makes the baseline follow about the last 16 normal answers.
-	baselineWeight = 1.0 / 16
+	// blockSize is the number of answers whose mean moves a baseline. Single
+	// answers vary by more than JumpFactor within one operation, and a baseline
+	// that followed them collapsed to the fastest ones in a simulation with
+	// exponential service times.
+	blockSize = 16
+	// blockWeight makes the baseline follow about the last 4 normal blocks.
+	blockWeight = 1.0 / 4
+	// chanceLimit is the probability of a run of slow answers by chance that is
+	// low enough to call the run a jump.
+	chanceLimit = 1e-6
+	maxRun      = 16
+	// normalRun is the number of normal answers in a row that end a slow phase.
+	// Half a block is enough: when answers take 2.5 times as long and vary by an
+	// exponential distribution, it happens by chance in less than 1% of the cases.
+	normalRun = 8
 	// maxOperations bounds the baselines of one window. Further operations share one.
 	maxOperations = 16
 )
@@ -14,67 +26,95 @@
 // are kept apart because a quick check and a full search differ by more than
 // JumpFactor, and a change of the mix is no sign of a cold replica.
 type baseline struct {
-	value    float64
-	evidence int
-	// recent holds the last service times and bases the value before each of
-	// them, so that the start of a slow phase cannot raise the reference.
-	recent [recentSize]float64
-	bases  [recentSize]float64
-	filled int
-	next   int
+	value   float64
+	answers int     // answers until it is proven; its value is their mean
+	tail    float64 // share of normal answers above JumpFactor
+	slow    bool    // in a slow phase
+	fast    int     // normal answers in a row
+	count   int     // answers in the current block
+	sum     float64
+	above   int
 }
 
-// reference returns the lowest value before the recent completions.
-func (b *baseline) reference() float64 {
-	ref := b.value
-	for _, v := range b.bases[:b.filled] {
-		ref = math.Min(ref, v)
+// proven tells whether enough answers support the value.
+func (b *baseline) proven() bool { return b.answers >= ProvenAfter }
+
+// normal tells whether an answer is evidence of a warm replica.
+func (b *baseline) normal(s float64) bool {
+	return !b.slow && s <= SlowFactor*b.value
+}
+
+// jumped tells whether an answer is slow enough to count for a jump.
+func (b *baseline) jumped(s float64) bool {
+	return b.answers > 0 && s > JumpFactor*b.value
+}
+
+// run returns the number of slow answers in a row that make a jump. It is
+// JumpRun unless slow answers are common in the normal phase.
+func (b *baseline) run() int {
+	if b.tail <= 0 {
+		return JumpRun
 	}
-	return ref
+	n := math.Ceil(math.Log(chanceLimit) / math.Log(b.tail))
+	return int(math.Min(math.Max(n, JumpRun), maxRun))
 }
 
-// learn takes in one service time. In a normal phase the value follows the
-// mean of answers clipped at SlowFactor. In a slow phase it only drifts upwards
-// slowly. When most recent answers take less than half of it, it follows at once.
+// learn takes in one answer. It moves a proven value at the end of a block.
 func (b *baseline) learn(s, busy float64) {
-	ref := b.reference()
-	b.bases[b.next] = b.value
-	b.recent[b.next] = s
-	b.next = (b.next + 1) % recentSize
-	b.filled = min(b.filled+1, recentSize)
-	middle := b.median()
-	switch {
-	case middle > SlowFactor*ref:
-		b.set(ref * math.Exp2(busy/float64(BaselineDoubleAfter)))
-	case middle < b.value/SlowFactor && b.filled == recentSize:
-		b.set(middle)
-	default:
-		b.evidence++
-		b.value += (math.Min(s, SlowFactor*b.value) - b.value) * baselineWeight
+	if !b.proven() {
+		b.answers++
+		b.value += (s - b.value) / float64(b.answers)
+		return
+	}
+	if b.jumped(s) {
+		b.above++
+	}
+	b.noteFast(s)
+	if b.slow {
+		b.value *= math.Exp2(busy / float64(BaselineDoubleAfter))
+	}
+	b.count++
+	b.sum += s
+	if b.count == blockSize {
+		b.endBlock()
 	}
 }
 
-// median returns the upper median of the recent service times.
-func (b *baseline) median() float64 {
-	var sorted [recentSize]float64
-	n := copy(sorted[:], b.recent[:b.filled])
-	for i := 1; i < n; i++ {
-		for j := i; j > 0 && sorted[j] < sorted[j-1]; j-- {
-			sorted[j], sorted[j-1] = sorted[j-1], sorted[j]
-		}
+// noteFast ends a slow phase after enough normal answers in a row.
+func (b *baseline) noteFast(s float64) {
+	b.fast++
+	if s > SlowFactor*b.value {
+		b.fast = 0
+	}
+	if b.slow && b.fast >= normalRun {
+		b.slow = false
+		b.startBlock()
 	}
-	return sorted[n/2]
 }
 
-// set replaces the value and the reference.
-func (b *baseline) set(v float64) {
-	b.value = v
-	for i := range b.bases[:b.filled] {
-		b.bases[i] = v
+// endBlock moves the value towards the mean of a normal block. A slow block
+// leaves it, so that cold answers do not become normal.
+func (b *baseline) endBlock() {
+	mean := b.sum / blockSize
+	share := float64(b.above) / blockSize
+	b.startBlock()
+	b.slow = mean > SlowFactor*b.value
+	if b.slow {
+		return
 	}
+	b.tail += (share - b.tail) * blockWeight
+	b.value += (mean - b.value) * blockWeight
+}
+
+func (b *baseline) startBlock() {
+	b.count = 0
+	b.sum = 0
+	b.above = 0
 }
 
-func (b *baseline) forget() {
-	b.filled = 0
-	b.next = 0
+// restart forgets what is known of the current phase and keeps the value.
+func (b *baseline) restart() {
+	b.startBlock()
+	b.fast = 0
+	b.slow = false
 }
--- a/pkg/ramp/ramp.go
+++ b/pkg/ramp/ramp.go
@@ -32,7 +32,8 @@
 	SlowFactor = 2.0
 	// JumpFactor times the baseline, exceeded by JumpRun completions in a row, shrinks the window.
 	JumpFactor = 3.0
-	// JumpRun is the number of slow completions in a row that count as a jump.
+	// JumpRun is the number of slow completions in a row that count as a jump,
+	// unless slow completions are common in the normal phase.
 	JumpRun = 4
 	// MaxGap bounds the idle gap, so that one very slow answer cannot stop a replica.
 	MaxGap = 2 * time.Second
@@ -68,7 +69,11 @@
 	lastReduced   time.Time
 	mean          float64
 	slowRun       int
-	baselines     map[string]*baseline
+	// ramping is set from a start until the first time at full slots. Slow
+	// answers then take back what normal ones gained, because some answers of a
+	// cold replica are as fast as normal ones.
+	ramping   bool
+	baselines map[string]*baseline
 }
 
 // New returns a window at its cold value.
@@ -91,17 +96,16 @@
 // replica's slow answers from the first one on.
 func (w *Window) Seed(operation string, normal time.Duration) {
 	b := w.baselineOf(operation)
-	if normal <= 0 || b.evidence >= ProvenAfter {
-		return
+	if normal > 0 && !b.proven() {
+		*b = baseline{value: float64(normal), answers: ProvenAfter}
 	}
-	*b = baseline{value: float64(normal), evidence: ProvenAfter}
 }
 
 // Baseline returns the service time of normal answers to an operation, and
 // whether enough completions support it.
 func (w *Window) Baseline(operation string) (time.Duration, bool) {
 	b := w.baselineOf(operation)
-	return time.Duration(b.value), b.evidence >= ProvenAfter
+	return time.Duration(b.value), b.proven()
 }
 
 // Completed reports a successful answer of a replica with one operation.
@@ -117,14 +121,17 @@
 	w.lastCompleted = now
 	w.noteMean(s)
 	b := w.baselineOf(operation)
-	if b.value == 0 {
-		b.value = s
-	}
-	ref := b.reference()
-	w.noteRun(now, s, ref)
+	jump := w.noteRun(b, s)
 	b.learn(s, busy)
-	if s <= SlowFactor*ref {
-		w.grow(busy, b.evidence >= ProvenAfter)
+	switch {
+	case jump:
+		// A slow answer is still an answer, so a jump alone never leads below the cold window.
+		w.reduce(now, w.cold)
+	case b.normal(s):
+		w.grow(w.step(busy, b.proven()))
+	case w.ramping:
+		worth := math.Min(busy, b.value+float64(w.Gap()))
+		w.value = math.Max(w.value-w.step(worth, b.proven()), math.Min(w.value, w.cold))
 	}
 }
 
@@ -155,8 +162,9 @@
 	w.lastReduced = time.Time{}
 	w.lastCompleted = now
 	w.slowRun = 0
+	w.ramping = true
 	for _, b := range w.baselines {
-		b.forget()
+		b.restart()
 	}
 	w.clamp()
 }
@@ -228,21 +236,23 @@
 	return b
 }
 
-func (w *Window) noteRun(now time.Time, s, ref float64) {
-	if s <= JumpFactor*ref {
+// noteRun counts slow answers in a row, of any operation, and tells whether
+// they are a jump.
+func (w *Window) noteRun(b *baseline, s float64) bool {
+	if !b.jumped(s) {
 		w.slowRun = 0
-		return
+		return false
 	}
 	w.slowRun++
-	if w.slowRun < JumpRun {
-		return
+	if w.slowRun < b.run() {
+		return false
 	}
 	w.slowRun = 0
-	// A slow answer is still an answer, so a jump alone never leads below the cold window.
-	w.reduce(now, w.cold)
+	return true
 }
 
-func (w *Window) grow(busy float64, proven bool) {
+// step returns the growth that busy time with a normal answer is worth.
+func (w *Window) step(busy float64, proven bool) float64 {
 	double := DoubleAfter
 	if !proven {
 		double = UnprovenDoubleAfter
@@ -251,8 +261,13 @@
 	if w.value >= w.threshold {
 		step = math.Min(step, LinearGrowth*busy/float64(time.Second))
 	}
+	return step
+}
+
+func (w *Window) grow(step float64) {
 	w.value += step
 	w.clamp()
+	w.ramping = w.ramping && w.value < w.slots
 }
 
 func (w *Window) reduce(now time.Time, floor float64) {
