Benchmark one exchange with an upstream

Cause: the tier's overhead target is 1 ms, of which the upstream exchange is a part. Change: BenchmarkRun sends requests without service time to the stand-in.

--- /dev/null
+++ b/pkg/upstream/bench_test.go
@@ -0,0 +1,24 @@
+package upstream_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/fake"
+	"github.com/nutmeghitch/nutmeghitch/pkg/upstream"
+)
+
+// BenchmarkRun measures one exchange with an upstream without service time.
+func BenchmarkRun(b *testing.B) {
+	u := start(b, fake.UpstreamConfig{})
+	c := upstream.New(upstream.Config{Addr: u.Addr(), MaxConns: 6})
+	defer c.Close()
+	for n := 0; b.Loop(); n++ {
+		request := book(strconv.Itoa(n))
+		request.Progress = time.Second
+		if _, err := c.Run(b.Context(), request); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
