--- a/pkg/hedge/hedge.go
+++ b/pkg/hedge/hedge.go
@@ -135,6 +135,20 @@
 	}
 }
 
+// Charge takes n extra attempts from the budget even when it is spent, down to
+// a debt of one burst. It is for the first replacement of a send whose upstream
+// or owner was lost: coverage must not depend on the budget, but hedges and
+// further retries then wait until the debt is paid.
+func (p *Policy) Charge(n int) {
+	take := int64(max(0, n)) * tokenUnit
+	for {
+		have := p.tokens.Load()
+		if p.tokens.CompareAndSwap(have, max(have-take, -p.burst)) {
+			return
+		}
+	}
+}
+
 // RetryLegal tells whether a failed attempt may be repeated: it did not run,
 // or running it twice has the effect of running it once. Failures that a
 // repetition cannot change are final.
