Let a refusal with code cold lead to the cold window

Change: limit.ShedCold and ramp.Window.ShedCold set at most the cold window and start the ramp again. Before: 3 slots became 1.5 after such a refusal. After: the cold window. Mutation checks: without the bound TestShedAndLossHalve fails, without the report TestOutcomesReachTheWindow fails.

--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -59,6 +59,8 @@
 	NotSent
 	// Withdrawn is an attempt that was canceled.
 	Withdrawn
+	// ShedCold is a refusal by an upstream that says it is cold.
+	ShedCold
 )
 
 // Verdict is the answer to an offer.
@@ -83,7 +85,8 @@
 }
 
 // Gate bounds the work at one replica. It is guarded by its owner. After each
-// call the owner asks Wake when to call Poll.
+// call, and after each change of the window from outside, the owner asks Wake
+// when to call Poll.
 type Gate struct {
 	config   Config
 	window   *ramp.Window
@@ -258,6 +261,8 @@
 		g.noteService(now, service)
 	case Shed:
 		g.window.Shed(now)
+	case ShedCold:
+		g.window.ShedCold(now)
 	case Lost:
 		g.window.Lost(now)
 	}
--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -80,7 +80,7 @@
 
 // Guards against ramp evidence that is lost between the gate and the window.
 func TestOutcomesReachTheWindow(t *testing.T) {
-	for o, want := range map[Outcome]float64{Shed: 1, Lost: 1, Failed: 2, NotSent: 2, Withdrawn: 2} {
+	for o, want := range map[Outcome]float64{Shed: 1, ShedCold: 1, Lost: 1, Failed: 2, NotSent: 2, Withdrawn: 2} {
 		g, w := newGate(2, 10, 2)
 		g.Offer(start, request(1, time.Second))
 		g.Done(start, 1, o, 10*ms)
@@ -199,7 +199,7 @@
 					return
 				}
 				delete(model, id)
-				o := Outcome(rapid.IntRange(0, 5).Draw(t, "outcome"))
+				o := Outcome(rapid.IntRange(0, 6).Draw(t, "outcome"))
 				ids := g.Done(now, id, o, time.Duration(rapid.IntRange(1, 60).Draw(t, "service"))*ms)
 				if o != NotSent {
 					gap = now.Add(w.Gap())
--- a/pkg/ramp/ramp.go
+++ b/pkg/ramp/ramp.go
@@ -138,6 +138,13 @@
 // Shed reports that the replica refused a request.
 func (w *Window) Shed(now time.Time) { w.reduce(now, MinWindow) }
 
+// ShedCold reports that the replica refused a request because it is cold.
+func (w *Window) ShedCold(now time.Time) {
+	w.reduce(now, MinWindow)
+	w.value = math.Min(w.value, w.cold)
+	w.ramping = true
+}
+
 // Lost reports that the replica's connection broke during a request.
 func (w *Window) Lost(now time.Time) { w.reduce(now, MinWindow) }
 
--- a/pkg/ramp/ramp_test.go
+++ b/pkg/ramp/ramp_test.go
@@ -76,6 +76,9 @@
 		}
 		assert.Equal(t, w.Value(), MinWindow)
 	}
+	w, now := warm(t)
+	w.ShedCold(now)
+	assert.Equal(t, w.Value(), 0.1, "the replica says that it is cold")
 }
 
 // Guards against a replica that becomes cold without a word and keeps its load,
