--- /dev/null
+++ b/pkg/e2e/process_test.go
@@ -0,0 +1,277 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/fake"
+	"github.com/nutmeghitch/nutmeghitch/pkg/frontend"
+	"github.com/nutmeghitch/nutmeghitch/pkg/loadgen"
+	"github.com/nutmeghitch/nutmeghitch/pkg/model"
+	"github.com/nutmeghitch/nutmeghitch/pkg/testcluster"
+)
+
+// patience bounds every wait for a condition. It is far above the times of the
+// design, so that a slow machine does not change the verdict.
+const patience = 30 * time.Second
+
+// daemon is the built nutmeghitchd.
+var daemon string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "nutmeghitchd")
+	if err != nil {
+		panic(err)
+	}
+	daemon = filepath.Join(dir, "nutmeghitchd")
+	build := exec.Command("go", "build", "-o", daemon, "../../cmd/nutmeghitchd")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+const secret = "0123456789abcdef-e2e"
+
+// site is the stand-ins and the processes of a small site.
+type site struct {
+	t       *testing.T
+	cluster *testcluster.Cluster
+	seeds   []map[string]any
+	vms     []*process
+}
+
+// process is one running nutmeghitchd.
+type process struct {
+	id                        string
+	callers, peers, operators string
+	cmd                       *exec.Cmd
+	output                    *bytes.Buffer
+	exited                    chan error
+}
+
+// newSite starts upstreams and platform of two failure domains and publishes
+// the configuration.
+func newSite(t *testing.T) *site {
+	t.Helper()
+	c, err := testcluster.Start(t.Context(), testcluster.Config{
+		Document: document(),
+		Seed:     1,
+		Records:  200,
+		Profile: func(model.ServiceID, *model.Service) testcluster.Profile {
+			return testcluster.Profile{ServiceTime: 2 * time.Millisecond, ConnCost: time.Millisecond, Cold: fake.ColdConfig{}}
+		},
+	})
+	assert.NilError(t, err)
+	t.Cleanup(c.Close)
+	return &site{t: t, cluster: c}
+}
+
+func document() *model.Document {
+	search := &model.Service{
+		Kind: model.Search, Slots: 2, Connections: 20, DeadlineMS: 5000, MaxDeadlineMS: 30000,
+		ExtraLoad: 0.05, TargetQuantile: 0.99, ColdWindow: 1, QueueLimit: 64, Limit: 20,
+		Operations: map[string]model.Operation{"search": {Idempotent: true}},
+		Order:      []model.OrderKey{{Field: "date"}, {Field: "id"}},
+		ShardMaps:  []model.ShardMap{{Epoch: 1}},
+	}
+	for g := range 3 {
+		group := model.Group{ID: model.GroupID(fmt.Sprintf("g%d", g))}
+		group.Shards = []model.ShardID{model.ShardID(fmt.Sprintf("s%d", 2*g)), model.ShardID(fmt.Sprintf("s%d", 2*g+1))}
+		group.Replicas = replicas("search-"+string(group.ID), 2)
+		search.ShardMaps[0].Groups = append(search.ShardMaps[0].Groups, group)
+	}
+	lookup := &model.Service{
+		Kind: model.Lookup, Slots: 2, Connections: 20, DeadlineMS: 5000, MaxDeadlineMS: 30000,
+		ExtraLoad: 0.05, TargetQuantile: 0.99, ColdWindow: 1, QueueLimit: 64,
+		Operations: map[string]model.Operation{"trip": {Idempotent: true}, "book": {}},
+		ShardMaps:  []model.ShardMap{{Epoch: 1, Groups: []model.Group{{ID: "all", Replicas: replicas("lookup", 2)}}}},
+	}
+	return &model.Document{
+		Site:     "e2e",
+		Domains:  map[model.DomainID]model.Domain{"a": {Region: "r"}, "b": {Region: "r"}},
+		Services: map[model.ServiceID]*model.Service{"bookings": search, "trips": lookup},
+		Tier: model.Tier{
+			ClaimPartitions: 8, ClaimRetentionMS: 86_400_000, PoisonLimit: 2, PoisonBlockMS: 600_000,
+			SameDomainUS: 100, SameRegionUS: 500, OtherRegionUS: 5000,
+		},
+	}
+}
+
+func replicas(prefix string, n int) []model.Replica {
+	out := make([]model.Replica, n)
+	for i := range out {
+		out[i] = model.Replica{ID: model.ReplicaID(fmt.Sprintf("%s-r%d", prefix, i)), Domain: model.DomainID([]string{"a", "b"}[i%2])}
+	}
+	return out
+}
+
+// freeAddr returns a loopback address that was free a moment ago.
+func freeAddr(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// start runs a VM in a failure domain and waits until it is ready.
+func (s *site) start(id, domain string) *process {
+	s.t.Helper()
+	p := &process{
+		id: id, callers: freeAddr(s.t), peers: freeAddr(s.t), operators: freeAddr(s.t),
+		output: &bytes.Buffer{}, exited: make(chan error, 1),
+	}
+	settings := map[string]any{
+		"vm": id, "domain": domain, "region": "r",
+		"listen": map[string]any{
+			"callers":   map[string]string{"addr": p.callers},
+			"peers":     map[string]string{"addr": p.peers},
+			"operators": map[string]string{"addr": p.operators},
+		},
+		"platform":           map[string]any{"url": s.cluster.Platform.URL(), "token": testcluster.PlatformToken},
+		"seeds":              s.seeds,
+		"peer_secret":        secret,
+		"operator_token":     secret,
+		"balancer_notice_ms": 500,
+	}
+	s.seeds = append(s.seeds, map[string]any{"id": id, "addr": p.peers, "domain": domain, "region": "r"})
+	data, err := json.Marshal(settings)
+	assert.NilError(s.t, err)
+	file := filepath.Join(s.t.TempDir(), id+".jsonc")
+	assert.NilError(s.t, os.WriteFile(file, data, 0o600))
+	p.cmd = exec.Command(daemon, "--settings", file)
+	p.cmd.Stderr = p.output
+	assert.NilError(s.t, p.cmd.Start())
+	go func() { p.exited <- p.cmd.Wait() }()
+	s.t.Cleanup(func() {
+		_ = p.cmd.Process.Kill()
+		if s.t.Failed() {
+			out := p.output.Bytes()
+			s.t.Logf("%s, end of log:\n%s", id, out[max(0, len(out)-4000):])
+		}
+	})
+	s.vms = append(s.vms, p)
+	s.await("ready "+id, func() bool {
+		select {
+		case err := <-p.exited:
+			s.t.Fatalf("%s ended: %v\n%s", id, err, p.output)
+		default:
+		}
+		return p.ready()
+	})
+	return p
+}
+
+// await polls a condition.
+func (s *site) await(what string, done func() bool) {
+	s.t.Helper()
+	ctx, cancel := context.WithTimeout(s.t.Context(), patience)
+	defer cancel()
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	for !done() {
+		select {
+		case <-ctx.Done():
+			s.t.Fatalf("gave up waiting: %s", what)
+		case <-tick.C:
+		}
+	}
+}
+
+var client = &http.Client{Timeout: 20 * time.Second}
+
+func (p *process) ready() bool {
+	resp, err := client.Get("http://" + p.operators + "/readyz")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (p *process) signal(sig syscall.Signal) { _ = p.cmd.Process.Signal(sig) }
+
+// status returns the control state as operators see it.
+func (p *process) status() (frontend.Status, bool) {
+	var st frontend.Status
+	req, err := http.NewRequest(http.MethodGet, "http://"+p.operators+"/admin/status", nil)
+	if err != nil {
+		return st, false
+	}
+	req.Header.Set("Authorization", "Bearer "+secret)
+	resp, err := client.Do(req)
+	if err != nil {
+		return st, false
+	}
+	defer resp.Body.Close()
+	return st, json.NewDecoder(resp.Body).Decode(&st) == nil
+}
+
+// backend returns the VM as a load generator addresses it.
+func (p *process) backend() loadgen.Backend {
+	return loadgen.Backend{Callers: p.callers, Operators: p.operators}
+}
+
+// reply is the outcome of one request.
+type reply struct {
+	status   int
+	Code     string          `json:"code"`
+	RunState string          `json:"run_state"`
+	Result   json.RawMessage `json:"result"`
+	Coverage struct {
+		Covered int `json:"covered"`
+		Total   int `json:"total"`
+	} `json:"coverage"`
+}
+
+// post sends one request to one VM. A broken connection has status 0.
+func (p *process) post(path, key, body string, deadline time.Duration) reply {
+	var r reply
+	req, err := http.NewRequest(http.MethodPost, "http://"+p.callers+path, bytes.NewBufferString(body))
+	if err != nil {
+		return r
+	}
+	req.Header.Set(frontend.HeaderDeadline, strconv.FormatInt(deadline.Milliseconds(), 10))
+	if key != "" {
+		req.Header.Set(frontend.HeaderKey, key)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return r
+	}
+	defer resp.Body.Close()
+	if json.NewDecoder(resp.Body).Decode(&r) == nil {
+		r.status = resp.StatusCode
+	}
+	return r
+}
+
+func (p *process) search() reply {
+	return p.post("/v1/search/bookings", "", `{"query":{}}`, 5*time.Second)
+}
+
+func (p *process) book(key string) reply {
+	return p.post("/v1/call/trips/book", key, fmt.Sprintf(`{"id":"MS-000001","token":%q}`, key), 5*time.Second)
+}
+
+// covered reports whether a search through the VM covers every shard.
+func (p *process) covered() bool {
+	r := p.search()
+	return r.status == http.StatusOK && r.Coverage.Total == 6 && r.Coverage.Covered == 6
+}
--- a/pkg/testcluster/cluster.go
+++ b/pkg/testcluster/cluster.go
@@ -105,7 +105,7 @@
 }
 
 // PlatformToken opens the platform stand-in.
-const PlatformToken = "platform-token"
+const PlatformToken = "platform-token-of-a-local-cluster"
 
 func hostOf(url string) string { return url[len("http://"):] }
 
