--- a/cmd/nutmeghitch/main.go
+++ b/cmd/nutmeghitch/main.go
@@ -7,7 +7,10 @@
 	"os/signal"
 	"syscall"
 
+	ucli "github.com/urfave/cli/v3"
+
 	"github.com/nutmeghitch/nutmeghitch/pkg/cli"
+	"github.com/nutmeghitch/nutmeghitch/pkg/demo"
 )
 
 func main() {
@@ -22,6 +25,6 @@
 		Stdout:    os.Stdout,
 		Stderr:    os.Stderr,
 		OpenStore: cli.OpenPlatform,
-		// Extra takes the commands demo and measure.
+		Extra:     []*ucli.Command{demo.Command(os.Stdout, os.Stderr)},
 	})
 }
--- a/cmd/nutmeghitchd/main.go
+++ b/cmd/nutmeghitchd/main.go
@@ -2,11 +2,17 @@
 package main
 
 import (
-	"flag"
+	"context"
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
+	"github.com/urfave/cli/v3"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/node"
 	"github.com/nutmeghitch/nutmeghitch/pkg/settings"
 )
 
@@ -17,53 +23,74 @@
 	exitUsage  = 2
 )
 
+// flushTimeout bounds the time to write the last log lines.
+const flushTimeout = 2 * time.Second
+
 func main() {
 	os.Exit(run(os.Args[1:], os.Stderr))
 }
 
 func run(args []string, stderr io.Writer) int {
-	s, code := load(args, stderr)
-	if s == nil {
-		return code
+	code := exitUsage
+	cmd := &cli.Command{
+		Name:        "nutmeghitchd",
+		Usage:       "run one VM of the query tier",
+		UsageText:   "nutmeghitchd --settings FILE [--check]\n\nExample: nutmeghitchd --settings /etc/nutmeghitch/vm.jsonc",
+		Description: "SIGTERM and SIGINT start a planned stop: no request in flight is cut.\nExit codes: 0 done, 1 failed, 2 wrong usage or settings.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE` of this VM, JSON with comments", Required: true},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+		},
+		HideHelpCommand: true,
+		Writer:          stderr,
+		ErrWriter:       stderr,
+		ExitErrHandler:  func(context.Context, *cli.Command, error) {},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.NArg() > 0 {
+				fmt.Fprintf(stderr, "nutmeghitchd: unexpected argument %q\n", c.Args().First())
+				return nil
+			}
+			code = serve(ctx, c.String("settings"), c.Bool("check"), stderr)
+			return nil
+		},
+	}
+	for _, a := range args {
+		if a == "--help" || a == "-h" {
+			code = exitDone
+		}
 	}
-	return serve(s, stderr)
+	if err := cmd.Run(context.Background(), append([]string{"nutmeghitchd"}, args...)); err != nil {
+		return exitUsage
+	}
+	return code
 }
 
-// load reads the settings that the command line names. It returns nil and the
-// exit code when there is nothing to serve.
-func load(args []string, stderr io.Writer) (*settings.Settings, int) {
-	flags := flag.NewFlagSet("nutmeghitchd", flag.ContinueOnError)
-	flags.SetOutput(stderr)
-	file := flags.String("settings", "", "settings `file` of this VM, JSON with comments")
-	checkOnly := flags.Bool("check", false, "check the settings and exit")
-	flags.Usage = func() {
-		fmt.Fprintln(stderr, "Usage: nutmeghitchd --settings FILE [--check]\nExample: nutmeghitchd --settings /etc/nutmeghitch/vm.jsonc")
-		flags.PrintDefaults()
+// serve runs the VM until a signal asks it to stop.
+func serve(ctx context.Context, file string, checkOnly bool, stderr io.Writer) int {
+	s, err := settings.LoadFile(file)
+	if err != nil {
+		fmt.Fprintf(stderr, "nutmeghitchd: %v\n", err)
+		return exitUsage
 	}
-	switch err := flags.Parse(args); {
-	case err == flag.ErrHelp:
-		return nil, exitDone
-	case err != nil:
-		return nil, exitUsage
-	case *file == "" || flags.NArg() > 0:
-		flags.Usage()
-		return nil, exitUsage
+	if checkOnly {
+		fmt.Fprintf(stderr, "nutmeghitchd: settings of VM %s are correct\n", s.VM)
+		return exitDone
 	}
-	s, err := settings.LoadFile(*file)
+	n, resources, err := node.Open(s, stderr)
 	if err != nil {
 		fmt.Fprintf(stderr, "nutmeghitchd: %v\n", err)
-		return nil, exitUsage
+		return exitUsage
 	}
-	if *checkOnly {
-		fmt.Fprintf(stderr, "nutmeghitchd: settings of VM %s are correct\n", s.VM)
-		return nil, exitDone
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	err = n.Run(ctx)
+	_ = resources.Metrics.Close()
+	flush, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	_ = resources.Log.Close(flush)
+	if err != nil {
+		fmt.Fprintf(stderr, "nutmeghitchd: %v\n", err)
+		return exitFailed
 	}
-	return s, exitDone
-}
-
-// serve reports that this build cannot run a VM: pkg/node, which runs one,
-// does not exist yet.
-func serve(s *settings.Settings, stderr io.Writer) int {
-	fmt.Fprintf(stderr, "nutmeghitchd: VM %s is configured, but this build has no pkg/node to run it\n", s.VM)
-	return exitFailed
+	return exitDone
 }
--- /dev/null
+++ b/pkg/dispatch/attempt.go
@@ -0,0 +1,153 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/limit"
+	"github.com/nutmeghitch/nutmeghitch/pkg/model"
+	"github.com/nutmeghitch/nutmeghitch/pkg/upstream"
+	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
+)
+
+// cancelGrace is how long a running attempt may take to end after its
+// deadline or cancellation before its connection is closed. The slot stays
+// taken meanwhile, because the upstream is still working.
+const cancelGrace = 250 * time.Millisecond
+
+// attempt is one send to one replica.
+type attempt struct {
+	replica     model.ReplicaID
+	fingerprint uint64
+	suspect     bool
+	caller      string
+	run         upstream.RunRequest
+}
+
+// result is the outcome of an attempt.
+type result struct {
+	response *upstream.RunResponse
+	err      error
+	hint     wire.LoadHint
+	service  time.Duration
+}
+
+// do runs one attempt. Ending ctx withdraws a queued attempt and cancels a
+// running one; do still returns only when the slot is free again.
+func (d *Dispatcher) do(ctx context.Context, a attempt) result {
+	t, err := d.target(a.replica)
+	if err != nil {
+		return result{err: err}
+	}
+	id, err := d.acquire(ctx, t, a)
+	if err != nil {
+		return result{err: err, hint: t.hint()}
+	}
+	if err := d.dispatchable(a.replica); err != nil {
+		t.leave(d.cfg.Now(), id, limit.NotSent, 0)
+		return result{err: err, hint: t.hint()}
+	}
+	return d.send(ctx, t, id, a)
+}
+
+func (d *Dispatcher) acquire(ctx context.Context, t *target, a attempt) (uint64, error) {
+	id, granted, err := t.enter(d.cfg.Now(), limit.Request{
+		Deadline: a.run.Deadline,
+		Caller:   a.caller,
+		Suspect:  a.suspect,
+	}, a.fingerprint)
+	if err != nil || granted == nil {
+		return id, err
+	}
+	select {
+	case err := <-granted:
+		return id, err
+	case <-ctx.Done():
+	}
+	if t.withdraw(d.cfg.Now(), id) {
+		return 0, errs.Refuse(errs.Canceled, "withdrawn from the queue of replica %s", a.replica)
+	}
+	// The grant and the withdrawal crossed.
+	if err := <-granted; err != nil {
+		return 0, err
+	}
+	t.leave(d.cfg.Now(), id, limit.NotSent, 0)
+	return 0, errs.Refuse(errs.Canceled, "withdrawn before the send to replica %s", a.replica)
+}
+
+func (d *Dispatcher) send(ctx context.Context, t *target, id uint64, a attempt) result {
+	a.run.Progress = t.progressBound()
+	if left := a.run.Deadline.Sub(d.cfg.Now()); left < a.run.Progress {
+		// The deadline ends the attempt first; a slow answer is not silence.
+		a.run.Progress = left + cancelGrace
+	}
+	d.sent.Inc(1)
+	runCtx, stop := context.WithDeadline(context.WithoutCancel(ctx), a.run.Deadline.Add(cancelGrace))
+	defer stop()
+	unwatch := context.AfterFunc(ctx, func() { t.client.Cancel(a.run.RequestID) })
+	defer unwatch()
+
+	began := d.cfg.Now()
+	response, err := t.client.Run(runCtx, a.run)
+	took := d.cfg.Now().Sub(began)
+	if err == nil {
+		err = upstream.Check(a.run, response)
+	}
+	d.account(ctx, t, a, response, err)
+	t.leave(d.cfg.Now(), id, outcomeOf(err), took)
+	return result{response: response, err: err, hint: t.hint(), service: took}
+}
+
+// account updates instance identity and poison accounting before the slot is
+// returned, so that the fingerprint still counts as in flight.
+func (d *Dispatcher) account(ctx context.Context, t *target, a attempt, response *upstream.RunResponse, err error) {
+	switch {
+	case err == nil:
+		if t.observeInstance(d.cfg.Now(), response.Instance) {
+			d.instanceChanged(ctx, t)
+		}
+		if e, tell := d.cfg.Ledger.Succeeded(d.cfg.Now(), a.fingerprint); tell {
+			go d.cfg.Spread(context.WithoutCancel(ctx), e)
+		}
+	case errs.Is(err, errs.UpstreamLost):
+		d.lost.Inc(1)
+		d.upstreamLost(ctx, t, "connection_reset")
+	}
+}
+
+// instanceChanged handles a restart that was noticed by a new identity. The
+// attempts in flight at that moment may have caused it.
+func (d *Dispatcher) instanceChanged(ctx context.Context, t *target) {
+	d.upstreamLost(ctx, t, "instance_changed")
+}
+
+func (d *Dispatcher) upstreamLost(ctx context.Context, t *target, reason string) {
+	instance, fps := t.running()
+	entries := d.cfg.Ledger.Lost(d.cfg.Now(), t.spec.replica.ID, instance, fps)
+	d.cfg.Log.WithFields(logrus.Fields{
+		"replica": t.spec.replica.ID, "reason": reason, "in_flight": len(fps), "suspects": len(entries),
+	}).Warn("Upstream lost.")
+	for _, e := range entries {
+		d.cfg.Spread(context.WithoutCancel(ctx), e)
+	}
+}
+
+func outcomeOf(err error) limit.Outcome {
+	if err == nil {
+		return limit.Succeeded
+	}
+	r := errs.As(err)
+	switch r.Code {
+	case errs.UpstreamShed, errs.UpstreamCold:
+		return limit.Shed
+	case errs.UpstreamLost, errs.ConnectionSilent:
+		return limit.Lost
+	case errs.Canceled, errs.VersionGone, errs.UpstreamDraining:
+		return limit.NotSent
+	default:
+		return limit.Failed
+	}
+}
--- /dev/null
+++ b/pkg/dispatch/search.go
@@ -0,0 +1,240 @@
+package dispatch
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/merge"
+	"github.com/nutmeghitch/nutmeghitch/pkg/model"
+	"github.com/nutmeghitch/nutmeghitch/pkg/upstream"
+	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
+)
+
+// flushInterval is the shortest time between two partials of one batch. The
+// first group that finishes is sent at once, so an unloaded query pays nothing.
+const flushInterval = time.Millisecond
+
+// finished is one attempt of a batch that has ended.
+type finished struct {
+	item wire.SearchItem
+	result
+}
+
+// batchRun is the execution of one SearchBatch.
+type batchRun struct {
+	batch   *wire.SearchBatch
+	order   []model.OrderKey
+	done    chan finished
+	cancels map[uint32]context.CancelFunc
+	reply   func(*wire.SearchPartial) error
+	pending int
+}
+
+// Search runs a batch and replies with partials until every attempt has
+// ended. Messages on in may cancel single attempts; ending ctx cancels all.
+func (d *Dispatcher) Search(ctx context.Context, b *wire.SearchBatch, in <-chan wire.Message, reply func(*wire.SearchPartial) error) {
+	deadline := d.cfg.Now().Add(b.Remaining)
+	groups, order := d.groupsOf(b)
+	run := &batchRun{
+		batch:   b,
+		order:   order,
+		done:    make(chan finished, len(b.Items)),
+		cancels: make(map[uint32]context.CancelFunc, len(b.Items)),
+		reply:   reply,
+		pending: len(b.Items),
+	}
+	for _, item := range b.Items {
+		itemCtx, cancel := context.WithCancel(ctx)
+		run.cancels[item.Attempt] = cancel
+		go func() {
+			defer cancel()
+			run.done <- finished{item: item, result: d.do(itemCtx, searchAttempt(b, item, groups[item.Group], deadline))}
+		}()
+	}
+	run.collect(ctx, in)
+}
+
+func searchAttempt(b *wire.SearchBatch, item wire.SearchItem, g model.Group, deadline time.Time) attempt {
+	return attempt{
+		replica:     item.Replica,
+		fingerprint: b.Fingerprint,
+		suspect:     b.Suspect,
+		caller:      b.Caller,
+		run: upstream.RunRequest{
+			RequestID: b.QueryID + "." + string(item.Group) + "." + strconv.FormatUint(uint64(item.Attempt), 10),
+			Service:   b.Service,
+			Operation: b.Operation,
+			Snapshot:  b.Snapshot,
+			Shards:    g.Shards,
+			Deadline:  deadline,
+			Payload:   b.Payload,
+			Limit:     b.Limit,
+		},
+	}
+}
+
+// groupsOf returns the groups of the pinned shard map. A VM that does not
+// know the epoch has none, and the attempts fail their shard check.
+func (d *Dispatcher) groupsOf(b *wire.SearchBatch) (map[model.GroupID]model.Group, []model.OrderKey) {
+	v := d.cfg.View.Current()
+	if v.Config == nil || v.Config.Services[b.Service] == nil {
+		return nil, nil
+	}
+	svc := v.Config.Services[b.Service]
+	wanted := make(map[model.GroupID]model.Group, len(b.Items))
+	for _, m := range svc.ShardMaps {
+		if m.Epoch != b.Snapshot.Epoch {
+			continue
+		}
+		for _, g := range m.Groups {
+			wanted[g.ID] = g
+		}
+	}
+	return wanted, svc.Order
+}
+
+// collect flushes at most once in each flushInterval, starting with the first
+// attempt that ends.
+func (r *batchRun) collect(ctx context.Context, in <-chan wire.Message) {
+	var (
+		ready []finished
+		timer = time.NewTimer(time.Hour)
+		last  time.Time
+		armed bool
+	)
+	defer timer.Stop()
+	for r.pending > 0 {
+		select {
+		case f := <-r.done:
+			r.pending--
+			ready = append(ready, f)
+			if r.pending > 0 && time.Since(last) < flushInterval {
+				if !armed {
+					timer.Reset(flushInterval - time.Since(last))
+					armed = true
+				}
+				continue
+			}
+		case <-timer.C:
+			armed = false
+		case m, ok := <-in:
+			if !ok {
+				in = nil
+				continue
+			}
+			r.cancel(m)
+			continue
+		}
+		if len(ready) == 0 {
+			continue
+		}
+		if r.flush(ready) != nil {
+			r.cancelAll()
+		}
+		ready, last = nil, time.Now()
+	}
+}
+
+func (r *batchRun) cancel(m wire.Message) {
+	c, ok := m.(*wire.CancelAttempts)
+	if !ok {
+		return
+	}
+	for _, a := range c.Attempts {
+		if stop := r.cancels[a]; stop != nil {
+			stop()
+		}
+	}
+}
+
+func (r *batchRun) cancelAll() {
+	for _, stop := range r.cancels {
+		stop()
+	}
+}
+
+func (r *batchRun) flush(ready []finished) error {
+	p := &wire.SearchPartial{QueryID: r.batch.QueryID, Last: r.pending == 0}
+	for _, f := range ready {
+		p.Groups = append(p.Groups, groupOutcome(f))
+		if f.err == nil {
+			p.Rows = appendRows(p.Rows, f)
+		}
+	}
+	if len(ready) > 1 {
+		p.Rows = merge.MergeRows(p.Rows, r.order, r.batch.Limit)
+	}
+	return r.reply(p)
+}
+
+func groupOutcome(f finished) wire.GroupOutcome {
+	o := wire.GroupOutcome{
+		Group:   f.item.Group,
+		Replica: f.item.Replica,
+		Attempt: f.item.Attempt,
+		Failure: wire.FailureOf(f.err),
+		Hint:    f.hint,
+		Service: f.service,
+	}
+	if f.err == nil {
+		o.Shards = f.response.Shards
+	}
+	return o
+}
+
+func appendRows(rows []wire.Row, f finished) []wire.Row {
+	for _, r := range f.response.Rows {
+		rows = append(rows, wire.Row{Group: f.item.Group, Key: r.Key, Data: r.Data})
+	}
+	return rows
+}
+
+// Call runs one lookup operation at one replica.
+func (d *Dispatcher) Call(ctx context.Context, r *wire.CallRequest) *wire.CallReply {
+	requestID := r.Token
+	if requestID == "" {
+		requestID = r.RequestID + "." + strconv.FormatUint(uint64(r.Attempt), 10)
+	}
+	res := d.do(ctx, attempt{
+		replica:     r.Replica,
+		fingerprint: r.Fingerprint,
+		suspect:     r.Suspect,
+		caller:      r.Caller,
+		run: upstream.RunRequest{
+			RequestID: requestID,
+			Service:   r.Service,
+			Operation: r.Operation,
+			Deadline:  d.cfg.Now().Add(r.Remaining),
+			Payload:   r.Payload,
+		},
+	})
+	reply := &wire.CallReply{
+		RequestID: r.RequestID,
+		Failure:   wire.FailureOf(res.err),
+		Hint:      res.hint,
+		Service:   res.service,
+	}
+	if res.err == nil {
+		reply.Result = res.response.Result
+	}
+	return reply
+}
+
+// HandlePeer serves the traffic messages of peers.
+func (d *Dispatcher) HandlePeer(ctx context.Context, _ model.VMID, first wire.Message, in <-chan wire.Message, reply func(wire.Message) error) {
+	switch m := first.(type) {
+	case *wire.SearchBatch:
+		d.Search(ctx, m, in, func(p *wire.SearchPartial) error { return reply(p) })
+	case *wire.CallRequest:
+		// A non-idempotent run must not be cancelled by the loss of the
+		// peer: its outcome is still worth recording at the upstream.
+		if !m.Idempotent {
+			ctx = context.WithoutCancel(ctx)
+		}
+		_ = reply(d.Call(ctx, m))
+	default:
+		_ = reply(wire.FailureOf(errs.Refuse(errs.FrameMalformed, "message kind %d is not served here", first.Kind())))
+	}
+}
--- /dev/null
+++ b/pkg/dispatch/target.go
@@ -0,0 +1,316 @@
+package dispatch
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/limit"
+	"github.com/nutmeghitch/nutmeghitch/pkg/model"
+	"github.com/nutmeghitch/nutmeghitch/pkg/ramp"
+	"github.com/nutmeghitch/nutmeghitch/pkg/upstream"
+	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
+)
+
+// statusFailures is the number of failed status requests in a row after which
+// a replica is reported as down. One lost request must not empty a group.
+const statusFailures = 3
+
+// targetSpec is what the configuration says about one owned replica.
+type targetSpec struct {
+	replica model.Replica
+	service model.ServiceID
+	slots   int
+	conns   int
+	cold    float64
+	queue   int
+}
+
+type dialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// target is one owned replica: its gate, its window and its connections.
+type target struct {
+	spec   targetSpec
+	client *upstream.Client
+
+	mu       sync.Mutex
+	gate     *limit.Gate
+	window   *ramp.Window
+	waiting  map[uint64]chan error
+	inFlight map[uint64]uint64 // attempt id to fingerprint
+	nextID   uint64
+	wake     *time.Timer
+	instance string
+	progress progressBound
+	takeover takeoverCap
+	excluded bool
+	gone     bool
+	failures int
+	status   model.ReplicaStatus
+}
+
+func ownedReplicas(v *model.View, self model.VMID) map[model.ReplicaID]targetSpec {
+	out := make(map[model.ReplicaID]targetSpec)
+	for name, svc := range v.Config.Services {
+		for _, m := range svc.ShardMaps {
+			for _, g := range m.Groups {
+				for _, r := range g.Replicas {
+					if v.Owners[r.ID] == self {
+						out[r.ID] = newSpec(name, svc, r)
+					}
+				}
+			}
+		}
+	}
+	return out
+}
+
+func newSpec(name model.ServiceID, svc *model.Service, r model.Replica) targetSpec {
+	// Half of the limit, so that two owners together stay below it while
+	// ownership moves.
+	conns := min(svc.Slots+spareConns+controlConns, svc.Connections/2)
+	return targetSpec{
+		replica: r,
+		service: name,
+		slots:   svc.Slots,
+		conns:   max(conns, 2),
+		cold:    svc.ColdWindow,
+		queue:   svc.QueueLimit,
+	}
+}
+
+func newTarget(s targetSpec, now time.Time, dial dialFunc) *target {
+	w := ramp.New(ramp.Config{Slots: s.slots, Cold: s.cold}, now)
+	t := &target{
+		spec:     s,
+		window:   w,
+		gate:     limit.NewGate(limit.Config{Slots: s.slots, QueueLimit: s.queue}, w),
+		waiting:  make(map[uint64]chan error),
+		inFlight: make(map[uint64]uint64),
+		status:   model.ReplicaStatus{Replica: s.replica.ID},
+		client: upstream.New(upstream.Config{
+			Replica:  s.replica.ID,
+			Addr:     s.replica.Addr,
+			MaxConns: s.conns - controlConns,
+			Spare:    spareConns,
+			Dial:     dial,
+		}),
+	}
+	t.wake = time.AfterFunc(time.Hour, t.poll)
+	t.wake.Stop()
+	return t
+}
+
+// enter asks the gate for a slot. The returned channel delivers nil when the
+// slot is granted later, or the reason why it is not; it is nil when the slot
+// was granted at once.
+func (t *target) enter(now time.Time, r limit.Request, fp uint64) (uint64, <-chan error, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.gone {
+		return 0, nil, errs.Refuse(errs.NotOwner, "replica %s was given up", t.spec.replica.ID)
+	}
+	t.nextID++
+	r.ID = t.nextID
+	switch dec := t.gate.Offer(now, r); dec.Verdict {
+	case limit.Granted:
+		t.inFlight[r.ID] = fp
+		return r.ID, nil, nil
+	case limit.Queued:
+		ch := make(chan error, 1)
+		t.waiting[r.ID] = ch
+		t.inFlight[r.ID] = fp
+		t.arm(now)
+		return r.ID, ch, nil
+	default:
+		return 0, nil, dec.Refusal
+	}
+}
+
+// withdraw gives up a queued attempt. It reports false when the slot has
+// already been granted and the attempt must be left through leave.
+func (t *target) withdraw(now time.Time, id uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, queued := t.waiting[id]; !queued {
+		return false
+	}
+	delete(t.waiting, id)
+	delete(t.inFlight, id)
+	t.grant(t.gate.Withdraw(now, id))
+	t.arm(now)
+	return true
+}
+
+// leave returns the slot of an attempt.
+func (t *target) leave(now time.Time, id uint64, o limit.Outcome, service time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.inFlight, id)
+	if o == limit.Succeeded {
+		t.progress.observe(service)
+	}
+	if o == limit.Shed {
+		t.takeover.shed(now)
+	}
+	t.grant(t.gate.Done(now, id, o, service))
+	t.arm(now)
+}
+
+// grant must be called with t.mu held.
+func (t *target) grant(ids []uint64) {
+	for _, id := range ids {
+		t.resolve(id, nil)
+	}
+}
+
+// resolve must be called with t.mu held.
+func (t *target) resolve(id uint64, err error) {
+	ch, ok := t.waiting[id]
+	if !ok {
+		return
+	}
+	delete(t.waiting, id)
+	if err != nil {
+		delete(t.inFlight, id)
+	}
+	ch <- err
+}
+
+// arm schedules the next poll of the gate. It must be called with t.mu held.
+func (t *target) arm(now time.Time) {
+	if at, ok := t.gate.Wake(now); ok {
+		t.wake.Reset(max(at.Sub(now), 0))
+	}
+}
+
+func (t *target) poll() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	granted, expired := t.gate.Poll(now)
+	t.grant(granted)
+	for _, id := range expired {
+		t.resolve(id, errs.Refuse(errs.DeadlineExceeded, "deadline passed in the queue of replica %s", t.spec.replica.ID))
+	}
+	t.arm(now)
+}
+
+func (t *target) applyTakeover(now time.Time, k model.Takeover) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.window.Cap(t.takeover.limit(now, k, t.spec.slots))
+}
+
+// applyExclusion restarts the ramp when a replica comes back: caches of an
+// upstream that was out of service are cold, whether it was restarted or not.
+func (t *target) applyExclusion(now time.Time, reason string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := reason != ""
+	if t.excluded && !out {
+		t.window.Restart(now)
+	}
+	t.excluded = out
+	if !out {
+		return
+	}
+	for _, id := range t.gate.Drain() {
+		t.resolve(id, errs.Refuse(errs.UpstreamDraining, "replica %s is excluded: %s", t.spec.replica.ID, reason))
+	}
+}
+
+func (t *target) giveUp() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.gone = true
+	for _, id := range t.gate.Drain() {
+		t.resolve(id, errs.Refuse(errs.NotOwner, "replica %s moved to another owner", t.spec.replica.ID))
+	}
+}
+
+func (t *target) reopen(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.gone = false
+	t.window.Restart(now)
+}
+
+// load returns the number of attempts that hold or wait for a slot.
+func (t *target) load() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.inFlight)
+}
+
+func (t *target) close() {
+	t.wake.Stop()
+	t.client.Close()
+}
+
+func (t *target) hint() wire.LoadHint {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.gate.Hint()
+}
+
+func (t *target) progressBound() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.progress.bound()
+}
+
+// observeInstance records the identity in a response. It reports true when a
+// known identity changed, which means that the upstream was restarted.
+func (t *target) observeInstance(now time.Time, id string) bool {
+	if id == "" {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.instance
+	t.instance = id
+	t.window.Instance(now, id)
+	return known != "" && known != id
+}
+
+// running returns the instance identity and the fingerprints of the attempts
+// that have a slot.
+func (t *target) running() (string, []uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	fps := make([]uint64, 0, len(t.inFlight))
+	for id, fp := range t.inFlight {
+		if _, queued := t.waiting[id]; !queued {
+			fps = append(fps, fp)
+		}
+	}
+	return t.instance, fps
+}
+
+func (t *target) statusSeen(s upstream.Status) model.ReplicaStatus {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.failures = 0
+	t.status = model.ReplicaStatus{
+		Replica:   t.spec.replica.ID,
+		Instance:  s.Instance,
+		Draining:  s.State == upstream.StateDraining,
+		Snapshots: s.Snapshots,
+	}
+	return t.status
+}
+
+// statusFailed reports true when the replica has just become down.
+func (t *target) statusFailed() (model.ReplicaStatus, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.failures++
+	if t.failures != statusFailures {
+		return t.status, false
+	}
+	t.status.Down = true
+	return t.status, true
+}
--- /dev/null
+++ b/pkg/gateway/call.go
@@ -0,0 +1,407 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/admission"
+	"github.com/nutmeghitch/nutmeghitch/pkg/claim"
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/frontend"
+	"github.com/nutmeghitch/nutmeghitch/pkg/hedge"
+	"github.com/nutmeghitch/nutmeghitch/pkg/model"
+	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
+	"github.com/nutmeghitch/nutmeghitch/pkg/routing"
+	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
+)
+
+// recordGrace is how long the outcome of a non-idempotent run may still be
+// recorded after the caller's deadline has passed.
+const recordGrace = 30 * time.Second
+
+// Call answers a lookup request with the result of one replica.
+func (g *Gateway) Call(ctx context.Context, r frontend.CallRequest) (*frontend.CallAnswer, error) {
+	began := time.Now()
+	_, svc, err := g.service(r.Service)
+	if err != nil {
+		return nil, err
+	}
+	op, ok := svc.Operations[r.Operation]
+	if !ok || svc.Kind != model.Lookup {
+		return nil, errs.Refuse(errs.UnknownOperation, "service %q has no operation %q", r.Service, r.Operation)
+	}
+	if !op.Idempotent && r.Key == "" {
+		return nil, errs.Refuse(errs.KeyRequired, "operation %q needs an idempotency key", r.Operation)
+	}
+	fp := poison.Fingerprint(r.Service, r.Operation, r.Body)
+	verdict, err := g.checkPoison(fp)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	release, err := g.admission.admit(ctx, admission.Ticket{
+		Service:  r.Service,
+		Class:    model.Lookup,
+		Caller:   r.Caller,
+		Deadline: r.Deadline,
+	})
+	if err != nil {
+		return nil, err
+	}
+	c := &call{
+		g:          g,
+		id:         g.newQueryID(),
+		req:        r,
+		svc:        svc,
+		fp:         fp,
+		suspect:    verdict == poison.Suspect,
+		idempotent: op.Idempotent,
+		policy:     g.policy(r.Service, svc, 1),
+		tried:      make(map[model.ReplicaID]bool),
+	}
+	defer func() { g.counters.latency.RecordDuration(time.Since(began)) }()
+	if op.Idempotent {
+		defer release()
+		return c.runIdempotent(ctx)
+	}
+	return c.runOnce(ctx, release)
+}
+
+// call is the execution of one lookup request.
+type call struct {
+	g          *Gateway
+	id         string
+	req        frontend.CallRequest
+	svc        *model.Service
+	fp         uint64
+	suspect    bool
+	idempotent bool
+	policy     *hedge.Policy
+	tried      map[model.ReplicaID]bool
+	attempts   uint32
+}
+
+// callResult is the outcome of one attempt of a call.
+type callResult struct {
+	replica model.ReplicaID
+	answer  []byte
+	err     error
+}
+
+// runIdempotent sends the request, hedges it when it is slow, and retries it
+// while that is legal and paid for.
+func (c *call) runIdempotent(ctx context.Context) (*frontend.CallAnswer, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan callResult, maxAttempts)
+	running, hedged := 0, false
+	launch := func(reason string) error {
+		pick, err := c.pick(reason)
+		if err != nil {
+			return err
+		}
+		running++
+		go func() { results <- c.attempt(ctx, pick, "") }()
+		return nil
+	}
+	c.policy.Primary(1)
+	if err := launch("primary"); err != nil {
+		return nil, err
+	}
+	timer := time.NewTimer(c.policy.Delay())
+	defer timer.Stop()
+	var last error
+	for {
+		select {
+		case res := <-results:
+			running--
+			if res.err == nil {
+				return &frontend.CallAnswer{Result: res.answer}, nil
+			}
+			last = res.err
+			if c.blocked() {
+				return nil, errs.Ambiguous(errs.Poisoned, "request %016x is blocked because upstreams were lost while running it", c.fp)
+			}
+			if running > 0 {
+				continue
+			}
+			if !c.mayRetry(res.err) || !pause(ctx, c.backoff(res.err)) {
+				return nil, res.err
+			}
+			if err := launch("retry"); err != nil {
+				return nil, res.err
+			}
+		case <-timer.C:
+			if hedged || c.suspect || c.policy.TryExtra(1) != nil {
+				continue
+			}
+			hedged = true
+			_ = launch("hedge")
+		case <-ctx.Done():
+			if last != nil {
+				return nil, last
+			}
+			return nil, errs.Ambiguous(errs.DeadlineExceeded, "no answer before the deadline")
+		}
+	}
+}
+
+func (c *call) blocked() bool {
+	switch c.g.cfg.Ledger.Check(time.Now(), c.fp) {
+	case poison.Blocked:
+		return true
+	case poison.Suspect:
+		c.suspect = true
+	}
+	return false
+}
+
+// mayRetry charges a retry. A send that did not run added no load, and the
+// first replacement of a lost send is always allowed.
+func (c *call) mayRetry(err error) bool {
+	if c.attempts >= maxAttempts || !hedge.RetryLegal(err, c.idempotent) {
+		return false
+	}
+	if errs.As(err).RunState == errs.DidNotRun {
+		return true
+	}
+	if c.attempts <= 1 {
+		c.policy.Charge(1)
+		return true
+	}
+	return c.policy.TryExtra(1) == nil
+}
+
+// backoff waits for ownership to settle, or for refusing replicas to recover.
+func (c *call) backoff(err error) time.Duration {
+	if hedge.Moved(err) {
+		clear(c.tried)
+		return moveDelay
+	}
+	if int(c.attempts) >= len(c.holders(c.g.cfg.View.Current())) {
+		clear(c.tried)
+		return time.Duration(c.attempts) * exhaustedDelay
+	}
+	return 0
+}
+
+// pause reports false when ctx ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// holders returns the replicas of the newest shard map.
+func (c *call) holders(v *model.View) []model.Replica {
+	var newest *model.ShardMap
+	for i := range c.svc.ShardMaps {
+		if m := &c.svc.ShardMaps[i]; newest == nil || m.Epoch > newest.Epoch {
+			newest = m
+		}
+	}
+	if newest == nil {
+		return nil
+	}
+	var out []model.Replica
+	for _, g := range newest.Groups {
+		for _, r := range g.Replicas {
+			if !v.Replicas[r.ID].Down {
+				out = append(out, r)
+			}
+		}
+	}
+	return out
+}
+
+// picked is the replica chosen for an attempt and its owner.
+type picked struct {
+	replica model.ReplicaID
+	owner   model.VM
+	attempt uint32
+}
+
+func (c *call) pick(reason string) (picked, error) {
+	v := c.g.cfg.View.Current()
+	candidates := c.g.candidates(v, c.holders(v), c.tried, make([]routing.Candidate, 0, 32))
+	choice, ok := c.g.table.Pick(time.Now(), candidates)
+	if !ok {
+		return picked{}, errs.Refuse(errs.NoReplica, "service %s has no replica for new work", c.req.Service).WithRetryAfter(time.Second)
+	}
+	c.tried[choice.Replica] = true
+	c.attempts++
+	p := picked{replica: choice.Replica, owner: v.VMs[v.Owners[choice.Replica]], attempt: c.attempts}
+	c.countSend(reason)
+	c.g.cfg.Log.WithFields(logrus.Fields{
+		"query": c.id, "request": c.req.RequestID, "choice": p.replica, "owner": p.owner.ID, "reason": reason, "expected": choice.Expected,
+	}).Info("Routed call.")
+	return p, nil
+}
+
+func (c *call) countSend(reason string) {
+	switch reason {
+	case "hedge":
+		c.g.counters.hedges.inc(1)
+	case "retry":
+		c.g.counters.retries.inc(1)
+	default:
+		c.g.counters.primaries.inc(1)
+	}
+}
+
+// attempt sends the request to one replica through its owner.
+func (c *call) attempt(ctx context.Context, p picked, token string) callResult {
+	began := time.Now()
+	c.g.table.Sent(began, p.replica)
+	reply, err := c.exchange(ctx, p, token)
+	now := time.Now()
+	if err == nil {
+		err = reply.Failure.Err()
+	}
+	switch {
+	case err == nil:
+		c.g.table.Completed(now, p.replica, now.Sub(began), reply.Hint)
+		c.policy.Observe(now.Sub(began))
+		c.g.cfg.Ledger.Succeeded(now, c.fp)
+		return callResult{replica: p.replica, answer: reply.Result}
+	case errs.Is(err, errs.Canceled):
+		c.g.table.Canceled(now, p.replica)
+	default:
+		c.g.table.Failed(now, p.replica, errs.As(err).Code)
+	}
+	return callResult{replica: p.replica, err: err}
+}
+
+func (c *call) exchange(ctx context.Context, p picked, token string) (*wire.CallReply, error) {
+	m := &wire.CallRequest{
+		RequestID:   c.id,
+		Attempt:     p.attempt,
+		Service:     c.req.Service,
+		Operation:   c.req.Operation,
+		Replica:     p.replica,
+		Remaining:   time.Until(c.req.Deadline),
+		Payload:     c.req.Body,
+		Token:       token,
+		Fingerprint: c.fp,
+		Suspect:     c.suspect,
+		Idempotent:  c.idempotent,
+		Caller:      c.req.Caller,
+	}
+	if p.owner.ID == c.g.cfg.Self.ID {
+		return c.g.cfg.Local.Call(ctx, m), nil
+	}
+	stream, err := c.g.cfg.Transport.Open(ctx, p.owner, m)
+	if err != nil {
+		return nil, err
+	}
+	defer stream.Close()
+	reply, err := stream.Recv(ctx)
+	if err != nil {
+		return nil, err
+	}
+	switch r := reply.(type) {
+	case *wire.CallReply:
+		if r.RequestID != c.id {
+			return nil, errs.Ambiguous(errs.ResponseMismatch, "reply to another request")
+		}
+		return r, nil
+	case *wire.Failure:
+		return nil, r.Err()
+	}
+	return nil, errs.Ambiguous(errs.FrameMalformed, "message kind %d in reply to a call", reply.Kind())
+}
+
+// runOnce runs a non-idempotent request under a claim. The run and the record
+// of its outcome go on when the caller leaves or the deadline passes, so that
+// a repeat with the same key finds the outcome.
+func (c *call) runOnce(ctx context.Context, release func()) (*frontend.CallAnswer, error) {
+	grant, prior, err := c.g.cfg.Claims.Claim(ctx, claim.Request{
+		Service:     c.req.Service,
+		Key:         c.req.Operation + "/" + c.req.Key,
+		Fingerprint: c.fp,
+		Deadline:    c.req.Deadline,
+	})
+	if err != nil || prior != nil {
+		release()
+		return priorAnswer(prior, err)
+	}
+	type outcome struct {
+		answer *frontend.CallAnswer
+		err    error
+	}
+	done := make(chan outcome, 1)
+	detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.req.Deadline.Add(recordGrace))
+	go func() {
+		defer cancel()
+		defer release()
+		answer, err := c.executeClaimed(detached, grant)
+		done <- outcome{answer, err}
+	}()
+	timer := time.NewTimer(time.Until(c.req.Deadline) - replyMargin)
+	defer timer.Stop()
+	select {
+	case o := <-done:
+		return o.answer, o.err
+	case <-timer.C:
+		return nil, errs.Ambiguous(errs.OutcomeUnknown, "the outcome was not known before the deadline").WithRetryAfter(time.Second)
+	}
+}
+
+func priorAnswer(prior *claim.Prior, err error) (*frontend.CallAnswer, error) {
+	if err != nil {
+		return nil, err
+	}
+	return &frontend.CallAnswer{Result: prior.Answer}, nil
+}
+
+// executeClaimed sends the request under its claim and records what became of it.
+func (c *call) executeClaimed(ctx context.Context, grant claim.Grant) (*frontend.CallAnswer, error) {
+	res := c.sendClaimed(ctx, grant.Token)
+	if res.err == nil {
+		if err := c.g.cfg.Claims.Record(ctx, grant, http.StatusOK, res.answer); err != nil {
+			return nil, errs.Ambiguous(errs.OutcomeUnknown, "the outcome could not be recorded: %v", err).WithRetryAfter(time.Second)
+		}
+		return &frontend.CallAnswer{Result: res.answer}, nil
+	}
+	r := errs.As(res.err)
+	if r.RunState == errs.DidNotRun {
+		// The claim is given back, so that the caller may try again. If that
+		// fails the key stays claimed and a repeat is told that the outcome
+		// is unknown.
+		_ = c.g.cfg.Claims.Release(ctx, grant)
+		return nil, r
+	}
+	return nil, errs.Ambiguous(errs.OutcomeUnknown, "%s", r.Detail)
+}
+
+// sendClaimed sends until one attempt may have run. Only a replica's or an
+// owner's own word that nothing ran permits another send.
+func (c *call) sendClaimed(ctx context.Context, token string) callResult {
+	reason := "primary"
+	for {
+		p, err := c.pick(reason)
+		if err != nil {
+			return callResult{err: err}
+		}
+		res := c.attempt(ctx, p, token)
+		if res.err == nil || !c.mayRetry(res.err) {
+			return res
+		}
+		if !time.Now().Add(replyMargin).Before(c.req.Deadline) || !pause(ctx, c.backoff(res.err)) {
+			return res
+		}
+		reason = "retry"
+	}
+}
--- /dev/null
+++ b/pkg/node/servers.go
@@ -0,0 +1,165 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/frontend"
+	"github.com/nutmeghitch/nutmeghitch/pkg/kernel"
+	"github.com/nutmeghitch/nutmeghitch/pkg/model"
+	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
+)
+
+const (
+	// drainPoll is the period of checks for attempts in flight during a stop.
+	drainPoll = 10 * time.Millisecond
+	// readyPoll is the period in which readiness follows the control state.
+	readyPoll = 50 * time.Millisecond
+)
+
+// drainService waits during a stop until no attempt of any entry VM is in
+// flight at this VM's replicas, while peers can still be answered.
+type drainService struct {
+	dispatch *dispatchService
+}
+
+// Start implements kernel.Starter.
+func (s *drainService) Start(_ context.Context, scope *kernel.Scope) error {
+	var err error
+	s.dispatch, err = kernel.Get(scope, dispatchHandle)
+	return err
+}
+
+// Stop implements kernel.Stopper.
+func (s *drainService) Stop(ctx context.Context) error {
+	tick := time.NewTicker(drainPoll)
+	defer tick.Stop()
+	for s.dispatch.InFlight() > 0 {
+		select {
+		case <-ctx.Done():
+			return errs.Ambiguous(errs.Stopping, "%d attempts were in flight at the end of the stop timeout", s.dispatch.InFlight())
+		case <-tick.C:
+		}
+	}
+	return nil
+}
+
+// operatorsService serves operators and the balancer's checks.
+type operatorsService struct {
+	cfg       *Config
+	ledger    *poison.Ledger
+	readiness *frontend.Readiness
+	callers   *callersService
+	server    *frontend.Server
+}
+
+// Start implements kernel.Starter.
+func (s *operatorsService) Start(_ context.Context, scope *kernel.Scope) error {
+	ctl, err := kernel.Get(scope, controlHandle)
+	if err != nil {
+		return err
+	}
+	s.server = frontend.NewServer(frontend.ServerConfig{
+		Handler: frontend.NewOperators(frontend.OperatorsConfig{
+			Token:     s.cfg.OperatorToken,
+			View:      ctl,
+			Readiness: s.readiness,
+			Poison:    &poisonAdmin{ledger: s.ledger, control: ctl},
+			Metrics:   s.cfg.Metrics,
+			InFlight:  s.callers.inFlight,
+		}),
+		TLS: s.cfg.OperatorsTLS,
+		Log: logFor(s.cfg, "operators"),
+	})
+	scope.Go(func(context.Context) error { return s.server.Serve(s.cfg.Operators) })
+	scope.Go(func(ctx context.Context) error { return s.followReadiness(ctx, ctl) })
+	return nil
+}
+
+// followReadiness makes the VM ready once its configuration is known and its
+// peers have been asked for a newer one.
+func (s *operatorsService) followReadiness(ctx context.Context, ctl *controlService) error {
+	tick := time.NewTicker(readyPoll)
+	defer tick.Stop()
+	for {
+		s.readiness.SetReady(ctl.Synced())
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+	}
+}
+
+// Stop implements kernel.Stopper.
+func (s *operatorsService) Stop(ctx context.Context) error { return s.server.Stop(ctx) }
+
+// poisonAdmin is the operators' access to poison verdicts.
+type poisonAdmin struct {
+	ledger  *poison.Ledger
+	control *controlService
+}
+
+// List implements frontend.PoisonAdmin.
+func (p *poisonAdmin) List() []model.PoisonEntry { return p.ledger.List(time.Now()) }
+
+// Lift implements frontend.PoisonAdmin.
+func (p *poisonAdmin) Lift(ctx context.Context, fingerprint uint64) (bool, error) {
+	e, known := p.ledger.Lift(time.Now(), fingerprint)
+	if !known {
+		return false, nil
+	}
+	p.control.SpreadPoison(ctx, e)
+	return true, nil
+}
+
+// callersService serves callers.
+type callersService struct {
+	cfg       *Config
+	readiness *frontend.Readiness
+	control   *controlService
+	server    *frontend.Server
+}
+
+// Start implements kernel.Starter.
+func (s *callersService) Start(_ context.Context, scope *kernel.Scope) error {
+	gw, err := kernel.Get(scope, gatewayHandle)
+	if err != nil {
+		return err
+	}
+	s.control, err = kernel.Get(scope, controlHandle)
+	if err != nil {
+		return err
+	}
+	s.server = frontend.NewServer(frontend.ServerConfig{
+		Handler: frontend.NewCallers(frontend.CallersConfig{
+			Gateway: gw,
+			View:    s.control,
+			Log:     logFor(s.cfg, "frontend"),
+			MaxBody: s.cfg.MaxBodyBytes,
+		}),
+		TLS: s.cfg.CallersTLS,
+		Log: logFor(s.cfg, "frontend"),
+	})
+	scope.Go(func(context.Context) error { return s.server.Serve(s.cfg.Callers) })
+	return nil
+}
+
+// Stop implements kernel.Stopper. Owners move away as soon as the VM has
+// announced that it leaves; callers are accepted for the balancer's notice.
+func (s *callersService) Stop(ctx context.Context) error {
+	return frontend.StopPlan{
+		Readiness: s.readiness,
+		Announce:  s.control.Leave,
+		Callers:   s.server,
+		Notice:    s.cfg.BalancerNotice,
+	}.Run(ctx)
+}
+
+func (s *callersService) inFlight() int {
+	if s.server == nil {
+		return 0
+	}
+	return s.server.InFlight()
+}
--- /dev/null
+++ b/pkg/node/services.go
@@ -0,0 +1,254 @@
+package node
+
+import (
+	"context"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/claim"
+	"github.com/nutmeghitch/nutmeghitch/pkg/control"
+	"github.com/nutmeghitch/nutmeghitch/pkg/dispatch"
+	"github.com/nutmeghitch/nutmeghitch/pkg/frontend"
+	"github.com/nutmeghitch/nutmeghitch/pkg/gateway"
+	"github.com/nutmeghitch/nutmeghitch/pkg/kernel"
+	"github.com/nutmeghitch/nutmeghitch/pkg/logging"
+	"github.com/nutmeghitch/nutmeghitch/pkg/peer"
+	"github.com/nutmeghitch/nutmeghitch/pkg/placement"
+	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
+	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
+)
+
+// Handles of the services of one VM.
+var (
+	peerHandle      = kernel.NewHandle[*peerService]("peer")
+	controlHandle   = kernel.NewHandle[*controlService]("control")
+	dispatchHandle  = kernel.NewHandle[*dispatchService]("dispatch")
+	claimHandle     = kernel.NewHandle[*claimService]("claim")
+	gatewayHandle   = kernel.NewHandle[*gatewayService]("gateway")
+	acceptHandle    = kernel.NewHandle[*acceptService]("peer_listener")
+	drainHandle     = kernel.NewHandle[*drainService]("drain")
+	operatorsHandle = kernel.NewHandle[*operatorsService]("operators")
+	callersHandle   = kernel.NewHandle[*callersService]("callers")
+)
+
+// services are the parts of one VM that the Node itself needs.
+type services struct {
+	control *controlService
+	gateway *gatewayService
+}
+
+// register adds all services to the kernel. The order of dependencies makes
+// callers stop first, then the work of other VMs, then the connections.
+func register(k *kernel.Kernel, c *Config, readiness *frontend.Readiness) (*services, error) {
+	ledger := poison.NewLedger(poison.Config{})
+	ctl := &controlService{cfg: c, ledger: ledger}
+	gw := &gatewayService{cfg: c, ledger: ledger}
+	callers := &callersService{cfg: c, readiness: readiness}
+	add := []error{
+		kernel.Add(k, peerHandle, &peerService{cfg: c}),
+		kernel.Add(k, controlHandle, ctl, peerHandle),
+		kernel.Add(k, dispatchHandle, &dispatchService{cfg: c, ledger: ledger}, controlHandle),
+		kernel.Add(k, claimHandle, &claimService{cfg: c}, peerHandle, controlHandle),
+		kernel.Add(k, gatewayHandle, gw, peerHandle, controlHandle, dispatchHandle, claimHandle),
+		kernel.Add(k, acceptHandle, &acceptService{}, peerHandle, controlHandle, dispatchHandle, claimHandle),
+		kernel.Add(k, drainHandle, &drainService{}, dispatchHandle, acceptHandle),
+		kernel.Add(k, operatorsHandle, &operatorsService{cfg: c, ledger: ledger, readiness: readiness, callers: callers}, controlHandle, drainHandle),
+		kernel.Add(k, callersHandle, callers, gatewayHandle, controlHandle, drainHandle, operatorsHandle),
+	}
+	for _, err := range add {
+		if err != nil {
+			return nil, err
+		}
+	}
+	return &services{control: ctl, gateway: gw}, nil
+}
+
+func logFor(c *Config, part string) logrus.FieldLogger { return logging.For(c.Logger, part) }
+
+// peerService is the transport to other VMs.
+type peerService struct {
+	cfg *Config
+	*peer.Transport
+}
+
+// Start implements kernel.Starter. The transport accepts connections only
+// when acceptService starts, after its handlers are in place.
+func (s *peerService) Start(context.Context, *kernel.Scope) error {
+	s.Transport = peer.New(peer.Config{
+		Self:     s.cfg.Self,
+		Listener: s.cfg.Peers,
+		Secret:   s.cfg.PeerSecret,
+		TLS:      s.cfg.PeersTLS,
+		Dial:     s.cfg.PeerDial,
+		Log:      logFor(s.cfg, "peer"),
+	})
+	return nil
+}
+
+// Stop implements kernel.Stopper.
+func (s *peerService) Stop(context.Context) error {
+	s.Transport.Close()
+	return nil
+}
+
+// controlService is the control goroutine.
+type controlService struct {
+	cfg    *Config
+	ledger *poison.Ledger
+	*control.Controller
+}
+
+// Start implements kernel.Starter.
+func (s *controlService) Start(_ context.Context, scope *kernel.Scope) error {
+	transport, err := kernel.Get(scope, peerHandle)
+	if err != nil {
+		return err
+	}
+	s.Controller = control.New(control.Config{
+		Self:      s.cfg.Self,
+		Seeds:     s.cfg.Seeds,
+		Transport: transport,
+		Store:     s.cfg.Store,
+		Log:       logFor(s.cfg, "control"),
+		Ledger:    s.ledger,
+	})
+	scope.Go(s.Run)
+	return nil
+}
+
+// dispatchService is the owner side.
+type dispatchService struct {
+	cfg    *Config
+	ledger *poison.Ledger
+	*dispatch.Dispatcher
+}
+
+// Start implements kernel.Starter.
+func (s *dispatchService) Start(_ context.Context, scope *kernel.Scope) error {
+	ctl, err := kernel.Get(scope, controlHandle)
+	if err != nil {
+		return err
+	}
+	s.Dispatcher = dispatch.New(dispatch.Config{
+		Self:     s.cfg.Self.ID,
+		View:     ctl,
+		Ledger:   s.ledger,
+		Observe:  ctl.ObserveReplica,
+		Released: ctl.Released,
+		Spread:   ctl.SpreadPoison,
+		Dial:     s.cfg.UpstreamDial,
+		Log:      logFor(s.cfg, "dispatch"),
+		Scope:    s.cfg.Scope,
+	})
+	scope.Go(s.Run)
+	return nil
+}
+
+// claimService keeps at-most-once claims.
+type claimService struct {
+	cfg *Config
+	*claim.Service
+}
+
+// Start implements kernel.Starter.
+func (s *claimService) Start(_ context.Context, scope *kernel.Scope) error {
+	transport, err := kernel.Get(scope, peerHandle)
+	if err != nil {
+		return err
+	}
+	ctl, err := kernel.Get(scope, controlHandle)
+	if err != nil {
+		return err
+	}
+	s.Service = claim.New(claim.Config{
+		Self:      s.cfg.Self,
+		View:      ctl,
+		Transport: transport,
+		Store:     s.cfg.Store,
+		Rank:      placement.Rank,
+		Log:       logFor(s.cfg, "claim"),
+	})
+	return nil
+}
+
+// gatewayService is the entry side.
+type gatewayService struct {
+	cfg    *Config
+	ledger *poison.Ledger
+	*gateway.Gateway
+}
+
+// Start implements kernel.Starter.
+func (s *gatewayService) Start(_ context.Context, scope *kernel.Scope) error {
+	transport, err := kernel.Get(scope, peerHandle)
+	if err != nil {
+		return err
+	}
+	ctl, err := kernel.Get(scope, controlHandle)
+	if err != nil {
+		return err
+	}
+	local, err := kernel.Get(scope, dispatchHandle)
+	if err != nil {
+		return err
+	}
+	claims, err := kernel.Get(scope, claimHandle)
+	if err != nil {
+		return err
+	}
+	s.Gateway = gateway.New(gateway.Config{
+		Self:      s.cfg.Self,
+		View:      ctl,
+		Transport: transport,
+		Local:     local.Dispatcher,
+		Ledger:    s.ledger,
+		Claims:    claims.Service,
+		Log:       logFor(s.cfg, "gateway"),
+		Scope:     s.cfg.Scope,
+		Rand:      s.cfg.Rand,
+	})
+	scope.Go(s.Run)
+	return nil
+}
+
+// acceptService accepts connections of other VMs.
+type acceptService struct{}
+
+// Start implements kernel.Starter.
+func (s *acceptService) Start(_ context.Context, scope *kernel.Scope) error {
+	transport, err := kernel.Get(scope, peerHandle)
+	if err != nil {
+		return err
+	}
+	if err := routeMessages(transport.Transport, scope); err != nil {
+		return err
+	}
+	scope.Go(transport.Serve)
+	return nil
+}
+
+// routeMessages tells the transport which service handles which message.
+func routeMessages(t *peer.Transport, scope *kernel.Scope) error {
+	ctl, err := kernel.Get(scope, controlHandle)
+	if err != nil {
+		return err
+	}
+	local, err := kernel.Get(scope, dispatchHandle)
+	if err != nil {
+		return err
+	}
+	claims, err := kernel.Get(scope, claimHandle)
+	if err != nil {
+		return err
+	}
+	for _, k := range []wire.Kind{
+		wire.KindPing, wire.KindPingRequest, wire.KindSyncRequest,
+		wire.KindConfigRequest, wire.KindRelease, wire.KindPoisonReport,
+	} {
+		t.Handle(k, ctl.Handle)
+	}
+	t.Handle(wire.KindSearchBatch, local.HandlePeer)
+	t.Handle(wire.KindCallRequest, local.HandlePeer)
+	t.Handle(wire.KindClaimRequest, claims.Handle)
+	return nil
+}
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -46,6 +47,8 @@
 	CallTimeout time.Duration
 	// Now is the clock of the budget; nil means time.Now.
 	Now func() time.Time
+	// Dial replaces the default dialler when set.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
 // Kind is the kind of a call.
@@ -101,6 +104,7 @@
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
+			DialContext:         c.Dial,
 		},
 		calls: Calls{Sent: map[Kind]uint64{}},
 	}
