Add switches for the baselines of measurements

Measurements compare the tier with a baseline under the same load. The switches turn off hedges, the choice by load, the cold window and admission; the zero value is the policy in production. The test cluster can publish shard maps, start replicas and accept runs beyond the slots, so that a breach of the limit is counted instead of refused.

--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -46,6 +46,8 @@
 	Log   logrus.FieldLogger
 	Scope tally.Scope
 	Now   func() time.Time
+	// Policy selects a baseline for measurements.
+	Policy model.Policy
 }
 
 // Dispatcher runs attempts at owned replicas.
@@ -111,7 +113,7 @@
 	if v.Config == nil {
 		return
 	}
-	owned := ownedReplicas(v, d.cfg.Self)
+	owned := ownedReplicas(v, d.cfg.Self, d.cfg.Policy)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for id, t := range d.targets {
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -51,14 +51,14 @@
 	status   model.ReplicaStatus
 }
 
-func ownedReplicas(v *model.View, self model.VMID) map[model.ReplicaID]targetSpec {
+func ownedReplicas(v *model.View, self model.VMID, p model.Policy) map[model.ReplicaID]targetSpec {
 	out := make(map[model.ReplicaID]targetSpec)
 	for name, svc := range v.Config.Services {
 		for _, m := range svc.ShardMaps {
 			for _, g := range m.Groups {
 				for _, r := range g.Replicas {
 					if v.Owners[r.ID] == self {
-						out[r.ID] = newSpec(name, svc, r)
+						out[r.ID] = newSpec(name, svc, r, p)
 					}
 				}
 			}
@@ -67,16 +67,20 @@
 	return out
 }
 
-func newSpec(name model.ServiceID, svc *model.Service, r model.Replica) targetSpec {
+func newSpec(name model.ServiceID, svc *model.Service, r model.Replica, p model.Policy) targetSpec {
 	// Half of the limit, so that two owners together stay below it while
 	// ownership moves.
 	conns := min(svc.Slots+spareConns+controlConns, svc.Connections/2)
+	cold := svc.ColdWindow
+	if p.NoColdWindow {
+		cold = float64(svc.Slots)
+	}
 	return targetSpec{
 		replica: r,
 		service: name,
 		slots:   svc.Slots,
 		conns:   max(conns, 2),
-		cold:    svc.ColdWindow,
+		cold:    cold,
 		queue:   svc.QueueLimit,
 	}
 }
--- a/pkg/fake/upstream.go
+++ b/pkg/fake/upstream.go
@@ -57,6 +57,9 @@
 	// Executions counts non-idempotent operations; nil creates a count of its own.
 	Executions *Executions
 	Slots      int
+	// Overcommit is the number of runs accepted beyond Slots. With a value
+	// above 0 MaxConcurrency shows how far a sender exceeds the slots.
+	Overcommit int
 	MaxConns   int
 	// ConnCost delays the first reply on a new connection, counted from the
 	// time it was accepted.
--- a/pkg/fake/upstream_conn.go
+++ b/pkg/fake/upstream_conn.go
@@ -115,7 +115,10 @@
 func (u *Upstream) adopt(c *conn) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.listener == nil || len(u.conns) >= u.config.MaxConns {
+	if u.listener == nil {
+		return false
+	}
+	if len(u.conns) >= u.config.MaxConns {
 		u.counters.RefusedConnections++
 		return false
 	}
--- a/pkg/fake/upstream_run.go
+++ b/pkg/fake/upstream_run.go
@@ -129,7 +129,7 @@
 		u.counters.ColdExcess++
 		u.coldExcess++
 		return refuse(http.StatusServiceUnavailable, "cold", "upstream is cold")
-	case len(u.running) >= u.config.Slots:
+	case len(u.running) >= u.config.Slots+u.config.Overcommit:
 		return refuse(http.StatusServiceUnavailable, "busy", "all %d slots are in use", u.config.Slots)
 	}
 	return nil
--- a/pkg/gateway/admit.go
+++ b/pkg/gateway/admit.go
@@ -25,6 +25,7 @@
 // admitter runs an admission.Controller for concurrent requests.
 type admitter struct {
 	view model.ViewSource
+	open bool // admits every request at once
 
 	mu      sync.Mutex
 	ctl     *admission.Controller
@@ -33,9 +34,10 @@
 	seen    *model.View
 }
 
-func newAdmitter(view model.ViewSource) *admitter {
+func newAdmitter(view model.ViewSource, p model.Policy) *admitter {
 	return &admitter{
 		view:    view,
+		open:    p.NoAdmission,
 		ctl:     admission.NewController(admission.Config{}),
 		waiting: make(map[uint64]chan error),
 	}
@@ -83,6 +85,9 @@
 // admit waits until the request may run. The returned function must be called
 // when the request has ended.
 func (a *admitter) admit(ctx context.Context, t admission.Ticket) (func(), error) {
+	if a.open {
+		return func() {}, nil
+	}
 	id, wait, err := a.offer(t)
 	if err != nil {
 		return nil, err
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -136,7 +136,7 @@
 				return nil, res.err
 			}
 		case <-timer.C:
-			if hedged || c.suspect || c.policy.TryExtra(1) != nil {
+			if hedged || c.suspect || c.g.cfg.Policy.NoHedges || c.policy.TryExtra(1) != nil {
 				continue
 			}
 			hedged = true
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -38,6 +38,8 @@
 	Log       logrus.FieldLogger
 	Scope     tally.Scope
 	Rand      *rand.Rand
+	// Policy selects a baseline for measurements.
+	Policy model.Policy
 }
 
 // Gateway serves the requests that callers send to this VM.
@@ -92,8 +94,8 @@
 	}
 	return &Gateway{
 		cfg:       c,
-		table:     routing.NewTable(c.Rand),
-		admission: newAdmitter(c.View),
+		table:     newTable(c),
+		admission: newAdmitter(c.View, c.Policy),
 		policies:  make(map[model.ServiceID]*hedge.Policy),
 		idPrefix:  uuid.NewString()[:13] + "-",
 		counters: counters{
@@ -110,6 +112,13 @@
 	}
 }
 
+func newTable(c Config) *routing.Table {
+	if c.Policy.RandomReplica {
+		return routing.NewRandomTable(c.Rand)
+	}
+	return routing.NewTable(c.Rand)
+}
+
 // latencyBuckets cover 0.5 ms to 16 s by factors of two.
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(500*time.Microsecond, 2, 16)
 
--- a/pkg/gateway/scatter.go
+++ b/pkg/gateway/scatter.go
@@ -190,7 +190,7 @@
 }
 
 func (s *search) hedgeDue(st *groupState, now time.Time, delay time.Duration) bool {
-	if st.hedged || s.suspect || !s.released || len(st.running) == 0 || now.Sub(st.sentAt) < delay {
+	if s.g.cfg.Policy.NoHedges || st.hedged || s.suspect || !s.released || len(st.running) == 0 || now.Sub(st.sentAt) < delay {
 		return false
 	}
 	st.hedged = true
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -55,6 +55,8 @@
 	Scope   tally.Scope
 	Metrics http.Handler
 	Rand    *rand.Rand
+	// Policy selects a baseline for measurements.
+	Policy model.Policy
 }
 
 // Node is one VM of the tier.
--- a/pkg/node/services.go
+++ b/pkg/node/services.go
@@ -139,6 +139,7 @@
 		Dial:     s.cfg.UpstreamDial,
 		Log:      logFor(s.cfg, "dispatch"),
 		Scope:    s.cfg.Scope,
+		Policy:   s.cfg.Policy,
 	})
 	scope.Go(s.Run)
 	return nil
@@ -206,6 +207,7 @@
 		Log:       logFor(s.cfg, "gateway"),
 		Scope:     s.cfg.Scope,
 		Rand:      s.cfg.Rand,
+		Policy:    s.cfg.Policy,
 	})
 	scope.Go(s.Run)
 	return nil
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -33,6 +33,7 @@
 // Reasons of a choice.
 const (
 	ReasonOnly     = "only candidate"
+	ReasonRandom   = "random choice of the baseline"
 	ReasonExpected = "lower expected completion of two"
 	ReasonExplore  = "explored, no recent statistics"
 	ReasonScan     = "lowest expected completion, both drawn replicas fail or are cold"
@@ -58,6 +59,8 @@
 	seed   maphash.Seed
 	random atomic.Uint64
 	shards [shardCount]shard
+	// blind picks at random, as a baseline for measurements.
+	blind bool
 }
 
 type shard struct {
@@ -77,6 +80,14 @@
 	return t
 }
 
+// NewRandomTable returns a table that picks at random and ignores what is
+// reported to it. Measurements compare it with a table of NewTable.
+func NewRandomTable(rng *rand.Rand) *Table {
+	t := NewTable(rng)
+	t.blind = true
+	return t
+}
+
 // Pick chooses a replica. It draws two candidates, near ones with more
 // weight, and takes the one with the lower expected completion. It is false
 // only without candidates.
@@ -85,6 +96,9 @@
 	if n == 0 {
 		return Choice{}, false
 	}
+	if t.blind {
+		return Choice{Replica: candidates[t.next()%uint64(n)].Replica, Reason: ReasonRandom, Considered: n}, true
+	}
 	if n == 1 {
 		e := t.estimate(now, candidates[0])
 		return Choice{candidates[0].Replica, e.expected(defaults), ReasonOnly, n}, true
--- a/pkg/testcluster/cluster.go
+++ b/pkg/testcluster/cluster.go
@@ -7,7 +7,9 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +33,11 @@
 	TailFactor  float64
 	ConnCost    time.Duration
 	Cold        fake.ColdConfig
+	// Overcommit is the number of runs accepted beyond the slots, so that a
+	// breach of the limit is seen instead of refused.
+	Overcommit int
+	// RestartAfter restarts an upstream that long after a crash.
+	RestartAfter time.Duration
 }
 
 // Config describes a cluster. Addresses in the document are replaced.
@@ -50,6 +57,8 @@
 	Log io.Writer
 	// ListLag is the lag of the platform's VM list.
 	ListLag time.Duration
+	// Policy selects a baseline for measurements.
+	Policy model.Policy
 }
 
 // Cluster is a running site.
@@ -66,7 +75,10 @@
 
 	mu     sync.Mutex
 	vms    []*VM
+	all    []*VM
 	nextVM int
+	// maps holds every shard map that was ever published, by service and epoch.
+	maps   map[model.ServiceID]map[uint64]*model.ShardMap
 	logger *logrus.Logger
 }
 
@@ -83,6 +95,7 @@
 		Upstreams:  make(map[model.ReplicaID]*fake.Upstream),
 		Domains:    make(map[model.ReplicaID]model.DomainID),
 		logger:     newLogger(c.Log),
+		maps:       make(map[model.ServiceID]map[uint64]*model.ShardMap),
 	}
 	cl.Platform.ListLag(c.ListLag)
 	cl.Network.Register(hostOf(cl.Platform.URL()), PlatformEndpoint)
@@ -127,13 +140,15 @@
 }
 
 func (c *Cluster) startUpstreams() error {
-	for name, svc := range c.Document.Services {
+	for _, name := range sortedServices(c.Document) {
+		svc := c.Document.Services[name]
 		c.Data[name] = c.dataset(name)
 		c.Executions[name] = fake.NewExecutions()
 		for mi := range svc.ShardMaps {
 			m := &svc.ShardMaps[mi]
+			c.keepMap(name, m)
 			for gi := range m.Groups {
-				if err := c.startGroup(name, svc, m, &m.Groups[gi]); err != nil {
+				if err := c.startGroup(name, svc, m, &m.Groups[gi], firstVersion); err != nil {
 					return err
 				}
 			}
@@ -150,48 +165,69 @@
 	return fake.AssistanceBookings(seed, c.cfg.Records)
 }
 
-func (c *Cluster) startGroup(name model.ServiceID, svc *model.Service, m *model.ShardMap, g *model.Group) error {
+func (c *Cluster) startGroup(name model.ServiceID, svc *model.Service, m *model.ShardMap, g *model.Group, version uint64) error {
 	for ri := range g.Replicas {
 		r := &g.Replicas[ri]
-		if u := c.Upstreams[r.ID]; u != nil {
+		if u := c.Upstream(r.ID); u != nil {
 			r.Addr = u.Addr()
 			continue
 		}
-		u, err := fake.NewUpstream(c.upstreamConfig(name, svc, m, g, r))
+		u, err := fake.NewUpstream(c.upstreamConfig(name, svc, m, g, r, version))
 		if err != nil {
 			return err
 		}
 		r.Addr = u.Addr()
+		c.mu.Lock()
 		c.Upstreams[r.ID] = u
 		c.Domains[r.ID] = r.Domain
+		c.mu.Unlock()
 		c.Network.Register(u.Addr(), DomainEndpoint(r.Domain))
 	}
 	return nil
 }
 
-func (c *Cluster) upstreamConfig(name model.ServiceID, svc *model.Service, m *model.ShardMap, g *model.Group, r *model.Replica) fake.UpstreamConfig {
+func (c *Cluster) upstreamConfig(name model.ServiceID, svc *model.Service, m *model.ShardMap, g *model.Group, r *model.Replica, version uint64) fake.UpstreamConfig {
 	p := c.cfg.Profile(name, svc)
 	return fake.UpstreamConfig{
-		Replica:     r.ID,
-		Kind:        svc.Kind,
-		Data:        c.Data[name],
-		Versions:    []fake.IndexVersion{IndexVersion(firstVersion, m, g)},
-		Order:       svc.Order,
-		Operations:  svc.Operations,
-		Executions:  c.Executions[name],
-		Slots:       svc.Slots,
-		MaxConns:    svc.Connections,
-		ConnCost:    p.ConnCost,
-		ServiceTime: p.ServiceTime,
-		Variation:   p.Variation,
-		TailChance:  p.TailChance,
-		TailFactor:  p.TailFactor,
-		Seed:        c.cfg.Seed,
-		Cold:        p.Cold,
-		StartWarm:   true,
+		Replica:      r.ID,
+		Kind:         svc.Kind,
+		Data:         c.Data[name],
+		Versions:     []fake.IndexVersion{IndexVersion(version, m, g)},
+		Order:        svc.Order,
+		Operations:   svc.Operations,
+		Executions:   c.Executions[name],
+		Slots:        svc.Slots,
+		Overcommit:   p.Overcommit,
+		MaxConns:     svc.Connections,
+		ConnCost:     p.ConnCost,
+		ServiceTime:  p.ServiceTime,
+		Variation:    p.Variation,
+		TailChance:   p.TailChance,
+		TailFactor:   p.TailFactor,
+		Seed:         c.cfg.Seed,
+		Cold:         p.Cold,
+		StartWarm:    true,
+		RestartAfter: p.RestartAfter,
 	}
 }
 
+// Upstream returns the stand-in of a replica, or nil.
+func (c *Cluster) Upstream(id model.ReplicaID) *fake.Upstream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.Upstreams[id]
+}
+
+// Replicas returns the stand-ins of all replicas. Unlike the field Upstreams
+// it may be used while replicas are added.
+func (c *Cluster) Replicas() map[model.ReplicaID]*fake.Upstream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.Upstreams)
+}
+
+func sortedServices(d *model.Document) []model.ServiceID { return slices.Sorted(maps.Keys(d.Services)) }
+
 // IndexVersion describes an index version as a group of a shard map holds it.
 func IndexVersion(version uint64, m *model.ShardMap, g *model.Group) fake.IndexVersion {
 	v := fake.IndexVersion{Version: version, Epoch: m.Epoch, Held: g.Shards}
@@ -240,7 +276,7 @@
 	for _, vm := range c.Running() {
 		vm.Kill()
 	}
-	for _, u := range c.Upstreams {
+	for _, u := range c.Replicas() {
 		u.Close()
 	}
 	c.Platform.Close()
--- a/pkg/testcluster/vm.go
+++ b/pkg/testcluster/vm.go
@@ -69,6 +69,7 @@
 		BalancerNotice: c.cfg.BalancerNotice,
 		Logger:         c.logger,
 		Rand:           c.rand(salt),
+		Policy:         c.cfg.Policy,
 	})
 	if err != nil {
 		return nil, err
@@ -84,6 +85,7 @@
 	}()
 	c.mu.Lock()
 	c.vms = append(c.vms, vm)
+	c.all = append(c.all, vm)
 	c.mu.Unlock()
 	c.publishList()
 	return vm, nil
@@ -121,6 +123,13 @@
 	return append([]*VM(nil), c.vms...)
 }
 
+// All returns every VM that was ever started, those that have ended included.
+func (c *Cluster) All() []*VM {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]*VM(nil), c.all...)
+}
+
 func (c *Cluster) remove(vm *VM) {
 	c.mu.Lock()
 	for i, other := range c.vms {
--- a/pkg/workload/workload.go
+++ b/pkg/workload/workload.go
@@ -76,7 +76,7 @@
 		Search:    true,
 		Body:      queries(c.Document.Site),
 		Check: func(query []byte, a loadgen.SearchAnswer) string {
-			return checkSearch(c.Data[name], svc, query, a)
+			return checkSearch(c, name, svc, query, a)
 		},
 	}
 }
@@ -128,8 +128,8 @@
 
 // checkSearch compares an answer with a search over the covered shards on the
 // snapshot that the answer names.
-func checkSearch(data *fake.Dataset, svc *model.Service, query []byte, a loadgen.SearchAnswer) string {
-	m := shardMap(svc, a.Snapshot.Epoch)
+func checkSearch(c *testcluster.Cluster, name model.ServiceID, svc *model.Service, query []byte, a loadgen.SearchAnswer) string {
+	m := c.ShardMap(name, a.Snapshot.Epoch)
 	if m == nil {
 		return fmt.Sprintf("answer names unknown shard-map epoch %d", a.Snapshot.Epoch)
 	}
@@ -142,7 +142,7 @@
 	if a.Total != len(index.Map) || a.Covered != len(covered) {
 		return fmt.Sprintf("coverage %d of %d does not match %d missing shards of %d", a.Covered, a.Total, len(a.MissingShards), len(index.Map))
 	}
-	want := data.Search(index, covered, q, svc.Order, svc.Limit)
+	want := c.Data[name].Search(index, covered, q, svc.Order, svc.Limit)
 	if len(want) != len(a.Rows) {
 		return fmt.Sprintf("answer has %d rows, expected %d", len(a.Rows), len(want))
 	}
@@ -154,15 +154,6 @@
 	return ""
 }
 
-func shardMap(svc *model.Service, epoch uint64) *model.ShardMap {
-	for i := range svc.ShardMaps {
-		if svc.ShardMaps[i].Epoch == epoch {
-			return &svc.ShardMaps[i]
-		}
-	}
-	return nil
-}
-
 func without(all, missing []model.ShardID) []model.ShardID {
 	out := make([]model.ShardID, 0, len(all))
 	for _, s := range all {
