--- a/cmd/nutmeghitch/main.go
+++ b/cmd/nutmeghitch/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/cli"
 	"github.com/nutmeghitch/nutmeghitch/pkg/demo"
+	"github.com/nutmeghitch/nutmeghitch/pkg/measure"
 )
 
 func main() {
@@ -25,6 +26,6 @@
 		Stdout:    os.Stdout,
 		Stderr:    os.Stderr,
 		OpenStore: cli.OpenPlatform,
-		Extra:     []*ucli.Command{demo.Command(os.Stdout, os.Stderr)},
+		Extra:     []*ucli.Command{demo.Command(os.Stdout, os.Stderr), measure.Command(os.Stdout, os.Stderr)},
 	})
 }
--- a/pkg/fake/upstream_faults.go
+++ b/pkg/fake/upstream_faults.go
@@ -44,6 +44,14 @@
 	u.faults.slow = factor
 }
 
+// SetTail makes a share of the runs take factor times as long.
+func (u *Upstream) SetTail(share, factor float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.config.TailChance = share
+	u.config.TailFactor = factor
+}
+
 // Drain starts or ends draining: new runs are refused with code "draining",
 // runs in progress complete.
 func (u *Upstream) Drain(on bool) {
--- a/pkg/loadgen/http.go
+++ b/pkg/loadgen/http.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/nutmeghitch/nutmeghitch/pkg/frontend"
 	"github.com/nutmeghitch/nutmeghitch/pkg/merge"
 	"github.com/nutmeghitch/nutmeghitch/pkg/model"
@@ -108,14 +110,20 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-func (b *Balancer) pick() (Backend, bool) {
+// pick returns the next VM, or for a copy of a keyed request the one that the
+// key and the number of the copy select.
+func (b *Balancer) pick(s Sent, try int) (Backend, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.ready) == 0 {
+	n := uint64(len(b.ready))
+	if n == 0 {
 		return Backend{}, false
 	}
+	if s.Key != "" {
+		return b.ready[(xxhash.Sum64String(s.Key)+uint64(s.Copy+try-1))%n], true
+	}
 	b.next++
-	return b.ready[b.next%len(b.ready)], true
+	return b.ready[uint64(b.next)%n], true
 }
 
 // Search implements Target.
@@ -157,7 +165,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.Request.Deadline+replyGrace)
 	defer cancel()
 	for try := 1; ; try++ {
-		be, ok := b.pick()
+		be, ok := b.pick(s, try)
 		if !ok {
 			return Result{Code: "no_ready_vm", Ran: "did_not_run"}
 		}
--- a/pkg/loadgen/loadgen.go
+++ b/pkg/loadgen/loadgen.go
@@ -36,6 +36,10 @@
 	// RepeatShare is the share of non-idempotent requests that are sent a
 	// second time at the same instant through another VM.
 	RepeatShare float64
+	// Resends is how often a non-idempotent request that got no answer is
+	// sent again with the same key, ResendAfter later through another VM.
+	Resends     int
+	ResendAfter time.Duration
 	// Body makes the body of the n-th request. Bodies of searches hold the
 	// value of the field "query".
 	Body func(rng *rand.Rand, n int) []byte
@@ -56,8 +60,9 @@
 	Caller  string
 	Key     string
 	Body    []byte
-	// Avoid is a VM that must not get the request, if another one can.
-	Avoid string
+	// Copy numbers the sends of one key from 0. Two copies go to different
+	// VMs if the same two or more VMs are ready.
+	Copy int
 }
 
 // Result is what became of a request.
@@ -89,18 +94,20 @@
 	Target   Target
 	Requests []Request
 	Seed     uint64
+	// Rate multiplies the arrival rates at a time after the start; nil is 1.
+	Rate func(at time.Duration) float64
 
 	mu     sync.Mutex
 	report *Report
 	start  time.Time
-	once   map[string][]Result // by key
+	once   map[string]*Once // by key
 }
 
 // Run sends load for d and waits for all answers.
 func (g *Generator) Run(ctx context.Context, d time.Duration) *Report {
 	g.report = newReport(d)
 	g.start = time.Now()
-	g.once = make(map[string][]Result)
+	g.once = make(map[string]*Once)
 	var group errgroup.Group
 	for i := range g.Requests {
 		group.Go(func() error {
@@ -116,12 +123,15 @@
 // stream sends one kind of request with exponential gaps.
 func (g *Generator) stream(ctx context.Context, index int, d time.Duration) {
 	r := &g.Requests[index]
+	if r.PerSecond <= 0 {
+		return
+	}
 	rng := rand.New(rand.NewPCG(g.Seed, uint64(index)+1))
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	at := g.start
 	for n := 0; ; n++ {
-		at = at.Add(time.Duration(rng.ExpFloat64() / r.PerSecond * float64(time.Second)))
+		at = at.Add(time.Duration(rng.ExpFloat64() / (r.PerSecond * g.rate(at.Sub(g.start))) * float64(time.Second)))
 		if at.Sub(g.start) > d || !sleepUntil(ctx, at) {
 			return
 		}
@@ -138,6 +148,13 @@
 	}
 }
 
+func (g *Generator) rate(at time.Duration) float64 {
+	if g.Rate == nil {
+		return 1
+	}
+	return g.Rate(at)
+}
+
 func sleepUntil(ctx context.Context, at time.Time) bool {
 	wait := time.Until(at)
 	if wait <= 0 {
@@ -160,8 +177,8 @@
 		go func() {
 			defer wg.Done()
 			again := s
-			again.Avoid = "duplicate"
-			g.recordOnce(s.Key, g.Target.Call(ctx, again))
+			again.Copy = 1
+			g.recordOnce(s, g.Target.Call(ctx, again))
 		}()
 	}
 	var res Result
@@ -172,11 +189,25 @@
 	}
 	g.record(s, at, res)
 	if s.Request.Once {
-		g.recordOnce(s.Key, res)
+		g.recordOnce(s, res)
+		g.resend(ctx, s, res)
 	}
 	wg.Wait()
 }
 
+// resend repeats a request that got no answer, as an insistent caller does.
+func (g *Generator) resend(ctx context.Context, s Sent, res Result) {
+	for i := range s.Request.Resends {
+		if res.Code == "" || !sleepUntil(ctx, time.Now().Add(s.Request.ResendAfter)) {
+			return
+		}
+		again := s
+		again.Copy = 2 + i
+		res = g.Target.Call(ctx, again)
+		g.recordOnce(s, res)
+	}
+}
+
 func (g *Generator) record(s Sent, at time.Time, res Result) {
 	took := time.Since(at)
 	wrong := ""
@@ -188,18 +219,24 @@
 	g.report.add(at.Sub(g.start), took, s.Request, res, wrong)
 }
 
-func (g *Generator) recordOnce(key string, res Result) {
+func (g *Generator) recordOnce(s Sent, res Result) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.once[key] = append(g.once[key], res)
+	o := g.once[s.Key]
+	if o == nil {
+		o = &Once{Service: s.Request.Service, Key: s.Key, Body: s.Body}
+		g.once[s.Key] = o
+	}
+	o.Results = append(o.Results, res)
 }
 
 // finish compares the answers to repeats of one key.
 func (g *Generator) finish() {
 	g.report.Keys = len(g.once)
-	for key, results := range g.once {
+	for key, o := range g.once {
+		g.report.Once = append(g.report.Once, o)
 		var first []byte
-		for _, r := range results {
+		for _, r := range o.Results {
 			if r.Code != "" {
 				continue
 			}
@@ -232,6 +269,34 @@
 	// Keys counts distinct idempotency keys.
 	Keys   int
 	Series []Bucket
+	// Samples holds every request in the order of its end.
+	Samples []Sample
+	// Once holds what became of each non-idempotent request.
+	Once []*Once
+}
+
+// Sample is one request and what became of it.
+type Sample struct {
+	// At is the scheduled time after the start of the run, Took the latency
+	// from then on.
+	At, Took time.Duration
+	Service  model.ServiceID
+	Search   bool
+	Once     bool
+	Deadline time.Duration
+	// Code and Ran are "" for an answer.
+	Code, Ran string
+	VM        string
+	// Covered and Total count the shards of an answered search.
+	Covered, Total int
+}
+
+// Once is one non-idempotent request with the results of all its sends.
+type Once struct {
+	Service model.ServiceID
+	Key     string
+	Body    []byte
+	Results []Result
 }
 
 // Bucket is one interval of the time series.
@@ -265,6 +330,7 @@
 	b := &r.Series[min(int(at/bucketWidth), len(r.Series)-1)]
 	r.Sent++
 	b.Sent++
+	r.Samples = append(r.Samples, sampleOf(at, took, req, res))
 	if wrong != "" {
 		r.Wrong = append(r.Wrong, wrong)
 	}
@@ -293,6 +359,17 @@
 	}
 }
 
+func sampleOf(at, took time.Duration, req *Request, res Result) Sample {
+	s := Sample{
+		At: at, Took: took, Service: req.Service, Search: req.Search, Once: req.Once, Deadline: req.Deadline,
+		Code: res.Code, Ran: res.Ran, VM: res.VM,
+	}
+	if res.Search != nil {
+		s.Covered, s.Total = res.Search.Covered, res.Search.Total
+	}
+	return s
+}
+
 // Coverage returns the share of shards that answered searches covered.
 func (r *Report) Coverage() float64 {
 	if r.Total == 0 {
--- a/pkg/testcluster/network.go
+++ b/pkg/testcluster/network.go
@@ -27,7 +27,9 @@
 	hosts map[string]Endpoint // by address
 	cut   map[[2]Endpoint]bool
 	delay map[[2]Endpoint]time.Duration
-	heal  chan struct{} // closed and replaced when a cut is added or removed
+	// lost counts how often the path of a pair lost its connection state.
+	lost map[[2]Endpoint]int
+	heal chan struct{} // closed and replaced when a cut is added or removed
 }
 
 // NewNetwork returns a network without cuts.
@@ -36,6 +38,7 @@
 		hosts: make(map[string]Endpoint),
 		cut:   make(map[[2]Endpoint]bool),
 		delay: make(map[[2]Endpoint]time.Duration),
+		lost:  make(map[[2]Endpoint]int),
 		heal:  make(chan struct{}),
 	}
 }
@@ -54,6 +57,22 @@
 	n.delay[pair(a, b)] = d
 }
 
+// Silence makes the established connections between two endpoints carry
+// nothing any more, for good and without closing them. New ones work.
+func (n *Network) Silence(a, b Endpoint) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lost[pair(a, b)]++
+	n.wake()
+}
+
+// wake makes waiting connections look at the state again. It must be called
+// with n.mu held.
+func (n *Network) wake() {
+	close(n.heal)
+	n.heal = make(chan struct{})
+}
+
 // Cut drops everything between two endpoints until Heal.
 func (n *Network) Cut(a, b Endpoint) { n.set(a, b, true) }
 
@@ -64,8 +83,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.cut[pair(a, b)] = cut
-	close(n.heal)
-	n.heal = make(chan struct{})
+	n.wake()
 }
 
 func pair(a, b Endpoint) [2]Endpoint {
@@ -75,11 +93,12 @@
 	return [2]Endpoint{a, b}
 }
 
-// state returns whether the pair is cut and a channel that closes at the next change.
-func (n *Network) state(p [2]Endpoint) (bool, <-chan struct{}) {
+// state returns whether the pair is cut, how often it lost its connection
+// state, and a channel that closes at the next change.
+func (n *Network) state(p [2]Endpoint) (cut bool, lost int, changed <-chan struct{}) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.cut[p], n.heal
+	return n.cut[p], n.lost[p], n.heal
 }
 
 // Dialer returns a dial function for connections that start at from.
@@ -104,7 +123,7 @@
 // awaitOpen blocks while the pair is cut, as an unanswered SYN does.
 func (n *Network) awaitOpen(ctx context.Context, p [2]Endpoint) error {
 	for {
-		cut, changed := n.state(p)
+		cut, _, changed := n.state(p)
 		if !cut {
 			return nil
 		}
@@ -130,6 +149,7 @@
 	network *Network
 	pair    [2]Endpoint
 	delay   time.Duration
+	lost    int // as it was when the connection was opened
 
 	received chan chunk
 	rest     chunk
@@ -143,11 +163,13 @@
 }
 
 func newLink(c net.Conn, n *Network, p [2]Endpoint, delay time.Duration) *link {
+	_, lost, _ := n.state(p)
 	l := &link{
 		Conn:     c,
 		network:  n,
 		pair:     p,
 		delay:    delay,
+		lost:     lost,
 		received: make(chan chunk, 64),
 		closed:   make(chan struct{}),
 		rearm:    make(chan struct{}),
@@ -199,8 +221,8 @@
 		}
 	}
 	for {
-		cut, changed := l.network.state(l.pair)
-		if !cut {
+		cut, lost, changed := l.network.state(l.pair)
+		if !cut && lost == l.lost {
 			return true
 		}
 		select {
