Measure latency from the request's own scheduled time

The goroutine of a request read the scheduled time from a variable that the loop advances for the next request, so a latency could be taken from a later request's schedule and came out too low. Each request now gets its own copy.

--- a/pkg/loadgen/loadgen.go
+++ b/pkg/loadgen/loadgen.go
@@ -140,10 +140,11 @@
 			s.Key = keyOf(r, g.Seed, n)
 		}
 		repeat := r.Once && rng.Float64() < r.RepeatShare
+		scheduled := at // the loop moves on while the request runs
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			g.send(ctx, s, at, repeat)
+			g.send(ctx, s, scheduled, repeat)
 		}()
 	}
 }
