--- a/pkg/measure/command.go
+++ b/pkg/measure/command.go
@@ -13,6 +13,8 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/nutmeghitch/nutmeghitch/examples"
+	operators "github.com/nutmeghitch/nutmeghitch/pkg/cli"
+	"github.com/nutmeghitch/nutmeghitch/pkg/config"
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 )
 
@@ -33,12 +35,15 @@
 			&cli.StringSliceFlag{Name: "scenario", Usage: "run the scenario `NAME`; may be repeated (default: all)", Validator: validScenarios},
 			&cli.StringFlag{Name: "site", Value: "msaada", Usage: "example site `NAME`", Validator: validSite},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of data, service times and load"},
-			&cli.DurationFlag{Name: "duration", Usage: "load `TIME` of each scenario after the warm-up (default: its own)", Validator: validDuration},
+			&cli.DurationFlag{Name: "duration", Usage: "load `TIME` of each scenario after the warm-up (default: its own)", HideDefault: true, Validator: validDuration},
 			&cli.BoolFlag{Name: "json", Usage: "print the results as JSON"},
-			&cli.StringFlag{Name: "out", Value: "measurements", Usage: "write one SVG plot per scenario to `DIR`; empty writes none"},
+			&cli.StringFlag{Name: "out", Value: "measure-out", Usage: "write one SVG plot per scenario to `DIR`; empty writes none"},
 			&cli.StringFlag{Name: "log", Usage: "write the log lines of all VMs to `FILE`"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			if first := c.Args().First(); first != "" {
+				return &operators.UsageError{Problem: fmt.Sprintf("measure takes no argument %q; name a scenario with --scenario", first)}
+			}
 			if c.Bool("list") {
 				return list(stdout, c.Bool("json"))
 			}
@@ -49,7 +54,7 @@
 
 func validSite(name string) error {
 	if !slices.Contains(examples.Sites(), name) {
-		return errs.Refuse(errs.InvalidRequest, "site %q is none of %s", name, strings.Join(examples.Sites(), ", "))
+		return &operators.UsageError{Problem: fmt.Sprintf("site %q is none of %s", name, strings.Join(examples.Sites(), ", "))}
 	}
 	return nil
 }
@@ -57,15 +62,26 @@
 func validScenarios(names []string) error {
 	for _, name := range names {
 		if _, ok := Find(name); !ok {
-			return errs.Refuse(errs.InvalidRequest, "unknown scenario %q, see nutmeghitch measure --list", name)
+			return &operators.UsageError{Problem: fmt.Sprintf("unknown scenario %q%s; see nutmeghitch measure --list", name, hint(name))}
 		}
 	}
 	return nil
 }
 
+func hint(name string) string {
+	var known []string
+	for _, s := range Scenarios() {
+		known = append(known, s.Name)
+	}
+	if s := config.Suggest(name, known); s != "" {
+		return fmt.Sprintf(", did you mean %q?", s)
+	}
+	return ""
+}
+
 func validDuration(d time.Duration) error {
 	if d != 0 && d < minDuration {
-		return errs.Refuse(errs.InvalidRequest, "duration %s is shorter than %s", d, minDuration)
+		return &operators.UsageError{Problem: fmt.Sprintf("%s is shorter than %s", d, minDuration)}
 	}
 	return nil
 }
