Name runs under a claim to the upstream in hexadecimal

Every booking ended with outcome_unknown: the claim's token is raw bytes, JSON changed it, and the upstream's reply named another request. The id is now the token in hexadecimal. The test cluster also gave lookup replicas an index version without shards, on which the stand-in panicked; they get none now.

--- /dev/null
+++ b/pkg/dispatch/call_test.go
@@ -0,0 +1,24 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
+)
+
+// Guards against a request id that the upstream's JSON changes: the reply then
+// names another request, and every booking ends with an unknown outcome.
+func TestUpstreamRequestIDSurvivesJSON(t *testing.T) {
+	first := upstreamRequestID(&wire.CallRequest{RequestID: "q1", Attempt: 1, Token: "\xff\x00\x80token"})
+	again := upstreamRequestID(&wire.CallRequest{RequestID: "q2", Attempt: 2, Token: "\xff\x00\x80token"})
+	assert.Equal(t, first, again)
+	encoded, err := json.Marshal(first)
+	assert.NilError(t, err)
+	var decoded string
+	assert.NilError(t, json.Unmarshal(encoded, &decoded))
+	assert.Equal(t, decoded, first)
+	assert.Assert(t, upstreamRequestID(&wire.CallRequest{RequestID: "q1", Attempt: 1}) != upstreamRequestID(&wire.CallRequest{RequestID: "q1", Attempt: 2}))
+}
--- a/pkg/dispatch/search.go
+++ b/pkg/dispatch/search.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"strconv"
 	"time"
 
@@ -191,19 +192,24 @@
 	return rows
 }
 
+// upstreamRequestID names a run to the upstream. All sends under one claim have
+// the same id. Tokens are raw bytes, which JSON would not carry unchanged.
+func upstreamRequestID(r *wire.CallRequest) string {
+	if r.Token != "" {
+		return hex.EncodeToString([]byte(r.Token))
+	}
+	return r.RequestID + "." + strconv.FormatUint(uint64(r.Attempt), 10)
+}
+
 // Call runs one lookup operation at one replica.
 func (d *Dispatcher) Call(ctx context.Context, r *wire.CallRequest) *wire.CallReply {
-	requestID := r.Token
-	if requestID == "" {
-		requestID = r.RequestID + "." + strconv.FormatUint(uint64(r.Attempt), 10)
-	}
 	res := d.do(ctx, attempt{
 		replica:     r.Replica,
 		fingerprint: r.Fingerprint,
 		suspect:     r.Suspect,
 		caller:      r.Caller,
 		run: upstream.RunRequest{
-			RequestID: requestID,
+			RequestID: upstreamRequestID(r),
 			Service:   r.Service,
 			Operation: r.Operation,
 			Deadline:  d.cfg.Now().Add(r.Remaining),
--- a/pkg/testcluster/cluster.go
+++ b/pkg/testcluster/cluster.go
@@ -188,11 +188,15 @@
 
 func (c *Cluster) upstreamConfig(name model.ServiceID, svc *model.Service, m *model.ShardMap, g *model.Group, r *model.Replica, version uint64) fake.UpstreamConfig {
 	p := c.cfg.Profile(name, svc)
+	var versions []fake.IndexVersion
+	if svc.Kind == model.Search { // lookup services have no index
+		versions = append(versions, IndexVersion(version, m, g))
+	}
 	return fake.UpstreamConfig{
 		Replica:      r.ID,
 		Kind:         svc.Kind,
 		Data:         c.Data[name],
-		Versions:     []fake.IndexVersion{IndexVersion(version, m, g)},
+		Versions:     versions,
 		Order:        svc.Order,
 		Operations:   svc.Operations,
 		Executions:   c.Executions[name],
