Drop peer messages that follow the end of their exchange

A VM ended with a panic, send on closed channel, when a CancelAttempts arrived after the StreamEnd of its exchange while the handler still ran. Both come from one entry VM: the cancellation of a hedge crosses the end of the search. The exchange now remembers that it ended and drops what follows.

--- a/pkg/peer/stream.go
+++ b/pkg/peer/stream.go
@@ -118,11 +118,17 @@
 type exchange struct {
 	in     chan wire.Message
 	cancel context.CancelCauseFunc
-	once   sync.Once
+	// ended is set when in is closed. Only the reader of the connection calls
+	// push and end, so it needs no lock.
+	ended bool
 }
 
-// push queues a later message; an exchange without room is ended.
+// push queues a later message; an exchange without room is ended. A peer may
+// still send on a stream that it has ended, such messages are dropped.
 func (e *exchange) push(m wire.Message) {
+	if e.ended {
+		return
+	}
 	select {
 	case e.in <- m:
 	default:
@@ -130,11 +136,12 @@
 	}
 }
 
-// end tells the handler that no more messages come. Only the reader of the
-// connection calls push and end, so nothing is sent on a closed channel.
+// end tells the handler that no more messages come.
 func (e *exchange) end(err error) {
-	e.once.Do(func() {
-		close(e.in)
-		e.cancel(err)
-	})
+	if e.ended {
+		return
+	}
+	e.ended = true
+	close(e.in)
+	e.cancel(err)
 }
