--- a/pkg/dispatch/attempt.go
+++ b/pkg/dispatch/attempt.go
@@ -13,10 +13,14 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
 )
 
-// cancelGrace is how long a running attempt may take to end after its
-// deadline or cancellation before its connection is closed. The slot stays
-// taken meanwhile, because the upstream is still working.
-const cancelGrace = 250 * time.Millisecond
+const (
+	// cancelGrace is added to the deadline of the exchange with the upstream,
+	// so that its own answer to the deadline or the cancellation arrives.
+	cancelGrace = 250 * time.Millisecond
+	// slotHold is how long a slot stays taken after an attempt ended without
+	// an answer: the upstream's deadline starts when the request arrives there.
+	slotHold = 20 * time.Millisecond
+)
 
 // attempt is one send to one replica.
 type attempt struct {
@@ -97,10 +101,20 @@
 		err = upstream.Check(a.run, response)
 	}
 	d.account(ctx, t, a, response, err)
-	t.leave(d.cfg.Now(), id, outcomeOf(err), took)
+	d.leave(t, id, a, err, took)
 	return result{response: response, err: err, hint: t.hint(), service: took}
 }
 
+// leave returns the slot, at once when the upstream has answered.
+func (d *Dispatcher) leave(t *target, id uint64, a attempt, err error, took time.Duration) {
+	if !errs.Is(err, errs.DeadlineExceeded) || errs.As(err).RunState == errs.DidNotRun {
+		t.leave(d.cfg.Now(), id, outcomeOf(err), took)
+		return
+	}
+	t.client.Cancel(a.run.RequestID)
+	time.AfterFunc(slotHold, func() { t.leave(d.cfg.Now(), id, limit.Failed, took) })
+}
+
 // account updates instance identity and poison accounting before the slot is
 // returned, so that the fingerprint still counts as in flight.
 func (d *Dispatcher) account(ctx context.Context, t *target, a attempt, response *upstream.RunResponse, err error) {
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -18,6 +18,9 @@
 // a replica is reported as down. One lost request must not empty a group.
 const statusFailures = 3
 
+// stateDraining is what a draining upstream reports in its status.
+const stateDraining = "draining"
+
 // targetSpec is what the configuration says about one owned replica.
 type targetSpec struct {
 	replica model.Replica
@@ -97,7 +100,7 @@
 		client: upstream.New(upstream.Config{
 			Replica:  s.replica.ID,
 			Addr:     s.replica.Addr,
-			MaxConns: s.conns - controlConns,
+			MaxConns: s.conns,
 			Spare:    spareConns,
 			Dial:     dial,
 		}),
@@ -301,7 +304,7 @@
 	t.status = model.ReplicaStatus{
 		Replica:   t.spec.replica.ID,
 		Instance:  s.Instance,
-		Draining:  s.State == upstream.StateDraining,
+		Draining:  s.State == stateDraining,
 		Snapshots: s.Snapshots,
 	}
 	return t.status
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -198,7 +198,7 @@
 		return s.retryOrMiss(st, errs.Ambiguous(errs.ResponseMismatch, "group %s answered for other shards", o.Group))
 	}
 	s.g.table.Completed(now, o.Replica, now.Sub(a.sentAt), o.Hint)
-	s.policy.Observe(now.Sub(a.sentAt))
+	s.policy.Observe(now.Sub(st.firstSent))
 	s.g.cfg.Ledger.Succeeded(now, s.fp)
 	s.resolve(st)
 	s.cancelRunning(now, st)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -54,7 +54,13 @@
 	lastID   atomic.Uint64
 
 	mu       sync.Mutex
-	policies map[model.ServiceID]*hedge.Policy
+	policies map[model.ServiceID]policy
+}
+
+// policy is the hedging policy of a service and what it was made for.
+type policy struct {
+	config hedge.Config
+	*hedge.Policy
 }
 
 // Sends counts sub-requests by the reason of the send. Hedges and retries are
@@ -96,7 +102,7 @@
 		cfg:       c,
 		table:     newTable(c),
 		admission: newAdmitter(c.View, c.Policy),
-		policies:  make(map[model.ServiceID]*hedge.Policy),
+		policies:  make(map[model.ServiceID]policy),
 		idPrefix:  uuid.NewString()[:13] + "-",
 		counters: counters{
 			primaries:   sendCounter{metric: c.Scope.Counter("sends_primary")},
@@ -150,19 +156,18 @@
 	return v, svc, nil
 }
 
+// policy returns the hedging policy of a service. A configuration that changes
+// its parameters starts a new one.
 func (g *Gateway) policy(id model.ServiceID, svc *model.Service, groups int) *hedge.Policy {
+	want := hedge.Config{Groups: groups, TargetQuantile: svc.TargetQuantile, ExtraLoad: svc.ExtraLoad}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := g.policies[id]
-	if p == nil {
-		p = hedge.NewPolicy(hedge.Config{
-			Groups:         groups,
-			TargetQuantile: svc.TargetQuantile,
-			ExtraLoad:      svc.ExtraLoad,
-		})
+	if p.Policy == nil || p.config != want {
+		p = policy{config: want, Policy: hedge.NewPolicy(want)}
 		g.policies[id] = p
 	}
-	return p
+	return p.Policy
 }
 
 func (g *Gateway) newQueryID() string {
--- a/pkg/gateway/scatter.go
+++ b/pkg/gateway/scatter.go
@@ -36,11 +36,13 @@
 	tried    map[model.ReplicaID]bool
 	running  map[uint32]send // attempts without an outcome
 	attempts int
-	sentAt   time.Time
-	hedged   bool
-	resolved bool
-	resendAt time.Time // not zero while a move waits
-	lastErr  error
+	// firstSent is the time of the first send, sentAt of the last one.
+	firstSent time.Time
+	sentAt    time.Time
+	hedged    bool
+	resolved  bool
+	resendAt  time.Time // not zero while a move waits
+	lastErr   error
 }
 
 // send is one attempt in flight.
@@ -230,6 +232,9 @@
 		st.tried[pick.Replica] = true
 		st.attempts++
 		st.sentAt = now
+		if st.attempts == 1 {
+			st.firstSent = now
+		}
 		st.running[s.nextID] = send{replica: pick.Replica, sentAt: now}
 		s.g.table.Sent(now, pick.Replica)
 		owner := v.Owners[pick.Replica]
--- a/pkg/loadgen/loadgen.go
+++ b/pkg/loadgen/loadgen.go
@@ -129,9 +129,10 @@
 	rng := rand.New(rand.NewPCG(g.Seed, uint64(index)+1))
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	at := g.start
+	next := g.start
 	for n := 0; ; n++ {
-		at = at.Add(time.Duration(rng.ExpFloat64() / (r.PerSecond * g.rate(at.Sub(g.start))) * float64(time.Second)))
+		next = next.Add(time.Duration(rng.ExpFloat64() / (r.PerSecond * g.rate(next.Sub(g.start))) * float64(time.Second)))
+		at := next // the loop moves on while the request runs
 		if at.Sub(g.start) > d || !sleepUntil(ctx, at) {
 			return
 		}
@@ -140,11 +141,10 @@
 			s.Key = keyOf(r, g.Seed, n)
 		}
 		repeat := r.Once && rng.Float64() < r.RepeatShare
-		scheduled := at // the loop moves on while the request runs
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			g.send(ctx, s, scheduled, repeat)
+			g.send(ctx, s, at, repeat)
 		}()
 	}
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -84,6 +84,10 @@
 	if c.BalancerNotice == 0 {
 		c.BalancerNotice = frontend.DefaultBalancerNotice
 	}
+	if c.Self.Incarnation == 0 {
+		// A restarted VM must outrank what its peers remember of it.
+		c.Self.Incarnation = uint64(time.Now().UnixNano())
+	}
 	if c.StopTimeout == 0 {
 		c.StopTimeout = DefaultStopTimeout
 	}
--- a/pkg/node/servers.go
+++ b/pkg/node/servers.go
@@ -9,6 +9,7 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/kernel"
 	"github.com/nutmeghitch/nutmeghitch/pkg/model"
 	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
+	"github.com/nutmeghitch/nutmeghitch/pkg/snapshot"
 )
 
 const (
@@ -16,6 +17,9 @@
 	drainPoll = 10 * time.Millisecond
 	// readyPoll is the period in which readiness follows the control state.
 	readyPoll = 50 * time.Millisecond
+	// snapshotWait bounds how long a new VM waits to learn the index versions
+	// of all groups.
+	snapshotWait = 5 * time.Second
 )
 
 // drainService waits during a stop until no attempt of any entry VM is in
@@ -77,13 +81,23 @@
 	return nil
 }
 
-// followReadiness makes the VM ready once its configuration is known and its
-// peers have been asked for a newer one.
+// followReadiness makes the VM ready once its configuration is known, its
+// peers have been asked for a newer one, and it knows a snapshot of each search
+// service. A service whose upstreams are all lost must not keep a VM from
+// serving the others, so snapshots are waited for only for a time.
 func (s *operatorsService) followReadiness(ctx context.Context, ctl *controlService) error {
 	tick := time.NewTicker(readyPoll)
 	defer tick.Stop()
+	var synced time.Time
 	for {
-		s.readiness.SetReady(ctl.Synced())
+		switch {
+		case !ctl.Synced():
+			synced = time.Time{}
+		case synced.IsZero():
+			synced = time.Now()
+		}
+		known := !synced.IsZero() && (s.readiness.Ready() || time.Since(synced) > snapshotWait || snapshotsKnown(ctl.Current()))
+		s.readiness.SetReady(known)
 		select {
 		case <-ctx.Done():
 			return nil
@@ -92,6 +106,21 @@
 	}
 }
 
+func snapshotsKnown(v *model.View) bool {
+	if v.Config == nil {
+		return false
+	}
+	for _, svc := range v.Config.Services {
+		if svc.Kind != model.Search {
+			continue
+		}
+		if c, ok := snapshot.Choose(svc, v); !ok || c.Covered < len(c.Groups) {
+			return false
+		}
+	}
+	return true
+}
+
 // Stop implements kernel.Stopper.
 func (s *operatorsService) Stop(ctx context.Context) error { return s.server.Stop(ctx) }
 
--- a/pkg/node/services.go
+++ b/pkg/node/services.go
@@ -6,12 +6,15 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/claim"
+	"github.com/nutmeghitch/nutmeghitch/pkg/config"
+	"github.com/nutmeghitch/nutmeghitch/pkg/confsync"
 	"github.com/nutmeghitch/nutmeghitch/pkg/control"
 	"github.com/nutmeghitch/nutmeghitch/pkg/dispatch"
 	"github.com/nutmeghitch/nutmeghitch/pkg/frontend"
 	"github.com/nutmeghitch/nutmeghitch/pkg/gateway"
 	"github.com/nutmeghitch/nutmeghitch/pkg/kernel"
 	"github.com/nutmeghitch/nutmeghitch/pkg/logging"
+	"github.com/nutmeghitch/nutmeghitch/pkg/model"
 	"github.com/nutmeghitch/nutmeghitch/pkg/peer"
 	"github.com/nutmeghitch/nutmeghitch/pkg/placement"
 	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
@@ -111,11 +114,19 @@
 		Store:     s.cfg.Store,
 		Log:       logFor(s.cfg, "control"),
 		Ledger:    s.ledger,
+		Join:      joinSections,
+		Verify:    func(hash string, body []byte) bool { return config.Hash(body) == hash },
+		Rng:       s.cfg.Rand,
 	})
 	scope.Go(s.Run)
 	return nil
 }
 
+// joinSections builds the document that a manifest names.
+func joinSections(m confsync.Manifest, section func(hash string) ([]byte, bool)) (*model.Document, error) {
+	return config.Join(config.Manifest{Version: m.Version, Sections: m.Sections}, section)
+}
+
 // dispatchService is the owner side.
 type dispatchService struct {
 	cfg    *Config
@@ -172,6 +183,14 @@
 	return nil
 }
 
+// Stop implements kernel.Stopper. It stores the outcomes of runs that ended
+// after their caller's deadline.
+func (s *claimService) Stop(ctx context.Context) error {
+	err := s.Flush(ctx)
+	s.Close()
+	return err
+}
+
 // gatewayService is the entry side.
 type gatewayService struct {
 	cfg    *Config
@@ -243,10 +262,7 @@
 	if err != nil {
 		return err
 	}
-	for _, k := range []wire.Kind{
-		wire.KindPing, wire.KindPingRequest, wire.KindSyncRequest,
-		wire.KindConfigRequest, wire.KindRelease, wire.KindPoisonReport,
-	} {
+	for _, k := range control.Kinds() {
 		t.Handle(k, ctl.Handle)
 	}
 	t.Handle(wire.KindSearchBatch, local.HandlePeer)
--- a/pkg/workload/workload.go
+++ b/pkg/workload/workload.go
@@ -99,7 +99,7 @@
 		// Upstreams count executions by the field "token", so a request that
 		// ran twice under different claims is noticed.
 		req.Body = func(rng *rand.Rand, n int) []byte {
-			return fmt.Appendf(nil, `{"id":%q,"token":"%s-%s-%d"}`, data.ID(rng.IntN(data.Len())), name, op, n)
+			return fmt.Appendf(nil, `{"id":%q,"token":"%s-%s-%d-%x"}`, data.ID(rng.IntN(data.Len())), name, op, n, rng.Uint64())
 		}
 	}
 	return req
