--- a/pkg/dispatch/attempt.go
+++ b/pkg/dispatch/attempt.go
@@ -59,9 +59,10 @@
 
 func (d *Dispatcher) acquire(ctx context.Context, t *target, a attempt) (uint64, error) {
 	id, granted, err := t.enter(d.cfg.Now(), limit.Request{
-		Deadline: a.run.Deadline,
-		Caller:   a.caller,
-		Suspect:  a.suspect,
+		Deadline:  a.run.Deadline,
+		Caller:    a.caller,
+		Operation: a.run.Operation,
+		Suspect:   a.suspect,
 	}, a.fingerprint)
 	if err != nil || granted == nil {
 		return id, err
@@ -155,8 +156,10 @@
 	}
 	r := errs.As(err)
 	switch r.Code {
-	case errs.UpstreamShed, errs.UpstreamCold:
+	case errs.UpstreamShed:
 		return limit.Shed
+	case errs.UpstreamCold:
+		return limit.ShedCold
 	case errs.UpstreamLost, errs.ConnectionSilent:
 		return limit.Lost
 	case errs.Canceled, errs.VersionGone, errs.UpstreamDraining:
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -141,11 +141,25 @@
 		return t
 	}
 	t := newTarget(spec, d.cfg.Now(), d.cfg.Dial)
+	d.seed(t)
 	d.targets[id] = t
 	d.cfg.Log.WithFields(logrus.Fields{"replica": id, "reason": "owner_by_rendezvous"}).Info("Adopted replica.")
 	return t
 }
 
+// seed must be called with d.mu held.
+func (d *Dispatcher) seed(t *target) {
+	for _, sibling := range d.targets {
+		if sibling.spec.service != t.spec.service {
+			continue
+		}
+		if known := sibling.baselines(); len(known) > 0 {
+			t.seed(known)
+			return
+		}
+	}
+}
+
 // giveUp must be called with d.mu held.
 func (d *Dispatcher) giveUp(id model.ReplicaID, t *target) {
 	delete(d.targets, id)
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +31,8 @@
 	conns   int
 	cold    float64
 	queue   int
+	// operations are the names whose service times are compared separately.
+	operations []string
 }
 
 type dialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
@@ -48,6 +52,7 @@
 	instance string
 	progress progressBound
 	takeover takeoverCap
+	capped   float64
 	excluded bool
 	gone     bool
 	failures int
@@ -85,6 +90,8 @@
 		conns:   max(conns, 2),
 		cold:    cold,
 		queue:   svc.QueueLimit,
+
+		operations: slices.Sorted(maps.Keys(svc.Operations)),
 	}
 }
 
@@ -110,6 +117,29 @@
 	return t
 }
 
+// baselines returns the normal service time of each operation that has one.
+func (t *target) baselines() map[string]time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[string]time.Duration, len(t.spec.operations))
+	for _, op := range t.spec.operations {
+		if d, ok := t.window.Baseline(op); ok {
+			out[op] = d
+		}
+	}
+	return out
+}
+
+// seed takes over the normal service times of a replica of the same service.
+// Without them the slow answers of a cold replica would count as normal.
+func (t *target) seed(from map[string]time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for op, d := range from {
+		t.window.Seed(op, d)
+	}
+}
+
 // enter asks the gate for a slot. The returned channel delivers nil when the
 // slot is granted later, or the reason why it is not; it is nil when the slot
 // was granted at once.
@@ -159,7 +189,7 @@
 	if o == limit.Succeeded {
 		t.progress.observe(service)
 	}
-	if o == limit.Shed {
+	if o == limit.Shed || o == limit.ShedCold {
 		t.takeover.shed(now)
 	}
 	t.grant(t.gate.Done(now, id, o, service))
@@ -196,7 +226,11 @@
 func (t *target) poll() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := time.Now()
+	t.pollAt(time.Now())
+}
+
+// pollAt must be called with t.mu held, after each change of the window.
+func (t *target) pollAt(now time.Time) {
 	granted, expired := t.gate.Poll(now)
 	t.grant(granted)
 	for _, id := range expired {
@@ -208,7 +242,13 @@
 func (t *target) applyTakeover(now time.Time, k model.Takeover) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.window.Cap(t.takeover.limit(now, k, t.spec.slots))
+	limit := t.takeover.limit(now, k, t.spec.slots)
+	if limit == t.capped {
+		return
+	}
+	t.capped = limit
+	t.window.Cap(limit)
+	t.pollAt(now)
 }
 
 // applyExclusion restarts the ramp when a replica comes back: caches of an
@@ -219,6 +259,7 @@
 	out := reason != ""
 	if t.excluded && !out {
 		t.window.Restart(now)
+		t.pollAt(now)
 	}
 	t.excluded = out
 	if !out {
@@ -279,7 +320,10 @@
 	defer t.mu.Unlock()
 	known := t.instance
 	t.instance = id
-	t.window.Instance(now, id)
+	if known != id {
+		t.window.Instance(now, id)
+		t.pollAt(now)
+	}
 	return known != "" && known != id
 }
 
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/hex"
 	"net/http"
 	"time"
 
@@ -369,8 +368,7 @@
 
 // executeClaimed sends the request under its claim and records what became of it.
 func (c *call) executeClaimed(ctx context.Context, grant claim.Grant) (*frontend.CallAnswer, error) {
-	// The token is binary; as an upstream's request id it must survive JSON.
-	res := c.sendClaimed(ctx, hex.EncodeToString([]byte(grant.Token)))
+	res := c.sendClaimed(ctx, grant.Token)
 	if res.err == nil {
 		if err := c.g.cfg.Claims.Record(ctx, grant, http.StatusOK, res.answer); err != nil {
 			return nil, errs.Ambiguous(errs.OutcomeUnknown, "the outcome could not be recorded: %v", err).WithRetryAfter(time.Second)
