Encode frames without an allocation for each byte

Cause: the msgpack encoder allocates for each single byte when its writer has no WriteByte. Change: the frame buffer implements io.ByteWriter.

--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -64,6 +64,13 @@
 	return len(p), nil
 }
 
+// WriteByte implements io.ByteWriter. Without it the encoder allocates for
+// each byte it writes.
+func (a *appender) WriteByte(c byte) error {
+	a.b = append(a.b, c)
+	return nil
+}
+
 // Append appends the frame of m to dst. On error dst is returned unchanged,
 // so a frame is appended completely or not at all.
 func Append(dst []byte, stream uint64, m Message, limit int) ([]byte, error) {
