Fix the end of an exchange on the accepting side

Cause: a message that arrived after the end of a stream, while its handler was still running, was sent on a closed channel and ended the process. Change: an ended exchange is forgotten before its channel is closed, its context ends first, and Send on an ended stream is refused with did_not_run. The controllers in tests have fixed seeds. Conclusion: late messages are dropped.

--- a/pkg/control/events.go
+++ b/pkg/control/events.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -145,7 +144,7 @@
 	if !s.members.Joined() || len(s.vms) < 2 {
 		interval = vmsJoining
 	}
-	s.nextVMs = now.Add(interval/2 + rand.N(interval))
+	s.nextVMs = now.Add(interval/2 + time.Duration(s.c.cfg.Rng.Int64N(int64(interval))))
 	s.vmsRunning = s.io.call(storeTimeout, s.io.readVMs)
 }
 
--- a/pkg/control/harness_test.go
+++ b/pkg/control/harness_test.go
@@ -5,11 +5,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/nutmeghitch/nutmeghitch/pkg/confsync"
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/model"
@@ -70,6 +72,8 @@
 	}
 	v.Controller = New(Config{
 		Self: vmOf(id), Seeds: seeds, Transport: port{f, id}, Store: v.store, Log: discard(), Ledger: v.ledger,
+		// The verdict of a run must not depend on a random seed.
+		Rng: rand.New(rand.NewPCG(1, xxhash.Sum64String(string(id)))),
 		Join: func(m confsync.Manifest, section func(string) ([]byte, bool)) (*model.Document, error) {
 			body, _ := section(m.Sections["all"])
 			doc := &model.Document{}
--- a/pkg/peer/conn.go
+++ b/pkg/peer/conn.go
@@ -246,6 +246,10 @@
 	case s != nil:
 		c.deliver(s, m)
 	case e != nil && end:
+		// Messages that follow the end must not reach the closed channel.
+		c.mu.Lock()
+		delete(c.exchanges, id)
+		c.mu.Unlock()
 		e.end(errs.Ambiguous(errs.Canceled, "peer gave up the exchange"))
 	case e != nil:
 		e.push(m)
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -321,6 +321,25 @@
 	})
 }
 
+// Guards against a message after the end of a stream, which reached a closed
+// channel of the accepting side while its handler was still running.
+func TestMessageAfterEndIsDropped(t *testing.T) {
+	handle := func(b *Transport) {
+		b.Handle(wire.KindCallRequest, func(ctx context.Context, _ model.VMID, _ wire.Message, _ <-chan wire.Message, _ func(wire.Message) error) {
+			time.Sleep(time.Minute)
+		})
+	}
+	pair(t, "s", "s", handle, func(t *testing.T, a *Transport, _ *pipeNet) {
+		s, err := a.Open(t.Context(), target, &wire.CallRequest{})
+		assert.NilError(t, err)
+		s.Close()
+		assert.Equal(t, errs.As(s.Send(&wire.CancelAttempts{})).RunState, errs.DidNotRun)
+		c := s.(*stream).c
+		assert.NilError(t, c.send(t.Context(), s.(*stream).id, &wire.CancelAttempts{}))
+		time.Sleep(2 * time.Minute)
+	})
+}
+
 // Guards against a notification whose answer needs the sender's address, and
 // against unbounded incoming connections.
 func TestNotifyAnswerAndIncomingBound(t *testing.T) {
--- a/pkg/peer/stream.go
+++ b/pkg/peer/stream.go
@@ -33,6 +33,12 @@
 
 // Send implements wire.Stream.
 func (s *stream) Send(m wire.Message) error {
+	s.mu.Lock()
+	err := s.err
+	s.mu.Unlock()
+	if err != nil {
+		return errs.Refuse(errs.As(err).Code, "stream has ended: %v", err)
+	}
 	return s.c.send(context.Background(), s.id, m)
 }
 
@@ -130,11 +136,13 @@
 	}
 }
 
-// end tells the handler that no more messages come. Only the reader of the
-// connection calls push and end, so nothing is sent on a closed channel.
+// end tells the handler that no more messages come. The context is ended
+// first, so a handler that sees the closed channel can read the cause. Only
+// the reader of the connection calls push and end, so nothing is sent on a
+// closed channel.
 func (e *exchange) end(err error) {
 	e.once.Do(func() {
-		close(e.in)
 		e.cancel(err)
+		close(e.in)
 	})
 }
