Give the poison ledger its terms and the configured limit

Cause: a node built its ledger from an empty Config, and only the limit had a default. Terms of 0 ended each verdict at once, so no request was ever suspect or blocked, and tier.poison_limit and tier.poison_block_ms had no effect.

Change: terms of 0 take defaults (block 10 min as in the design, suspect 1 min, recent success 30 s), and each configuration that comes into force sets limit and block term.

--- a/pkg/node/services.go
+++ b/pkg/node/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -114,7 +115,7 @@
 		Store:     s.cfg.Store,
 		Log:       logFor(s.cfg, "control"),
 		Ledger:    s.ledger,
-		Join:      joinSections,
+		Join:      s.join,
 		Verify:    func(hash string, body []byte) bool { return config.Hash(body) == hash },
 		Rng:       s.cfg.Rand,
 	})
@@ -122,9 +123,15 @@
 	return nil
 }
 
-// joinSections builds the document that a manifest names.
-func joinSections(m confsync.Manifest, section func(hash string) ([]byte, bool)) (*model.Document, error) {
-	return config.Join(config.Manifest{Version: m.Version, Sections: m.Sections}, section)
+// join builds the document that a manifest names and puts its rules on poison
+// requests in force.
+func (s *controlService) join(m confsync.Manifest, section func(hash string) ([]byte, bool)) (*model.Document, error) {
+	doc, err := config.Join(config.Manifest{Version: m.Version, Sections: m.Sections}, section)
+	if err != nil {
+		return nil, err
+	}
+	s.ledger.Configure(doc.Tier.PoisonLimit, time.Duration(doc.Tier.PoisonBlockMS)*time.Millisecond)
+	return doc, nil
 }
 
 // dispatchService is the owner side.
--- /dev/null
+++ b/pkg/poison/defaults_test.go
@@ -0,0 +1,26 @@
+package poison
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a ledger without terms, whose verdicts end at once, and
+// against a configured limit or term that is not in force.
+func TestDefaultsAndConfigure(t *testing.T) {
+	l := NewLedger(Config{})
+	l.Lost(start, "r1", "i1", []uint64{1})
+	assert.Equal(t, l.Check(start, 1), Suspect)
+	l.Lost(start, "r2", "i2", []uint64{1})
+	assert.Equal(t, l.Check(start.Add(DefaultBlockFor-1), 1), Blocked)
+	assert.Equal(t, l.Check(start.Add(DefaultBlockFor), 1), Unknown)
+	l.Succeeded(start, 2)
+	assert.Equal(t, l.Check(start.Add(DefaultRecentFor), 2), Proven)
+
+	l.Configure(1, time.Hour)
+	l.Lost(start, "r1", "i1", []uint64{3})
+	assert.Equal(t, l.Check(start.Add(time.Hour-1), 3), Blocked)
+	assert.Equal(t, l.Check(start.Add(time.Hour), 3), Unknown)
+}
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -18,6 +18,11 @@
 const (
 	// DefaultLimit is the number of lost instances that block a fingerprint.
 	DefaultLimit = 2
+	// DefaultBlockFor, DefaultSuspectFor and DefaultRecentFor replace the terms
+	// that a Config leaves at 0. A term of 0 would end each verdict at once.
+	DefaultBlockFor   = 10 * time.Minute
+	DefaultSuspectFor = time.Minute
+	DefaultRecentFor  = 30 * time.Second
 	// MaxRecords bounds the fingerprints with losses, and MaxProven the ones
 	// that succeeded recently. Together they stay below 2 MB.
 	MaxRecords = 4096
@@ -67,11 +72,34 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger(c Config) *Ledger {
+	c = withDefaults(c)
+	return &Ledger{config: c, records: map[uint64]*record{}, proven: newRecentSet(c.RecentFor)}
+}
+
+func withDefaults(c Config) Config {
 	if c.Limit <= 0 {
 		c.Limit = DefaultLimit
 	}
 	c.Limit = min(c.Limit, model.PoisonInstances)
-	return &Ledger{config: c, records: map[uint64]*record{}, proven: newRecentSet(c.RecentFor)}
+	if c.BlockFor <= 0 {
+		c.BlockFor = DefaultBlockFor
+	}
+	if c.SuspectFor <= 0 {
+		c.SuspectFor = DefaultSuspectFor
+	}
+	if c.RecentFor <= 0 {
+		c.RecentFor = DefaultRecentFor
+	}
+	return c
+}
+
+// Configure changes the limit and the term of a block; values of 0 stand for
+// the defaults. Verdicts that hold keep their term.
+func (l *Ledger) Configure(limit int, blockFor time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.config.Limit, l.config.BlockFor = limit, blockFor
+	l.config = withDefaults(l.config)
 }
 
 // Fingerprint returns the hash of a request. The parts are delimited by their
