Let handlers be registered while connections are open

Cause: the control goroutine dials its seeds before the other services have registered their handlers, so the reader of a dialled connection read the handler table while it was written.

Change: the table holds atomic pointers.

--- a/pkg/peer/transport.go
+++ b/pkg/peer/transport.go
@@ -65,7 +65,7 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
-	handlers [256]wire.Handler
+	handlers [256]atomic.Pointer[wire.Handler]
 	incoming atomic.Int64
 
 	mu       sync.Mutex
@@ -98,11 +98,17 @@
 	return t
 }
 
-// Handle registers the handler of a kind. It must be called before Serve and
-// before the first Open or Notify.
-func (t *Transport) Handle(k wire.Kind, h wire.Handler) { t.handlers[k] = h }
+// Handle registers the handler of a kind. It must be called before Serve, and
+// may be called while exchanges are open: a connection that this VM has dialled
+// also carries requests of the peer. Kinds without a handler are refused.
+func (t *Transport) Handle(k wire.Kind, h wire.Handler) { t.handlers[k].Store(&h) }
 
-func (t *Transport) handler(k wire.Kind) wire.Handler { return t.handlers[k] }
+func (t *Transport) handler(k wire.Kind) wire.Handler {
+	if h := t.handlers[k].Load(); h != nil {
+		return *h
+	}
+	return nil
+}
 
 // clock returns nanoseconds since the start of the transport, never 0.
 func (t *Transport) clock() int64 { return int64(time.Since(t.start)) + 1 }
