Give control and gateway random generators of their own

Cause: both services of a node drew from the one generator of its Config, which is not safe for concurrent use.

Change: each service gets a generator that is seeded from it.

--- a/pkg/node/services.go
+++ b/pkg/node/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -45,8 +46,8 @@
 // callers stop first, then the work of other VMs, then the connections.
 func register(k *kernel.Kernel, c *Config, readiness *frontend.Readiness) (*services, error) {
 	ledger := poison.NewLedger(poison.Config{})
-	ctl := &controlService{cfg: c, ledger: ledger}
-	gw := &gatewayService{cfg: c, ledger: ledger}
+	ctl := &controlService{cfg: c, ledger: ledger, rng: split(c.Rand)}
+	gw := &gatewayService{cfg: c, ledger: ledger, rng: split(c.Rand)}
 	callers := &callersService{cfg: c, readiness: readiness}
 	add := []error{
 		kernel.Add(k, peerHandle, &peerService{cfg: c}),
@@ -67,6 +68,10 @@
 	return &services{control: ctl, gateway: gw}, nil
 }
 
+// split returns a generator of its own for one service, because a generator
+// must not be shared by goroutines.
+func split(r *rand.Rand) *rand.Rand { return rand.New(rand.NewPCG(r.Uint64(), r.Uint64())) }
+
 func logFor(c *Config, part string) logrus.FieldLogger { return logging.For(c.Logger, part) }
 
 // peerService is the transport to other VMs.
@@ -99,6 +104,7 @@
 type controlService struct {
 	cfg    *Config
 	ledger *poison.Ledger
+	rng    *rand.Rand
 	*control.Controller
 }
 
@@ -117,7 +123,7 @@
 		Ledger:    s.ledger,
 		Join:      s.join,
 		Verify:    func(hash string, body []byte) bool { return config.Hash(body) == hash },
-		Rng:       s.cfg.Rand,
+		Rng:       s.rng,
 	})
 	scope.Go(s.Run)
 	return nil
@@ -201,6 +207,7 @@
 type gatewayService struct {
 	cfg    *Config
 	ledger *poison.Ledger
+	rng    *rand.Rand
 	*gateway.Gateway
 }
 
@@ -231,7 +238,7 @@
 		Claims:    claims.Service,
 		Log:       logFor(s.cfg, "gateway"),
 		Scope:     s.cfg.Scope,
-		Rand:      s.cfg.Rand,
+		Rand:      s.rng,
 	})
 	scope.Go(s.Run)
 	return nil
