Let verdicts on poison requests hold

The ledger was created without terms, so every verdict ended at once: a request that crashed upstreams was never blocked, and no success spared the next request its canary. Terms of 0 now take defaults, and the tier's poison_limit and poison_block_ms, which had no effect, are applied with each view. A send that was refused a connection no longer counts as a loss of the upstream; it made suspects of innocent requests while an upstream was down.

--- a/pkg/dispatch/attempt.go
+++ b/pkg/dispatch/attempt.go
@@ -126,7 +126,8 @@
 		if e, tell := d.cfg.Ledger.Succeeded(d.cfg.Now(), a.fingerprint); tell {
 			go d.cfg.Spread(context.WithoutCancel(ctx), e)
 		}
-	case errs.Is(err, errs.UpstreamLost):
+	case errs.Is(err, errs.UpstreamLost) && errs.As(err).RunState == errs.MayHaveRun:
+		// A send that never reached the upstream cannot have brought it down.
 		d.lost.Inc(1)
 		d.upstreamLost(ctx, t, "connection_reset")
 	}
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -113,6 +113,8 @@
 	if v.Config == nil {
 		return
 	}
+	tier := v.Config.Tier
+	d.cfg.Ledger.Configure(tier.PoisonLimit, time.Duration(tier.PoisonBlockMS)*time.Millisecond)
 	owned := ownedReplicas(v, d.cfg.Self, d.cfg.Policy)
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -18,6 +18,11 @@
 const (
 	// DefaultLimit is the number of lost instances that block a fingerprint.
 	DefaultLimit = 2
+	// DefaultBlockFor, DefaultSuspectFor and DefaultRecentFor are the terms of
+	// verdicts. A suspect needs time to be sent again by its caller.
+	DefaultBlockFor   = 10 * time.Minute
+	DefaultSuspectFor = 10 * time.Minute
+	DefaultRecentFor  = 10 * time.Minute
 	// MaxRecords bounds the fingerprints with losses, and MaxProven the ones
 	// that succeeded recently. Together they stay below 2 MB.
 	MaxRecords = 4096
@@ -30,10 +35,9 @@
 	anonymousWindow = 5 * time.Second
 )
 
-// Config holds the rules of a ledger.
+// Config holds the rules of a ledger. Values of 0 take their defaults.
 type Config struct {
-	// Limit is the number of lost instances after which a fingerprint is
-	// blocked; 0 is DefaultLimit.
+	// Limit is the number of lost instances after which a fingerprint is blocked.
 	Limit int
 	// BlockFor and SuspectFor tell how long a verdict holds after the last loss.
 	BlockFor   time.Duration
@@ -67,11 +71,35 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger(c Config) *Ledger {
+	c = withDefaults(c)
+	return &Ledger{config: c, records: map[uint64]*record{}, proven: newRecentSet(c.RecentFor)}
+}
+
+func withDefaults(c Config) Config {
 	if c.Limit <= 0 {
 		c.Limit = DefaultLimit
 	}
 	c.Limit = min(c.Limit, model.PoisonInstances)
-	return &Ledger{config: c, records: map[uint64]*record{}, proven: newRecentSet(c.RecentFor)}
+	if c.BlockFor <= 0 {
+		c.BlockFor = DefaultBlockFor
+	}
+	if c.SuspectFor <= 0 {
+		c.SuspectFor = DefaultSuspectFor
+	}
+	if c.RecentFor <= 0 {
+		c.RecentFor = DefaultRecentFor
+	}
+	return c
+}
+
+// Configure applies the tier's settings. Terms of verdicts that hold already
+// do not change.
+func (l *Ledger) Configure(limit int, blockFor time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.config
+	c.Limit, c.BlockFor = limit, blockFor
+	l.config = withDefaults(c)
 }
 
 // Fingerprint returns the hash of a request. The parts are delimited by their
