Report may_have_run when any attempt may have run

Cause: a refusal carried the run state of the last attempt. A first attempt that was lost at its upstream, followed by one that was shed, gave a false did_not_run.

--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -193,6 +193,7 @@
 		return s.attemptFailed(now, st, a.replica, err)
 	}
 	if rejected {
+		st.mayHaveRun = true
 		s.g.counters.mismatches.Inc(1)
 		s.g.table.Failed(now, a.replica, errs.ResponseMismatch)
 		return s.retryOrMiss(st, errs.Ambiguous(errs.ResponseMismatch, "group %s answered for other shards", o.Group))
@@ -219,6 +220,7 @@
 }
 
 func (s *search) attemptFailed(now time.Time, st *groupState, replica model.ReplicaID, err error) *groupState {
+	st.noteRunState(err)
 	code := errs.As(err).Code
 	if code == errs.Canceled {
 		s.g.table.Canceled(now, replica)
@@ -241,6 +243,12 @@
 	return s.retryOrMiss(st, err)
 }
 
+func (st *groupState) noteRunState(err error) {
+	if errs.As(err).RunState == errs.MayHaveRun {
+		st.mayHaveRun = true
+	}
+}
+
 // recheckPoison stops a search that has just cost an upstream from costing more.
 func (s *search) recheckPoison() {
 	switch s.g.cfg.Ledger.Check(time.Now(), s.fp) {
@@ -309,6 +317,7 @@
 			continue
 		}
 		delete(st.running, it.Attempt)
+		st.noteRunState(err)
 		s.g.table.Canceled(now, a.replica)
 		st.lastErr = err
 		if st.resolved || len(st.running) > 0 {
--- a/pkg/gateway/scatter.go
+++ b/pkg/gateway/scatter.go
@@ -43,6 +43,8 @@
 	resolved  bool
 	resendAt  time.Time // not zero while a move waits
 	lastErr   error
+	// mayHaveRun is set when an attempt ended without proof that it did not run.
+	mayHaveRun bool
 }
 
 // send is one attempt in flight.
@@ -315,6 +317,7 @@
 func (s *search) cancelRunning(now time.Time, st *groupState) {
 	for id, a := range st.running {
 		delete(st.running, id)
+		st.mayHaveRun = true
 		s.g.table.Canceled(now, a.replica)
 		a.via.cancel(id)
 	}
@@ -338,22 +341,17 @@
 	}, nil
 }
 
-// nothingCovered explains a search that no group answered. It may have run
-// unless every group says otherwise.
+// nothingCovered explains a search that no group answered. It did not run only
+// if that is known of every attempt.
 func (s *search) nothingCovered() error {
 	state, code := errs.DidNotRun, errs.DeadlineExceeded
 	for _, st := range s.order {
-		if st.lastErr == nil {
-			if st.attempts > 0 {
-				state = errs.MayHaveRun
-			}
-			continue
-		}
-		r := errs.As(st.lastErr)
-		code = r.Code
-		if r.RunState == errs.MayHaveRun {
+		if st.mayHaveRun {
 			state = errs.MayHaveRun
 		}
+		if st.lastErr != nil {
+			code = errs.As(st.lastErr).Code
+		}
 	}
 	return &errs.Refusal{Code: code, RunState: state, Detail: "no group answered", RetryAfter: time.Second}
 }
