Retire spare connections that are being dialled or sorted

Cause: after a silent connection all idle ones are retired, but the goroutine that keeps spares could hold one outside the channel at that moment and put it back. The next request could get it and meet the silence again. TestSilentConnections showed this when several test processes ran at once. Change: each spare remembers how often spares were retired when its dial began; one that is older than the last retirement is closed instead of used. Conclusion: no spare that was dialled before a retirement is used after it.

--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -85,14 +85,15 @@
 // from it to notice when the upstream closes it.
 type spareConn struct {
 	*trackedConn
+	retired uint64        // the connector's count when the dial began
 	watched chan struct{} // closed when the read has ended
 	err     error         // of the read; valid after watched
 }
 
 // watch starts watching c. onLost is called if the connection breaks while it
 // is spare.
-func watch(c *trackedConn, onLost func()) *spareConn {
-	s := &spareConn{trackedConn: c, watched: make(chan struct{})}
+func watch(c *trackedConn, retired uint64, onLost func()) *spareConn {
+	s := &spareConn{trackedConn: c, retired: retired, watched: make(chan struct{})}
 	go func() {
 		var one [1]byte
 		_, s.err = c.Conn.Read(one[:])
--- a/pkg/upstream/connector.go
+++ b/pkg/upstream/connector.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
@@ -31,6 +32,9 @@
 	spares chan *spareConn
 	wake   chan struct{}
 	ctx    context.Context
+	// retired counts the calls of drop. A spare whose dial began before the
+	// last one is not used, also when drop did not find it in spares.
+	retired atomic.Uint64
 }
 
 // newConnector starts a connector. It keeps spares until ctx ends.
@@ -61,7 +65,7 @@
 	for {
 		select {
 		case s := <-k.spares:
-			if s.claim() {
+			if k.usable(s) {
 				return s.trackedConn, nil
 			}
 			continue
@@ -69,7 +73,7 @@
 		}
 		select {
 		case s := <-k.spares:
-			if s.claim() {
+			if k.usable(s) {
 				return s.trackedConn, nil
 			}
 		case k.permit <- struct{}{}:
@@ -80,6 +84,18 @@
 	}
 }
 
+// usable claims a spare, or closes it if it is not to be used.
+func (k *connector) usable(s *spareConn) bool {
+	if k.outdated(s) {
+		_ = s.Close()
+		return false
+	}
+	return s.claim()
+}
+
+// outdated reports whether s was dialled before the last drop.
+func (k *connector) outdated(s *spareConn) bool { return s.retired != k.retired.Load() }
+
 // open dials a connection. The caller holds a permit, which passes to the
 // connection or is given back.
 func (k *connector) open(ctx context.Context) (*trackedConn, error) {
@@ -134,30 +150,35 @@
 		default:
 			return true // all connections are in use; one that closes wakes keep
 		}
+		retired := k.retired.Load()
 		c, err := k.open(k.ctx)
 		if err != nil {
 			return false
 		}
-		k.spares <- watch(c, k.signal)
+		k.spares <- watch(c, retired, k.signal)
 	}
 	return true
 }
 
-// discardLost removes spares that broke.
+// discardLost removes spares that broke or were dropped.
 func (k *connector) discardLost() {
 	for range len(k.spares) {
 		select {
 		case s := <-k.spares:
-			if !s.lost() {
-				k.spares <- s
+			if k.outdated(s) || s.lost() {
+				_ = s.Close()
+				continue
 			}
+			k.spares <- s
 		default:
 		}
 	}
 }
 
-// drop closes all spares.
+// drop closes all spares, and those that are being dialled as soon as they are
+// found.
 func (k *connector) drop() {
+	k.retired.Add(1)
 	for {
 		select {
 		case s := <-k.spares:
