Report did_not_run only if no attempt may have run

Cause: the refusal of a search or a call took the run state of its last attempt. An attempt that was lost, or was still running at the deadline, was forgotten when a later one was shed.

Change: each group and each call remembers that an attempt may have run.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"encoding/hex"
-	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/admission"
-	"github.com/nutmeghitch/nutmeghitch/pkg/claim"
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/frontend"
 	"github.com/nutmeghitch/nutmeghitch/pkg/hedge"
@@ -19,10 +16,6 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
 )
 
-// recordGrace is how long the outcome of a non-idempotent run may still be
-// recorded after the caller's deadline has passed.
-const recordGrace = 30 * time.Second
-
 // Call answers a lookup request with the result of one replica.
 func (g *Gateway) Call(ctx context.Context, r frontend.CallRequest) (*frontend.CallAnswer, error) {
 	began := time.Now()
@@ -99,7 +92,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan callResult, maxAttempts)
-	running, hedged := 0, false
+	running, hedged, mayHaveRun := 0, false, false
 	launch := func(reason string) error {
 		pick, err := c.pick(reason)
 		if err != nil {
@@ -124,17 +117,15 @@
 				return &frontend.CallAnswer{Result: res.answer}, nil
 			}
 			last = res.err
+			mayHaveRun = mayHaveRun || errs.As(last).RunState == errs.MayHaveRun
 			if c.blocked() {
 				return nil, errs.Ambiguous(errs.Poisoned, "request %016x is blocked because upstreams were lost while running it", c.fp)
 			}
 			if running > 0 {
 				continue
 			}
-			if !c.mayRetry(res.err) || !pause(ctx, c.backoff(res.err)) {
-				return nil, res.err
-			}
-			if err := launch("retry"); err != nil {
-				return nil, res.err
+			if !c.mayRetry(res.err) || !pause(ctx, c.backoff(res.err)) || launch("retry") != nil {
+				return nil, ambiguousIf(mayHaveRun, res.err)
 			}
 		case <-timer.C:
 			if hedged || c.suspect || c.policy.TryExtra(1) != nil {
@@ -143,8 +134,8 @@
 			hedged = true
 			_ = launch("hedge")
 		case <-ctx.Done():
-			if last != nil {
-				return nil, last
+			if last != nil && running == 0 {
+				return nil, ambiguousIf(mayHaveRun, last)
 			}
 			return nil, errs.Ambiguous(errs.DeadlineExceeded, "no answer before the deadline")
 		}
@@ -323,87 +314,3 @@
 	}
 	return nil, errs.Ambiguous(errs.FrameMalformed, "message kind %d in reply to a call", reply.Kind())
 }
-
-// runOnce runs a non-idempotent request under a claim. The run and the record
-// of its outcome go on when the caller leaves or the deadline passes, so that
-// a repeat with the same key finds the outcome.
-func (c *call) runOnce(ctx context.Context, release func()) (*frontend.CallAnswer, error) {
-	grant, prior, err := c.g.cfg.Claims.Claim(ctx, claim.Request{
-		Service:     c.req.Service,
-		Key:         c.req.Operation + "/" + c.req.Key,
-		Fingerprint: c.fp,
-		Deadline:    c.req.Deadline,
-	})
-	if err != nil || prior != nil {
-		release()
-		return priorAnswer(prior, err)
-	}
-	type outcome struct {
-		answer *frontend.CallAnswer
-		err    error
-	}
-	done := make(chan outcome, 1)
-	detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.req.Deadline.Add(recordGrace))
-	go func() {
-		defer cancel()
-		defer release()
-		answer, err := c.executeClaimed(detached, grant)
-		done <- outcome{answer, err}
-	}()
-	timer := time.NewTimer(time.Until(c.req.Deadline) - replyMargin)
-	defer timer.Stop()
-	select {
-	case o := <-done:
-		return o.answer, o.err
-	case <-timer.C:
-		return nil, errs.Ambiguous(errs.OutcomeUnknown, "the outcome was not known before the deadline").WithRetryAfter(time.Second)
-	}
-}
-
-func priorAnswer(prior *claim.Prior, err error) (*frontend.CallAnswer, error) {
-	if err != nil {
-		return nil, err
-	}
-	return &frontend.CallAnswer{Result: prior.Answer}, nil
-}
-
-// executeClaimed sends the request under its claim and records what became of it.
-func (c *call) executeClaimed(ctx context.Context, grant claim.Grant) (*frontend.CallAnswer, error) {
-	// The token is binary; as an upstream's request id it must survive JSON.
-	res := c.sendClaimed(ctx, hex.EncodeToString([]byte(grant.Token)))
-	if res.err == nil {
-		if err := c.g.cfg.Claims.Record(ctx, grant, http.StatusOK, res.answer); err != nil {
-			return nil, errs.Ambiguous(errs.OutcomeUnknown, "the outcome could not be recorded: %v", err).WithRetryAfter(time.Second)
-		}
-		return &frontend.CallAnswer{Result: res.answer}, nil
-	}
-	r := errs.As(res.err)
-	if r.RunState == errs.DidNotRun {
-		// The claim is given back, so that the caller may try again. If that
-		// fails the key stays claimed and a repeat is told that the outcome
-		// is unknown.
-		_ = c.g.cfg.Claims.Release(ctx, grant)
-		return nil, r
-	}
-	return nil, errs.Ambiguous(errs.OutcomeUnknown, "%s", r.Detail)
-}
-
-// sendClaimed sends until one attempt may have run. Only a replica's or an
-// owner's own word that nothing ran permits another send.
-func (c *call) sendClaimed(ctx context.Context, token string) callResult {
-	reason := "primary"
-	for {
-		p, err := c.pick(reason)
-		if err != nil {
-			return callResult{err: err}
-		}
-		res := c.attempt(ctx, p, token)
-		if res.err == nil || !c.mayRetry(res.err) {
-			return res
-		}
-		if !time.Now().Add(replyMargin).Before(c.req.Deadline) || !pause(ctx, c.backoff(res.err)) {
-			return res
-		}
-		reason = "retry"
-	}
-}
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -231,10 +231,10 @@
 	if code == errs.UpstreamLost {
 		s.recheckPoison()
 	}
+	st.ended(err)
 	if st.resolved || s.poisoned != nil {
 		return nil
 	}
-	st.lastErr = err
 	if len(st.running) > 0 {
 		return nil
 	}
@@ -253,7 +253,7 @@
 
 // retryOrMiss decides what happens to a group without attempts in flight.
 func (s *search) retryOrMiss(st *groupState, err error) *groupState {
-	st.lastErr = err
+	st.ended(err)
 	if st.attempts >= maxAttempts || errs.Is(err, errs.VersionGone) || !hedge.RetryLegal(err, true) {
 		s.fail(st, err)
 		return nil
@@ -310,7 +310,7 @@
 		}
 		delete(st.running, it.Attempt)
 		s.g.table.Canceled(now, a.replica)
-		st.lastErr = err
+		st.ended(err)
 		if st.resolved || len(st.running) > 0 {
 			continue
 		}
--- a/pkg/gateway/scatter.go
+++ b/pkg/gateway/scatter.go
@@ -43,6 +43,15 @@
 	resolved  bool
 	resendAt  time.Time // not zero while a move waits
 	lastErr   error
+	// mayHaveRun is set once an attempt ended without the word that it did not
+	// run. What later attempts say cannot take that back.
+	mayHaveRun bool
+}
+
+// ended notes how an attempt failed.
+func (st *groupState) ended(err error) {
+	st.lastErr = err
+	st.mayHaveRun = st.mayHaveRun || errs.As(err).RunState == errs.MayHaveRun
 }
 
 // send is one attempt in flight.
@@ -294,6 +303,7 @@
 			continue
 		}
 		reason := code
+		st.mayHaveRun = st.mayHaveRun || len(st.running) > 0
 		if len(st.running) == 0 && st.lastErr != nil {
 			reason = errs.As(st.lastErr).Code
 		}
@@ -339,21 +349,26 @@
 }
 
 // nothingCovered explains a search that no group answered. It may have run
-// unless every group says otherwise.
+// unless every attempt at every group says otherwise.
 func (s *search) nothingCovered() error {
-	state, code := errs.DidNotRun, errs.DeadlineExceeded
+	code := errs.DeadlineExceeded
 	for _, st := range s.order {
-		if st.lastErr == nil {
-			if st.attempts > 0 {
-				state = errs.MayHaveRun
-			}
-			continue
-		}
-		r := errs.As(st.lastErr)
-		code = r.Code
-		if r.RunState == errs.MayHaveRun {
-			state = errs.MayHaveRun
+		if st.lastErr != nil {
+			code = errs.As(st.lastErr).Code
 		}
 	}
+	state := errs.DidNotRun
+	if s.mayHaveRun() {
+		state = errs.MayHaveRun
+	}
 	return &errs.Refusal{Code: code, RunState: state, Detail: "no group answered", RetryAfter: time.Second}
 }
+
+func (s *search) mayHaveRun() bool {
+	for _, st := range s.order {
+		if st.mayHaveRun {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/gateway/search.go
+++ b/pkg/gateway/search.go
@@ -71,12 +71,29 @@
 }
 
 // better answers with the execution that covers more shards. Rows of the two
-// never mix, because they come from different snapshots.
+// never mix, because they come from different snapshots. When both fail, the
+// refusal speaks for both.
 func better(first, second *search) (*frontend.SearchAnswer, error) {
 	a, errA := first.answer()
 	b, errB := second.answer()
-	if errB != nil || (errA == nil && a.Coverage.Covered > b.Coverage.Covered) {
-		return a, errA
+	switch {
+	case errA != nil && errB != nil:
+		return nil, ambiguousIf(first.mayHaveRun() || second.mayHaveRun(), errA)
+	case errB != nil || (errA == nil && a.Coverage.Covered > b.Coverage.Covered):
+		return a, nil
+	default:
+		return b, nil
 	}
-	return b, nil
+}
+
+// ambiguousIf returns the refusal with run state MayHaveRun if an attempt that
+// it does not speak of may have run.
+func ambiguousIf(mayHaveRun bool, err error) error {
+	r := errs.As(err)
+	if !mayHaveRun || r.RunState == errs.MayHaveRun {
+		return r
+	}
+	c := *r
+	c.RunState = errs.MayHaveRun
+	return &c
 }
