--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -193,7 +193,6 @@
 		return s.attemptFailed(now, st, a.replica, err)
 	}
 	if rejected {
-		st.mayHaveRun = true
 		s.g.counters.mismatches.Inc(1)
 		s.g.table.Failed(now, a.replica, errs.ResponseMismatch)
 		return s.retryOrMiss(st, errs.Ambiguous(errs.ResponseMismatch, "group %s answered for other shards", o.Group))
@@ -220,7 +219,6 @@
 }
 
 func (s *search) attemptFailed(now time.Time, st *groupState, replica model.ReplicaID, err error) *groupState {
-	st.noteRunState(err)
 	code := errs.As(err).Code
 	if code == errs.Canceled {
 		s.g.table.Canceled(now, replica)
@@ -233,22 +231,16 @@
 	if code == errs.UpstreamLost {
 		s.recheckPoison()
 	}
+	st.ended(err)
 	if st.resolved || s.poisoned != nil {
 		return nil
 	}
-	st.lastErr = err
 	if len(st.running) > 0 {
 		return nil
 	}
 	return s.retryOrMiss(st, err)
 }
 
-func (st *groupState) noteRunState(err error) {
-	if errs.As(err).RunState == errs.MayHaveRun {
-		st.mayHaveRun = true
-	}
-}
-
 // recheckPoison stops a search that has just cost an upstream from costing more.
 func (s *search) recheckPoison() {
 	switch s.g.cfg.Ledger.Check(time.Now(), s.fp) {
@@ -261,14 +253,16 @@
 
 // retryOrMiss decides what happens to a group without attempts in flight.
 func (s *search) retryOrMiss(st *groupState, err error) *groupState {
-	st.lastErr = err
-	if st.attempts >= maxAttempts || errs.Is(err, errs.VersionGone) || !hedge.RetryLegal(err, true) {
+	st.ended(err)
+	if errs.Is(err, errs.VersionGone) || !hedge.RetryLegal(err, true) {
 		s.fail(st, err)
 		return nil
 	}
 	if hedge.Moved(err) {
-		clear(st.tried)
-		st.resendAt = time.Now().Add(moveDelay)
+		return s.resendMoved(st)
+	}
+	if st.attempts >= maxAttempts {
+		s.fail(st, err)
 		return nil
 	}
 	if !s.chargeRetry(st, err) {
@@ -286,6 +280,24 @@
 	return st
 }
 
+// resendMoved sends a group whose owner refused it as not its own. Another
+// replica answers at once; only when there is none left does the group wait
+// for the views of both VMs to converge. Such sends do not count as attempts,
+// because ownership can take seconds to settle after a VM was lost.
+func (s *search) resendMoved(st *groupState) *groupState {
+	st.attempts--
+	if time.Until(s.req.Deadline) < 2*moveDelay {
+		s.fail(st, st.lastErr)
+		return nil
+	}
+	if s.hasAlternative(st) {
+		return st
+	}
+	clear(st.tried)
+	st.resendAt = time.Now().Add(moveDelay)
+	return nil
+}
+
 // chargeRetry draws a retry from the extra-load budget. A send that provably
 // did not run added no load, and the first replacement of a lost send
 // restores coverage rather than adding work; both are always allowed.
@@ -300,9 +312,25 @@
 	return s.policy.TryExtra(1) == nil
 }
 
+// resend sends groups again. Only a send that replaces one which may have run
+// is extra load for the upstreams.
 func (s *search) resend(groups []*groupState) {
-	if len(groups) > 0 && s.poisoned == nil {
-		s.sendGroups(groups, "retry")
+	if s.poisoned != nil {
+		return
+	}
+	var retries, moves []*groupState
+	for _, st := range groups {
+		if errs.As(st.lastErr).RunState == errs.MayHaveRun {
+			retries = append(retries, st)
+		} else {
+			moves = append(moves, st)
+		}
+	}
+	if len(retries) > 0 {
+		s.sendGroups(retries, "retry")
+	}
+	if len(moves) > 0 {
+		s.sendGroups(moves, "moved")
 	}
 }
 
@@ -317,9 +345,10 @@
 			continue
 		}
 		delete(st.running, it.Attempt)
-		st.noteRunState(err)
-		s.g.table.Canceled(now, a.replica)
-		st.lastErr = err
+		// The owner may be gone for some seconds before its replicas have a new
+		// one; until then other replicas are preferred.
+		s.g.table.Failed(now, a.replica, errs.As(err).Code)
+		st.ended(err)
 		if st.resolved || len(st.running) > 0 {
 			continue
 		}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -66,7 +66,7 @@
 }
 
 // Sends counts sub-requests by the reason of the send. Hedges and retries are
-// extra load; a moved send replaces one that the previous owner refused.
+// extra load; a moved send replaces one that did not run.
 type Sends struct {
 	Primary, Hedge, Retry, Moved, Denied int64
 }
--- a/pkg/gateway/once.go
+++ b/pkg/gateway/once.go
@@ -93,6 +93,6 @@
 		if !time.Now().Add(replyMargin).Before(c.req.Deadline) || !pause(ctx, c.backoff(res.err)) {
 			return res
 		}
-		reason = "retry"
+		reason = retryReason(res.err)
 	}
 }
--- a/pkg/gateway/scatter.go
+++ b/pkg/gateway/scatter.go
@@ -43,10 +43,17 @@
 	resolved  bool
 	resendAt  time.Time // not zero while a move waits
 	lastErr   error
-	// mayHaveRun is set when an attempt ended without proof that it did not run.
+	// mayHaveRun is set once an attempt ended without the word that it did not
+	// run. What later attempts say cannot take that back.
 	mayHaveRun bool
 }
 
+// ended notes how an attempt failed.
+func (st *groupState) ended(err error) {
+	st.lastErr = err
+	st.mayHaveRun = st.mayHaveRun || errs.As(err).RunState == errs.MayHaveRun
+}
+
 // send is one attempt in flight.
 type send struct {
 	replica model.ReplicaID
@@ -296,6 +303,7 @@
 			continue
 		}
 		reason := code
+		st.mayHaveRun = st.mayHaveRun || len(st.running) > 0
 		if len(st.running) == 0 && st.lastErr != nil {
 			reason = errs.As(st.lastErr).Code
 		}
@@ -341,17 +349,30 @@
 	}, nil
 }
 
-// nothingCovered explains a search that no group answered. It did not run only
-// if that is known of every attempt.
+// nothingCovered explains a search that no group answered. It may have run
+// unless every attempt at every group says otherwise.
 func (s *search) nothingCovered() error {
-	state, code := errs.DidNotRun, errs.DeadlineExceeded
+	code := errs.DeadlineExceeded
 	for _, st := range s.order {
-		if st.mayHaveRun {
-			state = errs.MayHaveRun
+		if st.lastErr != nil {
+			code = errs.As(st.lastErr).Code
 		}
 		if st.lastErr != nil {
 			code = errs.As(st.lastErr).Code
 		}
 	}
+	state := errs.DidNotRun
+	if s.mayHaveRun() {
+		state = errs.MayHaveRun
+	}
 	return &errs.Refusal{Code: code, RunState: state, Detail: "no group answered", RetryAfter: time.Second}
 }
+
+func (s *search) mayHaveRun() bool {
+	for _, st := range s.order {
+		if st.mayHaveRun {
+			return true
+		}
+	}
+	return false
+}
