Hold the slot of a silent attempt until its run has ended

Cause: an attempt whose connection went silent returned its slot at once, although the upstream could still work on it. Its slots were given to other work a second time.

Change: the slot stays taken until the upstream has acknowledged a cancellation on the control connection, or until the deadline of the run. A path that lost its connection state costs one exchange on a new connection.

The commit also adds tests of stale views, exclusion, cancellation in the queue and takeover, which passed before.

--- a/pkg/dispatch/attempt.go
+++ b/pkg/dispatch/attempt.go
@@ -105,14 +105,28 @@
 	return result{response: response, err: err, hint: t.hint(), service: took}
 }
 
-// leave returns the slot, at once when the upstream has answered.
+// leave returns the slot, at once when the upstream has answered. An upstream
+// that went silent may still work, so its slot stays taken until it has
+// acknowledged a cancellation, or the deadline has ended the run there.
 func (d *Dispatcher) leave(t *target, id uint64, a attempt, err error, took time.Duration) {
-	if !errs.Is(err, errs.DeadlineExceeded) || errs.As(err).RunState == errs.DidNotRun {
+	late := errs.Is(err, errs.DeadlineExceeded)
+	silent := errs.Is(err, errs.ConnectionSilent)
+	if !late && !silent || errs.As(err).RunState == errs.DidNotRun {
 		t.leave(d.cfg.Now(), id, outcomeOf(err), took)
 		return
 	}
-	t.client.Cancel(a.run.RequestID)
-	time.AfterFunc(slotHold, func() { t.leave(d.cfg.Now(), id, limit.Failed, took) })
+	release := func() { t.leave(d.cfg.Now(), id, outcomeOf(err), took) }
+	if late {
+		t.client.Cancel(a.run.RequestID)
+		time.AfterFunc(slotHold, release)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithDeadline(context.Background(), a.run.Deadline)
+		defer cancel()
+		_ = t.client.Stop(ctx, a.run.RequestID)
+		time.AfterFunc(slotHold, release)
+	}()
 }
 
 // account updates instance identity and poison accounting before the slot is
--- /dev/null
+++ b/pkg/dispatch/dispatch_test.go
@@ -0,0 +1,168 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/model"
+	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
+)
+
+// Guards against a VM that sends on ownership it may have lost: after a pause
+// neither new work nor work that was waiting for a slot may leave.
+func TestStaleViewDispatchesNothing(t *testing.T) {
+	bubble(t, 800*time.Millisecond, func(t *testing.T, ctx context.Context, u *upstreamDouble) {
+		o := newOwner(ctx, "o", u, 1, 8, true)
+		first := o.call(ctx, "first", 10*time.Second)
+		synctest.Wait()
+		waiting := o.call(ctx, "waiting", 10*time.Second)
+		synctest.Wait()
+		o.view.change(func(v *model.View) { v.At = time.Now().Add(-model.ViewMaxAge / 2); o.view.frozen = true })
+		time.Sleep(model.ViewMaxAge/2 + time.Millisecond)
+		late := <-o.call(ctx, "late", 10*time.Second)
+		<-first
+		for _, r := range []*wire.CallReply{late, <-waiting} {
+			assert.Equal(t, r.Failure.Code, errs.StaleView)
+			assert.Equal(t, r.Failure.RunState, errs.DidNotRun)
+		}
+		runs, _ := u.counts()
+		assert.Equal(t, runs, 1)
+	})
+}
+
+// Guards against waiting work that is sent to a replica after operators have
+// taken it out, and against a return without a new ramp.
+func TestExclusionEndsWaitingWork(t *testing.T) {
+	bubble(t, 800*time.Millisecond, func(t *testing.T, ctx context.Context, u *upstreamDouble) {
+		o := newOwner(ctx, "o", u, 1, 8, true)
+		running := o.call(ctx, "running", 10*time.Second)
+		synctest.Wait()
+		waiting := o.call(ctx, "waiting", 10*time.Second)
+		synctest.Wait()
+		o.view.change(func(v *model.View) { v.Excluded = map[model.ReplicaID]string{"r": "drained"} })
+		for _, r := range []*wire.CallReply{<-waiting, <-o.call(ctx, "new", time.Second)} {
+			assert.Equal(t, r.Failure.Code, errs.UpstreamDraining)
+			assert.Equal(t, r.Failure.RunState, errs.DidNotRun)
+		}
+		assert.Assert(t, (<-running).Failure == nil, "work in flight was cut")
+		runs, _ := u.counts()
+		assert.Equal(t, runs, 1)
+		o.view.change(func(v *model.View) { v.Excluded = nil })
+		time.Sleep(time.Second)
+		assert.Assert(t, (<-o.call(ctx, "back", 10*time.Second)).Failure == nil)
+	})
+}
+
+// Guards against a cancelled attempt that keeps its place in the queue.
+func TestCancelledAttemptFreesItsPlace(t *testing.T) {
+	bubble(t, 800*time.Millisecond, func(t *testing.T, ctx context.Context, u *upstreamDouble) {
+		o := newOwner(ctx, "o", u, 1, 1, true)
+		first := o.call(ctx, "first", 10*time.Second)
+		synctest.Wait()
+		waitCtx, giveUp := context.WithCancel(ctx)
+		waiting := o.call(waitCtx, "waiting", 10*time.Second)
+		synctest.Wait()
+		assert.Equal(t, (<-o.call(ctx, "full", 10*time.Second)).Failure.Code, errs.QueueFull)
+		giveUp()
+		synctest.Wait()
+		assert.Equal(t, (<-waiting).Failure.Code, errs.Canceled)
+		next := o.call(ctx, "next", 10*time.Second)
+		assert.Assert(t, (<-first).Failure == nil)
+		assert.Assert(t, (<-next).Failure == nil)
+		runs, _ := u.counts()
+		assert.Equal(t, runs, 2)
+	})
+}
+
+// Guards against a slot that is given to other work while the upstream may
+// still work on an attempt that ended without an answer.
+func TestSlotIsHeldWhileTheUpstreamMayWork(t *testing.T) {
+	for name, c := range map[string]struct {
+		work     time.Duration
+		stubborn bool
+		deadline time.Duration
+		cancel   bool
+	}{
+		"cancelled":                   {work: time.Minute, deadline: 500 * time.Millisecond, cancel: true},
+		"cancelled, stubborn":         {work: 400 * time.Millisecond, deadline: 500 * time.Millisecond, cancel: true, stubborn: true},
+		"past its deadline":           {work: time.Minute, deadline: 500 * time.Millisecond},
+		"past its deadline, stubborn": {work: time.Minute, deadline: 500 * time.Millisecond, stubborn: true},
+		"silent":                      {work: 3 * time.Second, deadline: 10 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, c.work, func(t *testing.T, ctx context.Context, u *upstreamDouble) {
+				u.stubborn = c.stubborn
+				o := newOwner(ctx, "o", u, 2, 32, true)
+				var replies []<-chan *wire.CallReply
+				for i := range 12 {
+					callCtx, cancel := context.WithCancel(ctx)
+					defer cancel()
+					replies = append(replies, o.call(callCtx, fmt.Sprintf("c%d", i), c.deadline))
+					if c.cancel {
+						time.Sleep(10 * time.Millisecond)
+						cancel()
+					}
+				}
+				for _, r := range replies {
+					<-r
+				}
+				_, most := u.counts()
+				assert.Assert(t, most <= 2, "%d runs at once in 2 slots", most)
+			})
+		})
+	}
+}
+
+// Guards against more than slots + 1 runs at once while a replica moves from
+// one owner to another, and against a Release before the last run has ended.
+func TestTakeoverKeepsTheBound(t *testing.T) {
+	const slots = 3
+	for name, release := range map[string]bool{"with release": true, "without release": false} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, 800*time.Millisecond, func(t *testing.T, ctx context.Context, u *upstreamDouble) {
+				old := newOwner(ctx, "old", u, slots, 64, true)
+				next := newOwner(ctx, "next", u, slots, 64, false)
+				load := func(o *owner, n int) (all []<-chan *wire.CallReply) {
+					for i := range n {
+						all = append(all, o.call(ctx, fmt.Sprintf("%s-%d", o.cfg.Self, i), 30*time.Second))
+					}
+					synctest.Wait()
+					return all
+				}
+				before := load(old, 10)
+				since := time.Now()
+				next.own("next", model.Takeover{Since: since})
+				time.Sleep(2 * reconcileInterval)
+				after := load(next, 30)
+				time.Sleep(100 * time.Millisecond) // the old owner learns it later
+				old.own("next", model.Takeover{})
+				moved := 0
+				for _, r := range before {
+					if f := (<-r).Failure; f != nil {
+						assert.Equal(t, f.Code, errs.NotOwner)
+						assert.Equal(t, f.RunState, errs.DidNotRun)
+						moved++
+					}
+				}
+				assert.Assert(t, moved > 0, "no work moved")
+				time.Sleep(2 * reconcileInterval)
+				assert.Equal(t, old.releases(), 1)
+				if release {
+					next.own("next", model.Takeover{Since: since, Released: true})
+				}
+				for _, r := range after {
+					assert.Assert(t, (<-r).Failure == nil)
+				}
+				_, most := u.counts()
+				assert.Assert(t, most <= slots+1, "%d runs at once in %d slots", most, slots)
+				assert.Assert(t, most >= slots, "the new owner never used its slots")
+			})
+		})
+	}
+}
--- a/pkg/upstream/control.go
+++ b/pkg/upstream/control.go
@@ -20,6 +20,8 @@
 	// cancelAttempts is the number of times a cancellation is sent; the second
 	// one uses a new connection.
 	cancelAttempts = 2
+	// stopRetry is the wait between two cancellations that Stop sends.
+	stopRetry = 50 * time.Millisecond
 	// controlTimeout bounds one exchange, so that a silent control connection
 	// is replaced.
 	controlTimeout = time.Second
@@ -37,6 +39,28 @@
 	}
 }
 
+// Stop cancels the runs of a request and returns once the upstream has
+// acknowledged it, or when ctx or the client ends.
+func (c *Client) Stop(ctx context.Context, requestID string) error {
+	body, err := json.Marshal(map[string]string{"request_id": requestID})
+	if err != nil {
+		return errs.Refuse(errs.InvalidRequest, "request id: %v", err)
+	}
+	for {
+		_, err := c.exchange(ctx, http.MethodPost, "/cancel", body)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-time.After(stopRetry):
+		case <-ctx.Done():
+			return err
+		case <-c.ctx.Done():
+			return err
+		}
+	}
+}
+
 // DroppedCancels returns the number of cancellations that were not sent.
 func (c *Client) DroppedCancels() uint64 { return c.dropped.Load() }
 
