Let an owner act on a refusal with code cold

Cause: the owner reported such a refusal to its gate as a plain shed, which only halves the window, and did not name the operation, so operations of different service times shared one baseline.

Change: the refusal is reported as ShedCold, which leads to the cold window and sets a takeover's cap back, and each request names its operation.

--- a/pkg/dispatch/attempt.go
+++ b/pkg/dispatch/attempt.go
@@ -61,7 +61,9 @@
 	id, granted, err := t.enter(d.cfg.Now(), limit.Request{
 		Deadline: a.run.Deadline,
 		Caller:   a.caller,
-		Suspect:  a.suspect,
+		// Operations differ in service time, which must not look like a jump.
+		Operation: a.run.Operation,
+		Suspect:   a.suspect,
 	}, a.fingerprint)
 	if err != nil || granted == nil {
 		return id, err
@@ -169,8 +171,10 @@
 	}
 	r := errs.As(err)
 	switch r.Code {
-	case errs.UpstreamShed, errs.UpstreamCold:
+	case errs.UpstreamShed:
 		return limit.Shed
+	case errs.UpstreamCold:
+		return limit.ShedCold
 	case errs.UpstreamLost, errs.ConnectionSilent:
 		return limit.Lost
 	case errs.Canceled, errs.VersionGone, errs.UpstreamDraining:
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -166,3 +166,21 @@
 		})
 	}
 }
+
+// Guards against a cold upstream whose word leaves the window above its cold
+// value, or a new owner's cap where it was.
+func TestColdRefusalStartsTheColdWindow(t *testing.T) {
+	bubble(t, 100*time.Millisecond, func(t *testing.T, ctx context.Context, u *upstreamDouble) {
+		u.cold = 1
+		o := newOwner(ctx, "o", u, 8, 8, true)
+		for i := 0; i < 500 && o.targets["r"].hint().Window < 4; i++ {
+			<-o.call(ctx, fmt.Sprintf("c%d", i), time.Second)
+		}
+		before := o.targets["r"].hint().Window
+		u.refuse = func() string { return "cold" }
+		assert.Equal(t, (<-o.call(ctx, "cold", time.Second)).Failure.Code, errs.UpstreamCold)
+		after := o.targets["r"].hint().Window
+		assert.Assert(t, before >= 4 && after <= 1, "window %.2f before and %.2f after", before, after)
+		assert.Assert(t, !o.targets["r"].takeover.lastShed.IsZero())
+	})
+}
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -155,7 +155,7 @@
 	if o == limit.Succeeded {
 		t.progress.observe(service)
 	}
-	if o == limit.Shed {
+	if o == limit.Shed || o == limit.ShedCold {
 		t.takeover.shed(now)
 	}
 	t.grant(t.gate.Done(now, id, o, service))
