Drop messages that follow the end of an exchange

Cause: a cancellation that crossed the end of its exchange was sent on the closed channel of a handler that still ran. The panic ended the whole process of the VM that owned the replica.

Change: the reader of the connection remembers the end and drops what follows.

--- a/pkg/peer/stream.go
+++ b/pkg/peer/stream.go
@@ -118,11 +118,17 @@
 type exchange struct {
 	in     chan wire.Message
 	cancel context.CancelCauseFunc
-	once   sync.Once
+	// over is set by end. Only the reader of the connection calls push and end.
+	over bool
 }
 
-// push queues a later message; an exchange without room is ended.
+// push queues a later message; an exchange without room is ended. A message
+// that follows the end is dropped: the sender's end and its last message may
+// cross, and the handler may run on.
 func (e *exchange) push(m wire.Message) {
+	if e.over {
+		return
+	}
 	select {
 	case e.in <- m:
 	default:
@@ -130,11 +136,12 @@
 	}
 }
 
-// end tells the handler that no more messages come. Only the reader of the
-// connection calls push and end, so nothing is sent on a closed channel.
+// end tells the handler that no more messages come.
 func (e *exchange) end(err error) {
-	e.once.Do(func() {
-		close(e.in)
-		e.cancel(err)
-	})
+	if e.over {
+		return
+	}
+	e.over = true
+	close(e.in)
+	e.cancel(err)
 }
