Test combined faults with searches checked against an oracle

Four combinations run with traffic through all VMs: a domain out with a frozen owner and the platform down; a version roll during a repartition with a straggler; replicas that go cold during a takeover; two VMs lost with lost platform replies. Each answer must hold exactly the rows of the shards that it claims to cover, each answered booking must have run once, a booking refused with did_not_run must not have run, and no replica may exceed slots + 1.

--- a/pkg/e2e/process_test.go
+++ b/pkg/e2e/process_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -20,6 +21,7 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/fake"
 	"github.com/nutmeghitch/nutmeghitch/pkg/frontend"
 	"github.com/nutmeghitch/nutmeghitch/pkg/loadgen"
+	"github.com/nutmeghitch/nutmeghitch/pkg/merge"
 	"github.com/nutmeghitch/nutmeghitch/pkg/model"
 	"github.com/nutmeghitch/nutmeghitch/pkg/testcluster"
 )
@@ -54,12 +56,13 @@
 	t       *testing.T
 	cluster *testcluster.Cluster
 	seeds   []map[string]any
+	mu      sync.Mutex // guards changes of vms while traffic runs
 	vms     []*process
 }
 
 // process is one running nutmeghitchd.
 type process struct {
-	id                        string
+	id, domain                string
 	callers, peers, operators string
 	cmd                       *exec.Cmd
 	output                    *bytes.Buffer
@@ -68,14 +71,17 @@
 
 // newSite starts upstreams and platform of two failure domains and publishes
 // the configuration.
-func newSite(t *testing.T) *site {
+func newSite(t *testing.T) *site { return newSiteOf(t, fake.ColdConfig{}) }
+
+// newSiteOf starts a site whose upstreams have the cold start.
+func newSiteOf(t *testing.T, cold fake.ColdConfig) *site {
 	t.Helper()
 	c, err := testcluster.Start(t.Context(), testcluster.Config{
 		Document: document(),
 		Seed:     1,
 		Records:  200,
 		Profile: func(model.ServiceID, *model.Service) testcluster.Profile {
-			return testcluster.Profile{ServiceTime: 2 * time.Millisecond, ConnCost: time.Millisecond, Cold: fake.ColdConfig{}}
+			return testcluster.Profile{ServiceTime: 2 * time.Millisecond, ConnCost: time.Millisecond, Cold: cold}
 		},
 	})
 	assert.NilError(t, err)
@@ -134,7 +140,7 @@
 func (s *site) start(id, domain string) *process {
 	s.t.Helper()
 	p := &process{
-		id: id, callers: freeAddr(s.t), peers: freeAddr(s.t), operators: freeAddr(s.t),
+		id: id, domain: domain, callers: freeAddr(s.t), peers: freeAddr(s.t), operators: freeAddr(s.t),
 		output: &bytes.Buffer{}, exited: make(chan error, 1),
 	}
 	settings := map[string]any{
@@ -166,7 +172,9 @@
 			s.t.Logf("%s, end of log:\n%s", id, out[max(0, len(out)-4000):])
 		}
 	})
+	s.mu.Lock()
 	s.vms = append(s.vms, p)
+	s.mu.Unlock()
 	s.await("ready "+id, func() bool {
 		select {
 		case err := <-p.exited:
@@ -231,19 +239,21 @@
 // reply is the outcome of one request.
 type reply struct {
 	status   int
-	Code     string          `json:"code"`
-	RunState string          `json:"run_state"`
-	Result   json.RawMessage `json:"result"`
-	Coverage struct {
-		Covered int `json:"covered"`
-		Total   int `json:"total"`
-	} `json:"coverage"`
+	Code     string            `json:"code"`
+	RunState string            `json:"run_state"`
+	Result   json.RawMessage   `json:"result"`
+	Coverage merge.Coverage    `json:"coverage"`
+	Snapshot model.Snapshot    `json:"snapshot"`
+	Results  []json.RawMessage `json:"results"`
 }
 
 // post sends one request to one VM. A broken connection has status 0.
 func (p *process) post(path, key, body string, deadline time.Duration) reply {
 	var r reply
-	req, err := http.NewRequest(http.MethodPost, "http://"+p.callers+path, bytes.NewBufferString(body))
+	// A frozen VM does not answer; its caller gives up some time after the deadline.
+	ctx, cancel := context.WithTimeout(context.Background(), deadline+time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.callers+path, bytes.NewBufferString(body))
 	if err != nil {
 		return r
 	}
@@ -271,7 +281,9 @@
 }
 
 // covered reports whether a search through the VM covers every shard.
-func (p *process) covered() bool {
-	r := p.search()
+func (p *process) covered() bool { return p.coveredBy(`{"query":{}}`) }
+
+func (p *process) coveredBy(body string) bool {
+	r := p.post("/v1/search/bookings", "", body, 5*time.Second)
 	return r.status == http.StatusOK && r.Coverage.Total == 6 && r.Coverage.Covered == 6
 }
