--- a/pkg/dispatch/search.go
+++ b/pkg/dispatch/search.go
@@ -61,6 +61,7 @@
 	return attempt{
 		replica:     item.Replica,
 		fingerprint: b.Fingerprint,
+		proven:      b.Proven,
 		suspect:     b.Suspect,
 		caller:      b.Caller,
 		run: upstream.RunRequest{
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -30,7 +30,7 @@
 }
 
 // sendBatch starts a batch. Its partials and its end arrive on s.events.
-func (s *search) sendBatch(owner model.VM, items []wire.SearchItem) {
+func (s *search) sendBatch(owner model.VM, items []wire.SearchItem, proven bool) {
 	b := &wire.SearchBatch{
 		QueryID:     s.id,
 		Service:     s.req.Service,
@@ -41,6 +41,7 @@
 		Limit:       s.req.Limit,
 		Fingerprint: s.fp,
 		Suspect:     s.suspect,
+		Proven:      proven,
 		Caller:      s.req.Caller,
 		Items:       items,
 	}
@@ -200,6 +201,7 @@
 	s.g.table.Completed(now, o.Replica, now.Sub(a.sentAt), o.Hint)
 	s.policy.Observe(now.Sub(st.firstSent))
 	s.g.cfg.Ledger.Succeeded(now, s.fp)
+	s.proven = true
 	s.resolve(st)
 	s.cancelRunning(now, st)
 	s.releaseCanary()
--- a/pkg/gateway/scatter.go
+++ b/pkg/gateway/scatter.go
@@ -40,9 +40,11 @@
 	firstSent time.Time
 	sentAt    time.Time
 	hedged    bool
-	resolved  bool
-	resendAt  time.Time // not zero while a move waits
-	lastErr   error
+	// denied is set when the budget did not allow a hedge; it is asked again.
+	denied   bool
+	resolved bool
+	resendAt time.Time // not zero while a move waits
+	lastErr  error
 	// mayHaveRun is set once an attempt ended without the word that it did not
 	// run. What later attempts say cannot take that back.
 	mayHaveRun bool
@@ -80,10 +82,13 @@
 	unresolved int
 	nextID     uint32
 	// canary is the number of groups sent before one of them has answered.
-	canary      int
-	canaryAt    time.Time
-	released    bool
-	suspect     bool
+	canary   int
+	canaryAt time.Time
+	released bool
+	suspect  bool
+	// proven is set once a group has answered: a request that crashes each
+	// upstream that runs it would not have got an answer.
+	proven      bool
 	versionGone bool
 	poisoned    error
 }
@@ -125,6 +130,7 @@
 func (s *search) planCanary() {
 	verdict := s.g.cfg.Ledger.Check(time.Now(), s.fp)
 	s.suspect = verdict == poison.Suspect
+	s.proven = verdict == poison.Proven
 	switch {
 	case s.suspect:
 		s.canary = 1
@@ -204,14 +210,18 @@
 	if s.g.cfg.Policy.NoHedges || st.hedged || s.suspect || !s.released || len(st.running) == 0 || now.Sub(st.sentAt) < delay {
 		return false
 	}
-	st.hedged = true
 	if !s.hasAlternative(st) {
+		st.hedged = true
 		return false
 	}
 	if err := s.policy.TryExtra(1); err != nil {
-		s.g.counters.denied.inc(1)
+		if !st.denied {
+			st.denied = true
+			s.g.counters.denied.inc(1)
+		}
 		return false
 	}
+	st.hedged = true
 	return true
 }
 
@@ -254,7 +264,9 @@
 	s.count(reason, batches)
 	for owner, items := range batches {
 		s.logRouting(reason, owner, items)
-		s.sendBatch(v.VMs[owner], items)
+		// A group that lost an upstream while running this search may lose the
+		// next one to it as well, whatever the other groups have answered.
+		s.sendBatch(v.VMs[owner], items, s.proven && reason != "retry")
 	}
 }
 
--- a/pkg/hedge/hedge.go
+++ b/pkg/hedge/hedge.go
@@ -28,6 +28,9 @@
 	UpperFactor = 3.0
 	// MinBurst is the least number of extra attempts that a full budget allows at once.
 	MinBurst = 10
+	// BurstQueries times the groups of a query is the burst of a search. A
+	// straggler that many queries meet at once needs a hedge for each of them.
+	BurstQueries = 4
 
 	upperQuartile = 0.75
 	// refreshEvery is the number of answers between two computations of the delay.
@@ -63,7 +66,7 @@
 func NewPolicy(c Config) *Policy {
 	p := &Policy{
 		quantile: Quantile(c),
-		burst:    int64(max(MinBurst, c.Groups)) * tokenUnit,
+		burst:    int64(max(MinBurst, BurstQueries*c.Groups)) * tokenUnit,
 		deposit:  int64(math.Round(math.Max(0, c.ExtraLoad) * tokenUnit)),
 	}
 	if p.deposit > 0 {
--- a/pkg/wire/messages.go
+++ b/pkg/wire/messages.go
@@ -95,8 +95,11 @@
 	Limit       int             `msgpack:"limit"`
 	Fingerprint uint64          `msgpack:"fp"`
 	Suspect     bool            `msgpack:"suspect"`
-	Caller      string          `msgpack:"caller"`
-	Items       []SearchItem    `msgpack:"items"`
+	// Proven is set when another group has answered this search, so that the
+	// loss of an upstream is not held against it.
+	Proven bool         `msgpack:"proven"`
+	Caller string       `msgpack:"caller"`
+	Items  []SearchItem `msgpack:"items"`
 }
 
 // Row is one result row. Key holds the values of the service's order keys.
