Make the served demo usable by pasting its output

A node without a metrics handler makes its own. Metric labels keep the VM's name (vm_1 was vm-1). The demo's log goes through the bounded asynchronous writer. Help that was asked for goes to the standard output of nutmeghitchd.

--- a/cmd/nutmeghitchd/main.go
+++ b/cmd/nutmeghitchd/main.go
@@ -27,10 +27,10 @@
 const flushTimeout = 2 * time.Second
 
 func main() {
-	os.Exit(run(os.Args[1:], os.Stderr))
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
 }
 
-func run(args []string, stderr io.Writer) int {
+func run(args []string, stdout, stderr io.Writer) int {
 	code := exitUsage
 	cmd := &cli.Command{
 		Name:        "nutmeghitchd",
@@ -56,7 +56,8 @@
 	}
 	for _, a := range args {
 		if a == "--help" || a == "-h" {
-			code = exitDone
+			// Help that was asked for is data; help after wrong usage is a message.
+			code, cmd.Writer = exitDone, stdout
 		}
 	}
 	if err := cmd.Run(context.Background(), append([]string{"nutmeghitchd"}, args...)); err != nil {
--- a/cmd/nutmeghitchd/main_test.go
+++ b/cmd/nutmeghitchd/main_test.go
@@ -22,9 +22,10 @@
 		"--settings " + example + " --check": exitDone,
 		"--settings " + example + " extra":   exitUsage,
 	} {
-		var stderr bytes.Buffer
-		assert.Equal(t, run(strings.Fields(args), &stderr), want, "%s: %s", args, stderr.String())
+		var stdout, stderr bytes.Buffer
+		assert.Equal(t, run(strings.Fields(args), &stdout, &stderr), want, "%s: %s", args, stderr.String())
+		assert.Equal(t, stdout.Len() > 0, args == "--help", "%s: standard output is %q", args, stdout.String())
 	}
 	t.Setenv("NUTMEGHITCH_PEER_SECRET", "short")
-	assert.Equal(t, run([]string{"--settings", example, "--check"}, &bytes.Buffer{}), exitUsage)
+	assert.Equal(t, run([]string{"--settings", example, "--check"}, &bytes.Buffer{}, &bytes.Buffer{}), exitUsage)
 }
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -181,7 +181,7 @@
 func (a *app) store(c *cli.Command) (platform.Store, error) {
 	url := c.String("platform")
 	if url == "" {
-		return nil, &UsageError{Problem: "missing --platform"}
+		return nil, &UsageError{Problem: "missing --platform; the environment variable NUTMEGHITCH_PLATFORM can hold it"}
 	}
 	return a.OpenStore(url, os.Getenv(PlatformTokenEnv)), nil
 }
--- a/pkg/cli/configure.go
+++ b/pkg/cli/configure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -162,8 +163,9 @@
 	return &cli.Command{
 		Name:        "show",
 		Usage:       "show the published configuration",
-		Description: "Example:\n  nutmeghitch show --platform http://127.0.0.1:7000 --json",
-		Flags:       []cli.Flag{platformFlag(), a.jsonFlag()},
+		Description: "Example:\n  nutmeghitch show --platform http://127.0.0.1:7000 --base-file > base.jsonc",
+		Flags: []cli.Flag{platformFlag(), a.jsonFlag(),
+			&cli.BoolFlag{Name: "base-file", Usage: "print the configuration as a base file for check and apply"}},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			if _, err := arguments(c); err != nil {
 				return err
@@ -178,6 +180,9 @@
 			if err != nil {
 				return err
 			}
+			if c.Bool("base-file") {
+				return a.printBase(d)
+			}
 			if a.json {
 				a.print(map[string]any{"version": m.Version, "document": d})
 				return nil
@@ -188,6 +193,32 @@
 	}
 }
 
+// printBase prints a document with the keys that a base file may have: a
+// lookup service has no keys of searches. Overrides are left out, because a
+// file that sets them undoes later ones when it is applied.
+func (a *app) printBase(d *model.Document) error {
+	encoded, err := json.Marshal(d)
+	if err != nil {
+		return errs.Refuse(errs.Internal, "base file: %v", err)
+	}
+	var tree map[string]any
+	if err := json.Unmarshal(encoded, &tree); err != nil {
+		return errs.Refuse(errs.Internal, "base file: %v", err)
+	}
+	delete(tree, "overrides")
+	services, _ := tree["services"].(map[string]any)
+	for id, svc := range d.Services {
+		keys, _ := services[string(id)].(map[string]any)
+		if svc.Kind == model.Lookup {
+			for _, key := range []string{"limit", "order", "canary_groups"} {
+				delete(keys, key)
+			}
+		}
+	}
+	a.print(tree)
+	return nil
+}
+
 func (a *app) showText(d *model.Document) {
 	fmt.Fprintf(a.Stdout, "configuration %d of site %s\n", d.Version, d.Site)
 	for _, id := range slices.Sorted(maps.Keys(d.Domains)) {
--- a/pkg/cli/operate.go
+++ b/pkg/cli/operate.go
@@ -25,7 +25,7 @@
 // admin sends a request to the operators' interface of a VM and decodes the answer.
 func (a *app) admin(ctx context.Context, c *cli.Command, method string, into any, path ...string) error {
 	if c.String("operators") == "" {
-		return &UsageError{Problem: "missing --operators"}
+		return &UsageError{Problem: "missing --operators; the environment variable NUTMEGHITCH_OPERATORS can hold it"}
 	}
 	header := map[string]string{}
 	if token := os.Getenv(OperatorTokenEnv); token != "" {
--- a/pkg/cli/query.go
+++ b/pkg/cli/query.go
@@ -32,7 +32,7 @@
 		Name:        "query",
 		Usage:       "search a service",
 		ArgsUsage:   "SERVICE QUERY",
-		Description: "QUERY is JSON, or - to read it from the standard input.\nExample:\n  nutmeghitch query assistance-search '{\"gate\": \"B4\"}' --vm http://127.0.0.1:8080 --limit 5",
+		Description: "QUERY is JSON, or - to read it from the standard input.\nExample:\n  nutmeghitch query assistance-search '{\"equals\": {\"gate\": \"B4\"}}' --vm http://127.0.0.1:8080 --limit 5",
 		Flags: append(a.callerFlags(),
 			&cli.StringFlag{Name: "operation", Usage: "search operation, such as quick-check"},
 			&cli.IntFlag{Name: "limit", Usage: "greatest number of results"}),
@@ -104,7 +104,7 @@
 		ArgsUsage: "SERVICE OPERATION BODY",
 		Description: "BODY is a JSON object, or - to read it from the standard input. An operation that may run only once\n" +
 			"needs --key; repeat a call whose outcome is unknown with the same key.\n" +
-			"Example:\n  nutmeghitch call itinerary-lookup book '{\"member\": 7}' --key 7-2026-12-04 --vm http://127.0.0.1:8080",
+			"Example:\n  nutmeghitch call itinerary-lookup book '{\"id\": \"MS-000007\"}' --key 7-2026-12-04 --vm http://127.0.0.1:8080",
 		Flags:  append(a.callerFlags(), &cli.StringFlag{Name: "key", Usage: "idempotency key"}),
 		Action: a.call,
 	}
@@ -155,7 +155,7 @@
 // caller sends a request to the callers' interface of a VM.
 func (a *app) caller(ctx context.Context, c *cli.Command, body []byte, header map[string]string, path ...string) ([]byte, error) {
 	if c.String("vm") == "" {
-		return nil, &UsageError{Problem: "missing --vm"}
+		return nil, &UsageError{Problem: "missing --vm; the environment variable NUTMEGHITCH_VM can hold it"}
 	}
 	all := map[string]string{"Content-Type": "application/json", "Nutmeghitch-Caller": c.String("caller")}
 	for name, value := range header {
--- a/pkg/demo/command.go
+++ b/pkg/demo/command.go
@@ -3,15 +3,15 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"os"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
 	"github.com/nutmeghitch/nutmeghitch/examples"
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
-	"github.com/nutmeghitch/nutmeghitch/pkg/testcluster"
+	"github.com/nutmeghitch/nutmeghitch/pkg/logging"
 )
 
 // Command returns the command "demo".
@@ -24,7 +24,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "site", Value: "msaada", Usage: "example site `NAME`", Validator: validSite},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of data, service times and load"},
-			&cli.BoolFlag{Name: "json", Usage: "print the report as one JSON object"},
+			&cli.BoolFlag{Name: "json", Usage: "print the report, or with --serve the addresses, as one JSON object"},
 			&cli.BoolFlag{Name: "serve", Usage: "start the site and keep it up until interrupted"},
 			&cli.StringFlag{Name: "log", Usage: "write the log lines of all VMs to `FILE`"},
 		},
@@ -36,16 +36,27 @@
 					return errs.Refuse(errs.InvalidRequest, "log file: %v", err)
 				}
 				defer f.Close()
-				cfg.Log = f
+				log := logging.NewAsync(f, logging.DefaultCapacity)
+				defer flush(log)
+				cfg.Log = log
 			}
 			if c.Bool("serve") {
-				return serve(ctx, cfg, stdout)
+				return serve(ctx, cfg, c.Bool("json"), stdout)
 			}
 			return report(ctx, cfg, c.Bool("json"), stdout)
 		},
 	}
 }
 
+// flushTimeout bounds the time to write the last log lines.
+const flushTimeout = 2 * time.Second
+
+func flush(log *logging.Async) {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	_ = log.Close(ctx)
+}
+
 func validSite(name string) error {
 	for _, s := range examples.Sites() {
 		if s == name {
@@ -75,20 +86,3 @@
 	}
 	return nil
 }
-
-// serve keeps a site up for the other commands, curl or a browser.
-func serve(ctx context.Context, cfg Config, stdout io.Writer) error {
-	cluster, err := Site(ctx, cfg)
-	if err != nil {
-		return err
-	}
-	defer cluster.Close()
-	fmt.Fprintf(stdout, "platform   %s (token %s)\n", cluster.Platform.URL(), testcluster.PlatformToken)
-	for _, vm := range cluster.Running() {
-		fmt.Fprintf(stdout, "%s in %s   callers http://%s   operators http://%s (token %s)\n",
-			vm.ID, vm.Domain, vm.Callers, vm.Operators, testcluster.OperatorToken)
-	}
-	fmt.Fprintln(stdout, "Serving until interrupted.")
-	<-ctx.Done()
-	return nil
-}
--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -163,7 +163,7 @@
 	defer stop()
 	go balancer.Run(balanceCtx)
 
-	report := &Report{Site: c.Site, Seed: c.Seed, Refusals: make(map[string]int)}
+	report := &Report{Site: c.Site, Seed: c.Seed, Refusals: make(map[string]int), Untrue: []string{}}
 	total := newTotals()
 	phase := func(name string, d time.Duration) {
 		step("%s for %s", name, d)
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -44,12 +44,20 @@
 		Tags:                   tags,
 		CachedReporter:         reporter,
 		Separator:              prometheus.DefaultSeparator,
-		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		SanitizeOptions:        sanitizer(),
 		DefaultBuckets:         LatencyBuckets,
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	return &Metrics{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}
 }
 
+// sanitizer keeps tag values as they are. The default of tally would show the
+// VM "nbo-a-1" as "nbo_a_1", which matches neither logs nor status.
+func sanitizer() *tally.SanitizeOptions {
+	o := prometheus.DefaultSanitizerOpts
+	o.ValueCharacters = tally.ValidCharacters{Ranges: []tally.SanitizeRange{{' ', '~'}}}
+	return &o
+}
+
 // Close reports the last values and stops the scope.
 func (m *Metrics) Close() error { return m.closer.Close() }
--- a/pkg/metrics/metrics_test.go
+++ b/pkg/metrics/metrics_test.go
@@ -10,11 +10,11 @@
 )
 
 // Guards against metrics that are not exported, or exported twice when two
-// VMs run in one process.
+// VMs run in one process, and against labels that are not the VM's name.
 func TestHandlerServesScope(t *testing.T) {
 	var failures []error
 	onError := func(err error) { failures = append(failures, err) }
-	for _, vm := range []string{"a1", "b1"} {
+	for _, vm := range []string{"nbo-a-1", "b1"} {
 		m := New(map[string]string{"vm": vm}, onError)
 		m.Scope.SubScope("gateway").Tagged(map[string]string{"service": "billing"}).Counter("hedges").Inc(3)
 		m.Scope.Histogram("query_latency", LatencyBuckets).RecordDuration(2 * time.Millisecond)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/frontend"
 	"github.com/nutmeghitch/nutmeghitch/pkg/gateway"
 	"github.com/nutmeghitch/nutmeghitch/pkg/kernel"
+	"github.com/nutmeghitch/nutmeghitch/pkg/metrics"
 	"github.com/nutmeghitch/nutmeghitch/pkg/model"
 	"github.com/nutmeghitch/nutmeghitch/pkg/platform"
 )
@@ -52,6 +53,7 @@
 
 	Logger *logrus.Logger
 	// Scope and Metrics are the metrics root and the handler that exports it.
+	// Without Metrics the node makes both.
 	Scope   tally.Scope
 	Metrics http.Handler
 	Rand    *rand.Rand
@@ -94,9 +96,6 @@
 	if c.Scope == nil {
 		c.Scope = tally.NoopScope
 	}
-	if c.Metrics == nil {
-		c.Metrics = http.NotFoundHandler()
-	}
 	if c.Rand == nil {
 		c.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
@@ -110,6 +109,13 @@
 // VM leaves, accepts callers for the balancer's notice, and finishes
 // everything in flight within the stop timeout.
 func (n *Node) Run(ctx context.Context) error {
+	if n.cfg.Metrics == nil {
+		m := metrics.New(map[string]string{"vm": string(n.cfg.Self.ID), "domain": string(n.cfg.Self.Domain)}, func(err error) {
+			n.cfg.Logger.WithError(err).Warn("metrics: A metric was refused.")
+		})
+		defer m.Close()
+		n.cfg.Scope, n.cfg.Metrics = m.Scope, m.Handler
+	}
 	return n.kernel.Run(ctx, func() (context.Context, context.CancelFunc) {
 		if n.aborted.Load() {
 			done, cancel := context.WithCancel(context.Background())
