Name the faulty file and end with the documented exit codes

A VM with TLS on its peer listener could not dial others, because the client side had no server name.

Tests and golden files show the new texts.

--- a/cmd/nutmeghitchd/main.go
+++ b/cmd/nutmeghitchd/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/node"
 	"github.com/nutmeghitch/nutmeghitch/pkg/settings"
 )
@@ -80,6 +81,10 @@
 	n, resources, err := node.Open(s, stderr)
 	if err != nil {
 		fmt.Fprintf(stderr, "nutmeghitchd: %v\n", err)
+		if errs.Is(err, errs.AddressInUse) {
+			// A later start can succeed with the same settings.
+			return exitFailed
+		}
 		return exitUsage
 	}
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
--- a/cmd/nutmeghitchd/main_test.go
+++ b/cmd/nutmeghitchd/main_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"bytes"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -26,6 +30,17 @@
 		assert.Equal(t, run(strings.Fields(args), &stdout, &stderr), want, "%s: %s", args, stderr.String())
 		assert.Equal(t, stdout.Len() > 0, args == "--help", "%s: standard output is %q", args, stdout.String())
 	}
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer taken.Close()
+	data, err := os.ReadFile(example)
+	assert.NilError(t, err)
+	busy := filepath.Join(t.TempDir(), "busy.jsonc")
+	text := strings.ReplaceAll(string(data), "127.0.0.1:20001", taken.Addr().String())
+	assert.NilError(t, os.WriteFile(busy, []byte(text), 0o600))
+	var stderr bytes.Buffer
+	assert.Equal(t, run([]string{"--settings", busy}, io.Discard, &stderr), exitFailed)
+	assert.Equal(t, stderr.String(), "nutmeghitchd: address_in_use (did_not_run): listen.callers.addr: "+taken.Addr().String()+" is used by another process\n")
 	t.Setenv("NUTMEGHITCH_PEER_SECRET", "short")
 	assert.Equal(t, run([]string{"--settings", example, "--check"}, &bytes.Buffer{}, &bytes.Buffer{}), exitUsage)
 }
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -74,6 +75,9 @@
 	if err == nil {
 		return ExitDone
 	}
+	// A command of another package has its own flag, and a wrong command line
+	// is reported before the flag is read.
+	a.json = a.json || slices.Contains(args, "--json")
 	a.report(err)
 	var usage *UsageError
 	var faults *config.Faults
--- a/pkg/config/faults.go
+++ b/pkg/config/faults.go
@@ -50,12 +50,14 @@
 
 // Faults holds all faults of the files, ordered by file and line.
 type Faults struct {
-	List []Fault `json:"faults"`
+	// Subject is what has the faults; "" means "configuration".
+	Subject string  `json:"-"`
+	List    []Fault `json:"faults"`
 }
 
 // Error implements error. It lists every fault on its own line.
 func (f *Faults) Error() string {
-	lines := []string{fmt.Sprintf("configuration has %d fault(s)", len(f.List))}
+	lines := []string{fmt.Sprintf("%s: %d fault(s)", cmp.Or(f.Subject, "configuration"), len(f.List))}
 	for _, one := range f.List {
 		lines = append(lines, one.String())
 	}
--- a/pkg/demo/command.go
+++ b/pkg/demo/command.go
@@ -3,37 +3,39 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"os"
 	"time"
 
-	"github.com/urfave/cli/v3"
+	ucli "github.com/urfave/cli/v3"
 
 	"github.com/nutmeghitch/nutmeghitch/examples"
+	"github.com/nutmeghitch/nutmeghitch/pkg/cli"
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/logging"
 )
 
 // Command returns the command "demo".
-func Command(stdout, stderr io.Writer) *cli.Command {
-	return &cli.Command{
+func Command(stdout, stderr io.Writer) *ucli.Command {
+	return &ucli.Command{
 		Name:  "demo",
 		Usage: "run a whole site in one process, take a failure domain out and back, and report",
 		UsageText: "nutmeghitch demo [--site msaada|podstavek] [--seed N] [--json] [--serve] [--log FILE]\n\n" +
 			"Example: nutmeghitch demo --site podstavek --seed 7",
-		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "site", Value: "msaada", Usage: "example site `NAME`", Validator: validSite},
-			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of data, service times and load"},
-			&cli.BoolFlag{Name: "json", Usage: "print the report, or with --serve the addresses, as one JSON object"},
-			&cli.BoolFlag{Name: "serve", Usage: "start the site and keep it up until interrupted"},
-			&cli.StringFlag{Name: "log", Usage: "write the log lines of all VMs to `FILE`"},
+		Flags: []ucli.Flag{
+			&ucli.StringFlag{Name: "site", Value: "msaada", Usage: "example site `NAME`", Validator: validSite},
+			&ucli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of data, service times and load"},
+			&ucli.BoolFlag{Name: "json", Usage: "print the report, or with --serve the addresses, as one JSON object"},
+			&ucli.BoolFlag{Name: "serve", Usage: "start the site and keep it up until interrupted"},
+			&ucli.StringFlag{Name: "log", Usage: "write the log lines of all VMs to `FILE`"},
 		},
-		Action: func(ctx context.Context, c *cli.Command) error {
+		Action: func(ctx context.Context, c *ucli.Command) error {
 			cfg := Config{Site: c.String("site"), Seed: c.Uint64("seed"), Progress: stderr}
 			if name := c.String("log"); name != "" {
 				f, err := os.Create(name)
 				if err != nil {
-					return errs.Refuse(errs.InvalidRequest, "log file: %v", err)
+					return &cli.UsageError{Problem: fmt.Sprintf("log file: %v", err)}
 				}
 				defer f.Close()
 				log := logging.NewAsync(f, logging.DefaultCapacity)
@@ -63,7 +65,7 @@
 			return nil
 		}
 	}
-	return errs.Refuse(errs.InvalidRequest, "site %q is none of %v", name, examples.Sites())
+	return &cli.UsageError{Problem: fmt.Sprintf("must be one of %v", examples.Sites())}
 }
 
 func report(ctx context.Context, cfg Config, asJSON bool, stdout io.Writer) error {
--- a/pkg/logging/logging.go
+++ b/pkg/logging/logging.go
@@ -99,6 +99,8 @@
 	if part != "" {
 		b.WriteString(part)
 		b.WriteString(": ")
+		// Some messages name their part themselves.
+		message = strings.TrimPrefix(message, part+": ")
 	}
 	// A line break from outside must not look like a line of its own.
 	if strings.ContainsAny(message, "\n\r") {
--- a/pkg/logging/logging_test.go
+++ b/pkg/logging/logging_test.go
@@ -56,6 +56,7 @@
 	gateway.Info("bad\n2026 forged")
 	Decision(gateway, "q 1\n", "r1", "nearest")
 	Decision(gateway.WithField("zone", "a"), "q 1\n", "r1", "nearest")
+	gateway.Info("gateway: named twice")
 	gateway.Debug("hidden")
 	assert.NilError(t, async.Close(context.Background()))
 	times := regexp.MustCompile(`(?m)^\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}Z `)
@@ -64,6 +65,7 @@
 		`info gateway: bad\n2026 forged`,
 		`info gateway: decided choice=r1 query="q 1\n" reason=nearest`,
 		`info gateway: decided choice=r1 query="q 1\n" reason=nearest zone=a`,
+		`info gateway: named twice`,
 		"",
 	}, "\n"))
 	gateway.Info("late")
--- a/pkg/peer/transport.go
+++ b/pkg/peer/transport.go
@@ -211,7 +211,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
 	nc := raw
 	if t.cfg.TLS != nil {
-		nc = tls.Client(raw, t.cfg.TLS)
+		nc = tls.Client(raw, clientTLS(t.cfg.TLS, to.Addr))
 	}
 	br := bufio.NewReaderSize(nc, controlReadBuffer)
 	err = dialHandshake(nc, wire.NewHandshakeReader(br), t.cfg.Self, to, t.cfg.Secret, k)
@@ -242,3 +242,18 @@
 	}
 	t.log.Infof("peer: %s connection to %s ended: %v", c.lane, c.peer.ID, err)
 }
+
+// clientTLS returns the settings for dialling addr. A client must know which
+// name to verify; without one in the settings it is the host that is dialled.
+func clientTLS(c *tls.Config, addr string) *tls.Config {
+	if c.ServerName != "" {
+		return c
+	}
+	c = c.Clone()
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		host = addr
+	}
+	c.ServerName = host
+	return c
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -2,6 +2,7 @@
 package settings
 
 import (
+	"errors"
 	"os"
 	"time"
 
@@ -86,12 +87,15 @@
 	}
 }
 
+// subject names the file in its faults.
+const subject = "settings"
+
 // LoadFile reads the settings file. The error is a *config.Faults with
 // everything that is wrong; it contains no secret.
 func LoadFile(name string) (*Settings, error) {
 	data, err := os.ReadFile(name)
 	if err != nil {
-		return nil, &config.Faults{List: []config.Fault{{Origin: config.Origin{File: name}, Path: "(file)", Problem: err.Error()}}}
+		return nil, &config.Faults{Subject: subject, List: []config.Fault{{Origin: config.Origin{File: name}, Path: "(file)", Problem: err.Error()}}}
 	}
 	return Load(config.Source{Name: name, Data: data}, os.LookupEnv)
 }
@@ -101,7 +105,12 @@
 	s := defaults()
 	v := validator{s: &s, env: env, file: config.Decode(src, &s)}
 	v.run()
-	if err := v.file.Err(); err != nil {
+	err := v.file.Err()
+	var faults *config.Faults
+	if errors.As(err, &faults) {
+		faults.Subject = subject
+	}
+	if err != nil {
 		return nil, err
 	}
 	return &s, nil
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"encoding/json"
+	"encoding/pem"
 	"fmt"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -49,6 +53,19 @@
 	_, err := Load(config.Source{Name: "vm.jsonc", Data: []byte(bad)}, env)
 	golden.Assert(t, err.Error()+"\n", "faults.golden")
 	assert.Assert(t, !strings.Contains(err.Error(), "hunter2"))
+	_, err = LoadFile("testdata/missing.jsonc")
+	assert.ErrorContains(t, err, "settings: 1 fault(s)\ntestdata/missing.jsonc")
+}
+
+// Guards against an error that names the certificate when the key is missing.
+func TestMissingTLSKeyIsNamed(t *testing.T) {
+	web := httptest.NewTLSServer(nil)
+	defer web.Close()
+	cert := filepath.Join(t.TempDir(), "cert.pem")
+	encoded := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: web.Certificate().Raw})
+	assert.NilError(t, os.WriteFile(cert, encoded, 0o600))
+	_, err := TLS{Cert: cert, Key: "testdata/missing.pem"}.Config()
+	assert.ErrorContains(t, err, "TLS file testdata/missing.pem:")
 }
 
 // Guards against a secret in a log line or in printed settings.
--- a/pkg/settings/tls.go
+++ b/pkg/settings/tls.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
+	"errors"
 	"fmt"
 	"os"
 )
@@ -19,6 +20,16 @@
 // Unwrap returns the cause.
 func (e *TLSError) Unwrap() error { return e.Err }
 
+// faultyFile returns the file that an error of the pair is about. A pair that
+// does not match is reported for the certificate.
+func faultyFile(t TLS, err error) string {
+	var path *os.PathError
+	if errors.As(err, &path) {
+		return path.Path
+	}
+	return t.Cert
+}
+
 // Config loads the files. It returns nil when no certificate is set. With a
 // CA, the result requires a certificate of that authority from the other side,
 // both when listening and when dialing.
@@ -28,7 +39,7 @@
 	}
 	cert, err := tls.LoadX509KeyPair(t.Cert, t.Key)
 	if err != nil {
-		return nil, &TLSError{File: t.Cert, Err: err}
+		return nil, &TLSError{File: faultyFile(t, err), Err: err}
 	}
 	c := &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{cert}}
 	if t.CA == "" {
