--- a/pkg/e2e/process_test.go
+++ b/pkg/e2e/process_test.go
@@ -10,7 +10,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
+	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -54,17 +57,44 @@
 	cluster *testcluster.Cluster
 	seeds   []map[string]any
 	vms     []*process
+	client  *http.Client
+	scheme  string
+	// edit changes the settings of a VM before it starts.
+	edit func(id string, settings map[string]any)
 }
 
 // process is one running nutmeghitchd.
 type process struct {
 	id                        string
+	site                      *site
 	callers, peers, operators string
 	cmd                       *exec.Cmd
-	output                    *bytes.Buffer
+	output                    *output
 	exited                    chan error
 }
 
+// output collects what a process writes while tests read it.
+type output struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(p)
+}
+
+// String returns everything written so far.
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.String()
+}
+
+func (o *output) contains(s string) bool { return strings.Contains(o.String(), s) }
+
 // newSite starts upstreams and platform of two failure domains and publishes
 // the configuration.
 func newSite(t *testing.T) *site {
@@ -79,7 +109,7 @@
 	})
 	assert.NilError(t, err)
 	t.Cleanup(c.Close)
-	return &site{t: t, cluster: c}
+	return &site{t: t, cluster: c, scheme: "http", client: &http.Client{Timeout: 20 * time.Second}}
 }
 
 func document() *model.Document {
@@ -134,14 +164,14 @@
 	s.t.Helper()
 	p := &process{
 		id: id, callers: freeAddr(s.t), peers: freeAddr(s.t), operators: freeAddr(s.t),
-		output: &bytes.Buffer{}, exited: make(chan error, 1),
+		site: s, output: &output{}, exited: make(chan error, 1),
 	}
 	settings := map[string]any{
 		"vm": id, "domain": domain, "region": "r",
 		"listen": map[string]any{
-			"callers":   map[string]string{"addr": p.callers},
-			"peers":     map[string]string{"addr": p.peers},
-			"operators": map[string]string{"addr": p.operators},
+			"callers":   map[string]any{"addr": p.callers},
+			"peers":     map[string]any{"addr": p.peers},
+			"operators": map[string]any{"addr": p.operators},
 		},
 		"platform":           map[string]any{"url": s.cluster.Platform.URL(), "token": testcluster.PlatformToken},
 		"seeds":              s.seeds,
@@ -150,6 +180,9 @@
 		"balancer_notice_ms": 500,
 	}
 	s.seeds = append(s.seeds, map[string]any{"id": id, "addr": p.peers, "domain": domain, "region": "r"})
+	if s.edit != nil {
+		s.edit(id, settings)
+	}
 	data, err := json.Marshal(settings)
 	assert.NilError(s.t, err)
 	file := filepath.Join(s.t.TempDir(), id+".jsonc")
@@ -161,7 +194,7 @@
 	s.t.Cleanup(func() {
 		_ = p.cmd.Process.Kill()
 		if s.t.Failed() {
-			out := p.output.Bytes()
+			out := p.output.String()
 			s.t.Logf("%s, end of log:\n%s", id, out[max(0, len(out)-4000):])
 		}
 	})
@@ -193,10 +226,8 @@
 	}
 }
 
-var client = &http.Client{Timeout: 20 * time.Second}
-
 func (p *process) ready() bool {
-	resp, err := client.Get("http://" + p.operators + "/readyz")
+	resp, err := p.site.client.Get(p.site.scheme + "://" + p.operators + "/readyz")
 	if err != nil {
 		return false
 	}
@@ -209,12 +240,12 @@
 // status returns the control state as operators see it.
 func (p *process) status() (frontend.Status, bool) {
 	var st frontend.Status
-	req, err := http.NewRequest(http.MethodGet, "http://"+p.operators+"/admin/status", nil)
+	req, err := http.NewRequest(http.MethodGet, p.site.scheme+"://"+p.operators+"/admin/status", nil)
 	if err != nil {
 		return st, false
 	}
 	req.Header.Set("Authorization", "Bearer "+secret)
-	resp, err := client.Do(req)
+	resp, err := p.site.client.Do(req)
 	if err != nil {
 		return st, false
 	}
@@ -222,6 +253,14 @@
 	return st, json.NewDecoder(resp.Body).Decode(&st) == nil
 }
 
+// knows reports whether the VM sees another one alive.
+func (p *process) knows(id string) bool {
+	st, ok := p.status()
+	return ok && slices.ContainsFunc(st.VMs, func(v frontend.VMStatus) bool {
+		return string(v.ID) == id && v.State == model.Alive.String()
+	})
+}
+
 // reply is the outcome of one request.
 type reply struct {
 	status   int
@@ -237,7 +276,7 @@
 // post sends one request to one VM. A broken connection has status 0.
 func (p *process) post(path, key, body string, deadline time.Duration) reply {
 	var r reply
-	req, err := http.NewRequest(http.MethodPost, "http://"+p.callers+path, bytes.NewBufferString(body))
+	req, err := http.NewRequest(http.MethodPost, p.site.scheme+"://"+p.callers+path, bytes.NewBufferString(body))
 	if err != nil {
 		return r
 	}
@@ -245,7 +284,7 @@
 	if key != "" {
 		req.Header.Set(frontend.HeaderKey, key)
 	}
-	resp, err := client.Do(req)
+	resp, err := p.site.client.Do(req)
 	if err != nil {
 		return r
 	}
