Measure how the cost of each mechanism grows

Cause: the design fixes a target scale, and nothing told how far the code is from it. Change: pkg/capacity and the command 'nutmeghitch capacity' measure each mechanism at four sizes or more, fit a line whose form follows from the mechanism, and extrapolate it with its standard error. Fleets of up to 1,500 membership and configuration machines run in virtual time. membership.Config.Known starts a machine in a fleet that has settled.

--- a/cmd/nutmeghitch/main.go
+++ b/cmd/nutmeghitch/main.go
@@ -9,6 +9,7 @@
 
 	ucli "github.com/urfave/cli/v3"
 
+	"github.com/nutmeghitch/nutmeghitch/pkg/capacity"
 	"github.com/nutmeghitch/nutmeghitch/pkg/cli"
 	"github.com/nutmeghitch/nutmeghitch/pkg/demo"
 )
@@ -25,6 +26,6 @@
 		Stdout:    os.Stdout,
 		Stderr:    os.Stderr,
 		OpenStore: cli.OpenPlatform,
-		Extra:     []*ucli.Command{demo.Command(os.Stdout, os.Stderr)},
+		Extra:     []*ucli.Command{demo.Command(os.Stdout, os.Stderr), capacity.Command(os.Stdout, os.Stderr)},
 	})
 }
--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -52,6 +52,9 @@
 	Self  model.VM
 	Seeds []model.VM
 	Rng   *rand.Rand
+	// Known holds VMs that are members already. They are not gossiped, as in
+	// a fleet that has been running for long; simulations use it.
+	Known []model.VM
 }
 
 // record is what is known of one other VM.
@@ -105,10 +108,25 @@
 	}
 	m.queue.init()
 	m.Seed(now, c.Seeds)
+	m.know(c.Known)
 	m.announceSelf()
 	return m
 }
 
+// know stores members without an update to gossip.
+func (m *Machine) know(vms []model.VM) {
+	for _, v := range vms {
+		if v.ID == m.self.ID {
+			continue
+		}
+		m.records[v.ID] = &record{vm: v}
+		m.live += alive(v)
+		m.order = append(m.order, v.ID)
+		m.joined = true
+	}
+	m.rng.Shuffle(len(m.order), func(i, j int) { m.order[i], m.order[j] = m.order[j], m.order[i] })
+}
+
 // Self returns this VM with its current state and incarnation.
 func (m *Machine) Self() model.VM { return m.self }
 
