Gossip updates of VMs before items

Cause: updates of VMs and items shared one queue. During an index roll over 6,500 replicas in 10 minutes items fill every message, so the record of a dead VM was sent 7 times per node instead of 28. Change: each kind has its own queue. Updates of VMs come first and take the whole message, or half of it while items wait. An update that does not fit stays at the head; before, putting it back copied the queue.

--- a/pkg/membership/gossip.go
+++ b/pkg/membership/gossip.go
@@ -75,65 +75,94 @@
 	q.fresh = append(q.fresh, u)
 }
 
-// pop returns the next update, or nil.
-func (q *queue) pop() *update {
+// peek returns the next update and the list that it heads, or nil.
+func (q *queue) peek() (*update, *[]*update) {
 	for _, list := range []*[]*update{&q.fresh, &q.sent} {
 		for len(*list) > 0 {
-			u := (*list)[0]
-			*list = (*list)[1:]
-			if !u.replaced {
-				return u
+			if u := (*list)[0]; !u.replaced {
+				return u, list
 			}
+			*list = (*list)[1:]
+		}
+	}
+	return nil, nil
+}
+
+func (q *queue) empty() bool {
+	u, _ := q.peek()
+	return u == nil
+}
+
+// requeue takes back updates that were sent, those sent often enough excepted.
+func (q *queue) requeue(list []*update, limit int) {
+	for _, u := range list {
+		if u.sent < limit {
+			q.sent = append(q.sent, u)
+		} else {
+			delete(q.pending, u.key)
 		}
 	}
-	return nil
 }
 
 // piggyback adds queued updates to the entries that a message must carry.
+// Updates of VMs come first: during an index roll the updates of 6,500
+// replicas fill all messages for minutes, and a death must not wait for them.
+// While items wait they get half of the room, because after a start of the
+// whole fleet updates of VMs fill all messages as well.
 func (m *Machine) piggyback(from wire.Member, members []wire.Member) ([]wire.Member, []wire.Item) {
 	room := PiggybackLimit - pingOverhead - memberSize(from)
 	for _, w := range members {
 		room -= memberSize(w)
 	}
 	limit := retransmit * bits.Len(uint(m.live+1))
-	var items []wire.Item
-	var again []*update
+	share := room
+	if !m.itemQueue.empty() {
+		share = room / 2
+	}
+	updates, _, sent := m.fill(&m.memberQueue, share)
+	members = append(members, updates...)
+	room -= size(updates, nil)
+	_, items, sentItems := m.fill(&m.itemQueue, room)
+	room -= size(nil, items)
+	// What items leave goes to VMs.
+	more, _, sentMore := m.fill(&m.memberQueue, room)
+	members = append(members, more...)
+	m.memberQueue.requeue(append(sent, sentMore...), limit)
+	m.itemQueue.requeue(sentItems, limit)
+	return members, items
+}
+
+// fill takes updates from a queue as long as they fit into room.
+func (m *Machine) fill(q *queue, room int) (members []wire.Member, items []wire.Item, sent []*update) {
 	for {
-		u := m.queue.pop()
+		u, list := q.peek()
 		if u == nil {
-			break
+			return members, items, sent
 		}
 		w, it, ok := m.content(u.key)
-		size := memberSize(w)
+		need := memberSize(w)
 		if it.Kind != 0 {
-			size = itemSize(it)
+			need = itemSize(it)
 		}
-		if !ok || size > PiggybackLimit/2 {
+		if !ok || need > PiggybackLimit/2 {
 			// Large items spread by state exchange only.
-			delete(m.queue.pending, u.key)
+			*list = (*list)[1:]
+			delete(q.pending, u.key)
 			continue
 		}
-		if size > room {
-			m.queue.fresh = append([]*update{u}, m.queue.fresh...)
-			break
+		if need > room {
+			return members, items, sent
 		}
-		room -= size
+		*list = (*list)[1:]
+		room -= need
 		if it.Kind != 0 {
 			items = append(items, it)
 		} else {
 			members = append(members, w)
 		}
 		u.sent++
-		again = append(again, u)
+		sent = append(sent, u)
 	}
-	for _, u := range again {
-		if u.sent < limit {
-			m.queue.sent = append(m.queue.sent, u)
-		} else {
-			delete(m.queue.pending, u.key)
-		}
-	}
-	return members, items
 }
 
 // content returns the current state behind an update.
@@ -212,7 +241,7 @@
 		s.expires = now.Add(it.TTL)
 	}
 	m.items[k] = s
-	m.queue.add(updateKey{item: k})
+	m.itemQueue.add(updateKey{item: k})
 }
 
 func (m *Machine) expireItems(now time.Time) {
--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -75,7 +75,8 @@
 	live  int
 	seeds map[model.VMID]model.VM
 	items map[itemKey]*storedItem
-	queue queue
+	// memberQueue and itemQueue hold the updates to gossip.
+	memberQueue, itemQueue queue
 	// doubtful holds the records with a deadline.
 	doubtful map[model.VMID]bool
 	// challenges holds claims that a VM is dead which this VM holds as live.
@@ -106,7 +107,8 @@
 		probes:     map[uint64]*probe{}, relays: map[uint64]relay{}, changed: map[itemKey]bool{},
 		lastTick: now, nextProbe: now, nextSync: now, nextSweep: now,
 	}
-	m.queue.init()
+	m.memberQueue.init()
+	m.itemQueue.init()
 	m.Seed(now, c.Seeds)
 	m.know(c.Known)
 	m.announceSelf()
@@ -265,4 +267,4 @@
 
 func (m *Machine) member() wire.Member { return wire.MemberOf(m.self) }
 
-func (m *Machine) announceSelf() { m.queue.add(updateKey{vm: m.self.ID}) }
+func (m *Machine) announceSelf() { m.memberQueue.add(updateKey{vm: m.self.ID}) }
--- a/pkg/membership/merge.go
+++ b/pkg/membership/merge.go
@@ -95,7 +95,7 @@
 		r.since = now
 	}
 	m.revision++
-	m.queue.add(updateKey{vm: v.ID})
+	m.memberQueue.add(updateKey{vm: v.ID})
 }
 
 func alive(v model.VM) int {
--- a/pkg/membership/model_test.go
+++ b/pkg/membership/model_test.go
@@ -113,8 +113,9 @@
 	dead.State = model.Dead
 	a.store(s.now, dead)
 	// The update has been gossiped to others already.
-	a.queue = queue{}
-	a.queue.init()
+	a.memberQueue, a.itemQueue = queue{}, queue{}
+	a.memberQueue.init()
+	a.itemQueue.init()
 	acks := a.Receive(s.now, "vm-0001", b.ping(99, "vm-0000"))
 	b.Receive(s.now, "vm-0000", acks[0].Message)
 	a.Receive(s.now, "vm-0001", b.ping(100, "vm-0000"))
