--- a/pkg/capacity/capacity_test.go
+++ b/pkg/capacity/capacity_test.go
@@ -9,8 +9,11 @@
 	"math/rand/v2"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 )
 
 // Guards against a fit that misses a known line, or whose standard errors do
@@ -111,3 +114,24 @@
 	_, err = execute("--item", "merges")
 	assert.ErrorContains(t, err, `item "merges" is unknown`)
 }
+
+// Guards against a gateway that chooses the snapshot anew for each query, and
+// against one that keeps the choice of an old view. Replica knowledge is
+// removed from a view, which the gateway can notice only by choosing again.
+func TestQueriesShareTheChoiceOfSnapshot(t *testing.T) {
+	v := viewOf(document(4, replicasPerGroup), fleetVMs(vmsFor(4)))
+	source := &fixedView{}
+	*source = refreshed(v)
+	gw, stop := newGateway(source, &memoryOwners{shards: shardsOf(&v.Config.Services[service].ShardMaps[0])})
+	defer stop()
+	for range 2 {
+		a, err := gw.Search(t.Context(), searchRequest(time.Minute))
+		assert.NilError(t, err)
+		assert.Equal(t, a.Coverage.Covered, 4)
+		clear(v.Replicas)
+	}
+	next := *v
+	source.view = &next
+	_, err := gw.Search(t.Context(), searchRequest(time.Minute))
+	assert.Equal(t, errs.As(err).Code, errs.NoSnapshot)
+}
--- a/pkg/capacity/items_query.go
+++ b/pkg/capacity/items_query.go
@@ -82,19 +82,25 @@
 	return outcomes(s.batch.QueryID, s.batch.Items, s.owners.shards), nil
 }
 
-func newGateway(n int, held bool) (*gateway.Gateway, *memoryOwners, func()) {
-	doc := document(n, replicasPerGroup)
-	v := viewOf(doc, fleetVMs(vmsFor(n)))
-	owners := &memoryOwners{shards: shardsOf(&doc.Services[service].ShardMaps[0]), held: held}
+func newGateway(views model.ViewSource, owners *memoryOwners) (*gateway.Gateway, func()) {
 	log, async := logging.New(io.Discard, logrus.InfoLevel, 1<<16)
 	// This VM owns nothing, so that all work goes through the transport.
 	self := vmAt(0)
 	self.ID = "entry-only"
 	gw := gateway.New(gateway.Config{
-		Self: self, View: refreshed(v), Transport: owners, Log: logging.For(log, "gateway"), Rand: rand.New(rand.NewPCG(1, 2)),
+		Self: self, View: views, Transport: owners, Log: logging.For(log, "gateway"), Rand: rand.New(rand.NewPCG(1, 2)),
 		Ledger: poison.NewLedger(poison.Config{BlockFor: time.Minute, SuspectFor: time.Minute, RecentFor: time.Hour}),
 	})
-	return gw, owners, func() { _ = async.Close(context.Background()) }
+	return gw, func() { _ = async.Close(context.Background()) }
+}
+
+// targetGateway is a gateway in front of so many groups, with VMs in
+// proportion.
+func targetGateway(n int, held bool) (*gateway.Gateway, *memoryOwners, func()) {
+	doc := document(n, replicasPerGroup)
+	owners := &memoryOwners{shards: shardsOf(&doc.Services[service].ShardMaps[0]), held: held}
+	gw, stop := newGateway(refreshed(viewOf(doc, fleetVMs(vmsFor(n)))), owners)
+	return gw, owners, stop
 }
 
 func searchRequest(within time.Duration) frontend.SearchRequest {
@@ -105,7 +111,7 @@
 }
 
 func measureGateway(ctx context.Context, e Effort, n int) ([]float64, error) {
-	gw, owners, stop := newGateway(n, false)
+	gw, owners, stop := targetGateway(n, false)
 	defer stop()
 	queries := 0
 	c, err := measure(e, func() error {
@@ -123,7 +129,7 @@
 const heldQueries = 16
 
 func measureQueryMemory(ctx context.Context, _ Effort, n int) ([]float64, error) {
-	gw, owners, stop := newGateway(n, true)
+	gw, owners, stop := targetGateway(n, true)
 	defer stop()
 	ctx, cancel := context.WithCancel(ctx)
 	var group sync.WaitGroup
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/model"
 	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
 	"github.com/nutmeghitch/nutmeghitch/pkg/routing"
+	"github.com/nutmeghitch/nutmeghitch/pkg/snapshot"
 	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
 )
 
@@ -45,6 +46,7 @@
 	cfg       Config
 	table     *routing.Table
 	admission *admitter
+	snapshots snapshot.Cache
 	counters  counters
 	// idPrefix and lastID form query ids. They are unique over all VMs and
 	// restarts, unlike the ids that callers send.
--- a/pkg/gateway/search.go
+++ b/pkg/gateway/search.go
@@ -48,7 +48,7 @@
 // searchPinned runs the search on one snapshot. When the snapshot disappears
 // at an upstream, the whole search restarts once on another.
 func (g *Gateway) searchPinned(ctx context.Context, v *model.View, svc *model.Service, r frontend.SearchRequest, fp uint64) (*frontend.SearchAnswer, error) {
-	choice, ok := snapshot.Choose(svc, v)
+	choice, ok := g.snapshots.Choose(r.Service, v)
 	if !ok {
 		return nil, errs.Refuse(errs.NoSnapshot, "no replica of service %q reports an index version", r.Service).WithRetryAfter(time.Second)
 	}
