Index the groups of a document once at the owner

Cause: each batch copied all groups of its shard map into a new map to find the shards of about four of them. Change: the dispatcher builds the index once for each document.

--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -57,6 +58,8 @@
 	// retiring holds replicas given up that still have attempts in flight.
 	retiring map[model.ReplicaID]*target
 
+	index atomic.Pointer[groupIndex]
+
 	sent tally.Counter
 	lost tally.Counter
 }
--- a/pkg/dispatch/search.go
+++ b/pkg/dispatch/search.go
@@ -82,17 +82,7 @@
 	if v.Config == nil || v.Config.Services[b.Service] == nil {
 		return nil, nil
 	}
-	svc := v.Config.Services[b.Service]
-	wanted := make(map[model.GroupID]model.Group, len(b.Items))
-	for _, m := range svc.ShardMaps {
-		if m.Epoch != b.Snapshot.Epoch {
-			continue
-		}
-		for _, g := range m.Groups {
-			wanted[g.ID] = g
-		}
-	}
-	return wanted, svc.Order
+	return d.groupIndexOf(v.Config).groups[mapKey{b.Service, b.Snapshot.Epoch}], v.Config.Services[b.Service].Order
 }
 
 // collect flushes at most once in each flushInterval, starting with the first
