--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -52,6 +52,9 @@
 	Self  model.VM
 	Seeds []model.VM
 	Rng   *rand.Rand
+	// Known holds VMs that are members already. They are not gossiped, as in
+	// a fleet that has been running for long; simulations use it.
+	Known []model.VM
 }
 
 // record is what is known of one other VM.
@@ -72,7 +75,8 @@
 	live  int
 	seeds map[model.VMID]model.VM
 	items map[itemKey]*storedItem
-	queue queue
+	// memberQueue and itemQueue hold the updates to gossip.
+	memberQueue, itemQueue queue
 	// doubtful holds the records with a deadline.
 	doubtful map[model.VMID]bool
 	// challenges holds claims that a VM is dead which this VM holds as live.
@@ -103,12 +107,28 @@
 		probes:     map[uint64]*probe{}, relays: map[uint64]relay{}, changed: map[itemKey]bool{},
 		lastTick: now, nextProbe: now, nextSync: now, nextSweep: now,
 	}
-	m.queue.init()
+	m.memberQueue.init()
+	m.itemQueue.init()
 	m.Seed(now, c.Seeds)
+	m.know(c.Known)
 	m.announceSelf()
 	return m
 }
 
+// know stores members without an update to gossip.
+func (m *Machine) know(vms []model.VM) {
+	for _, v := range vms {
+		if v.ID == m.self.ID {
+			continue
+		}
+		m.records[v.ID] = &record{vm: v}
+		m.live += alive(v)
+		m.order = append(m.order, v.ID)
+		m.joined = true
+	}
+	m.rng.Shuffle(len(m.order), func(i, j int) { m.order[i], m.order[j] = m.order[j], m.order[i] })
+}
+
 // Self returns this VM with its current state and incarnation.
 func (m *Machine) Self() model.VM { return m.self }
 
@@ -247,4 +267,4 @@
 
 func (m *Machine) member() wire.Member { return wire.MemberOf(m.self) }
 
-func (m *Machine) announceSelf() { m.queue.add(updateKey{vm: m.self.ID}) }
+func (m *Machine) announceSelf() { m.memberQueue.add(updateKey{vm: m.self.ID}) }
