--- a/pkg/node/services.go
+++ b/pkg/node/services.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -44,8 +46,8 @@
 // callers stop first, then the work of other VMs, then the connections.
 func register(k *kernel.Kernel, c *Config, readiness *frontend.Readiness) (*services, error) {
 	ledger := poison.NewLedger(poison.Config{})
-	ctl := &controlService{cfg: c, ledger: ledger}
-	gw := &gatewayService{cfg: c, ledger: ledger}
+	ctl := &controlService{cfg: c, ledger: ledger, rng: split(c.Rand)}
+	gw := &gatewayService{cfg: c, ledger: ledger, rng: split(c.Rand)}
 	callers := &callersService{cfg: c, readiness: readiness}
 	add := []error{
 		kernel.Add(k, peerHandle, &peerService{cfg: c}),
@@ -66,6 +68,10 @@
 	return &services{control: ctl, gateway: gw}, nil
 }
 
+// split returns a generator of its own for one service, because a generator
+// must not be shared by goroutines.
+func split(r *rand.Rand) *rand.Rand { return rand.New(rand.NewPCG(r.Uint64(), r.Uint64())) }
+
 func logFor(c *Config, part string) logrus.FieldLogger { return logging.For(c.Logger, part) }
 
 // peerService is the transport to other VMs.
@@ -98,6 +104,7 @@
 type controlService struct {
 	cfg    *Config
 	ledger *poison.Ledger
+	rng    *rand.Rand
 	*control.Controller
 }
 
@@ -114,17 +121,23 @@
 		Store:     s.cfg.Store,
 		Log:       logFor(s.cfg, "control"),
 		Ledger:    s.ledger,
-		Join:      joinSections,
+		Join:      s.join,
 		Verify:    func(hash string, body []byte) bool { return config.Hash(body) == hash },
-		Rng:       s.cfg.Rand,
+		Rng:       s.rng,
 	})
 	scope.Go(s.Run)
 	return nil
 }
 
-// joinSections builds the document that a manifest names.
-func joinSections(m confsync.Manifest, section func(hash string) ([]byte, bool)) (*model.Document, error) {
-	return config.Join(config.Manifest{Version: m.Version, Sections: m.Sections}, section)
+// join builds the document that a manifest names and puts its rules on poison
+// requests in force.
+func (s *controlService) join(m confsync.Manifest, section func(hash string) ([]byte, bool)) (*model.Document, error) {
+	doc, err := config.Join(config.Manifest{Version: m.Version, Sections: m.Sections}, section)
+	if err != nil {
+		return nil, err
+	}
+	s.ledger.Configure(doc.Tier.PoisonLimit, time.Duration(doc.Tier.PoisonBlockMS)*time.Millisecond)
+	return doc, nil
 }
 
 // dispatchService is the owner side.
@@ -195,6 +208,7 @@
 type gatewayService struct {
 	cfg    *Config
 	ledger *poison.Ledger
+	rng    *rand.Rand
 	*gateway.Gateway
 }
 
@@ -225,7 +239,7 @@
 		Claims:    claims.Service,
 		Log:       logFor(s.cfg, "gateway"),
 		Scope:     s.cfg.Scope,
-		Rand:      s.cfg.Rand,
+		Rand:      s.rng,
 		Policy:    s.cfg.Policy,
 	})
 	scope.Go(s.Run)
--- a/pkg/peer/stream.go
+++ b/pkg/peer/stream.go
@@ -33,6 +33,12 @@
 
 // Send implements wire.Stream.
 func (s *stream) Send(m wire.Message) error {
+	s.mu.Lock()
+	err := s.err
+	s.mu.Unlock()
+	if err != nil {
+		return errs.Refuse(errs.As(err).Code, "stream has ended: %v", err)
+	}
 	return s.c.send(context.Background(), s.id, m)
 }
 
@@ -114,13 +120,12 @@
 	}
 }
 
-// exchange is the accepting side of one stream.
+// exchange is the accepting side of one stream. Only the reader of the
+// connection calls push and end, so ended needs no lock.
 type exchange struct {
 	in     chan wire.Message
 	cancel context.CancelCauseFunc
-	// ended is set when in is closed. Only the reader of the connection calls
-	// push and end, so it needs no lock.
-	ended bool
+	ended  bool
 }
 
 // push queues a later message; an exchange without room is ended. A peer may
@@ -136,12 +141,13 @@
 	}
 }
 
-// end tells the handler that no more messages come.
+// end tells the handler that no more messages come. The context is ended
+// first, so a handler that sees the closed channel can read the cause.
 func (e *exchange) end(err error) {
 	if e.ended {
 		return
 	}
 	e.ended = true
-	close(e.in)
 	e.cancel(err)
+	close(e.in)
 }
--- a/pkg/poison/defaults_test.go
+++ b/pkg/poison/defaults_test.go
@@ -7,25 +7,20 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against verdicts that end at once because no term was configured: a
-// request that crashes upstreams is then never blocked.
-func TestVerdictsHoldByDefault(t *testing.T) {
-	now := time.Unix(1000, 0)
+// Guards against a ledger without terms, whose verdicts end at once, and
+// against a configured limit or term that is not in force.
+func TestDefaultsAndConfigure(t *testing.T) {
 	l := NewLedger(Config{})
-	l.Lost(now, "r1", "i1", []uint64{7})
-	assert.Equal(t, l.Check(now.Add(time.Second), 7), Suspect)
-	l.Lost(now, "r2", "i2", []uint64{7})
-	assert.Equal(t, l.Check(now.Add(time.Second), 7), Blocked)
-	l.Succeeded(now, 8)
-	assert.Equal(t, l.Check(now.Add(time.Second), 8), Proven)
-}
+	l.Lost(start, "r1", "i1", []uint64{1})
+	assert.Equal(t, l.Check(start, 1), Suspect)
+	l.Lost(start, "r2", "i2", []uint64{1})
+	assert.Equal(t, l.Check(start.Add(DefaultBlockFor-1), 1), Blocked)
+	assert.Equal(t, l.Check(start.Add(DefaultBlockFor), 1), Unknown)
+	l.Succeeded(start, 2)
+	assert.Equal(t, l.Check(start.Add(DefaultRecentFor), 2), Proven)
 
-// Guards against settings of the tier that have no effect.
-func TestConfigureAppliesTheTiersSettings(t *testing.T) {
-	now := time.Unix(1000, 0)
-	l := NewLedger(Config{})
-	l.Configure(1, time.Minute)
-	l.Lost(now, "r1", "i1", []uint64{7})
-	assert.Equal(t, l.Check(now.Add(59*time.Second), 7), Blocked)
-	assert.Assert(t, l.Check(now.Add(61*time.Second), 7) != Blocked)
+	l.Configure(1, time.Hour)
+	l.Lost(start, "r1", "i1", []uint64{3})
+	assert.Equal(t, l.Check(start.Add(time.Hour-1), 3), Blocked)
+	assert.Equal(t, l.Check(start.Add(time.Hour), 3), Unknown)
 }
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -18,11 +18,11 @@
 const (
 	// DefaultLimit is the number of lost instances that block a fingerprint.
 	DefaultLimit = 2
-	// DefaultBlockFor, DefaultSuspectFor and DefaultRecentFor are the terms of
-	// verdicts. A suspect needs time to be sent again by its caller.
+	// DefaultBlockFor, DefaultSuspectFor and DefaultRecentFor replace the terms
+	// that a Config leaves at 0. A term of 0 would end each verdict at once.
 	DefaultBlockFor   = 10 * time.Minute
-	DefaultSuspectFor = 10 * time.Minute
-	DefaultRecentFor  = 10 * time.Minute
+	DefaultSuspectFor = time.Minute
+	DefaultRecentFor  = 30 * time.Second
 	// MaxRecords bounds the fingerprints with losses, and MaxProven the ones
 	// that succeeded recently. Together they stay below 2 MB.
 	MaxRecords = 4096
@@ -35,9 +35,10 @@
 	anonymousWindow = 5 * time.Second
 )
 
-// Config holds the rules of a ledger. Values of 0 take their defaults.
+// Config holds the rules of a ledger.
 type Config struct {
-	// Limit is the number of lost instances after which a fingerprint is blocked.
+	// Limit is the number of lost instances after which a fingerprint is
+	// blocked; 0 is DefaultLimit.
 	Limit int
 	// BlockFor and SuspectFor tell how long a verdict holds after the last loss.
 	BlockFor   time.Duration
@@ -92,14 +93,13 @@
 	return c
 }
 
-// Configure applies the tier's settings. Terms of verdicts that hold already
-// do not change.
+// Configure changes the limit and the term of a block; values of 0 stand for
+// the defaults. Verdicts that hold keep their term.
 func (l *Ledger) Configure(limit int, blockFor time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := l.config
-	c.Limit, c.BlockFor = limit, blockFor
-	l.config = withDefaults(c)
+	l.config.Limit, l.config.BlockFor = limit, blockFor
+	l.config = withDefaults(l.config)
 }
 
 // Fingerprint returns the hash of a request. The parts are delimited by their
