--- a/pkg/gateway/admit.go
+++ b/pkg/gateway/admit.go
@@ -32,6 +32,7 @@
 	waiting map[uint64]chan error
 	nextID  uint64
 	seen    *model.View
+	live    int
 }
 
 func newAdmitter(view model.ViewSource, p model.Policy) *admitter {
@@ -152,12 +153,12 @@
 	if v == a.seen || v.Config == nil {
 		return
 	}
-	if a.seen != nil && a.seen.Config == v.Config && len(a.seen.VMs) == len(v.VMs) {
+	vms := liveVMs(v)
+	if a.seen != nil && a.seen.Config == v.Config && a.live == vms {
 		a.seen = v
 		return
 	}
-	a.seen = v
-	vms := liveVMs(v)
+	a.seen, a.live = v, vms
 	limits := make(map[model.ServiceID]admission.Limits, len(v.Config.Services))
 	for id, svc := range v.Config.Services {
 		c := concurrency(svc, vms)
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -21,8 +21,8 @@
 	// DefaultBlockFor, DefaultSuspectFor and DefaultRecentFor replace the terms
 	// that a Config leaves at 0. A term of 0 would end each verdict at once.
 	DefaultBlockFor   = 10 * time.Minute
-	DefaultSuspectFor = time.Minute
-	DefaultRecentFor  = 30 * time.Second
+	DefaultSuspectFor = 10 * time.Minute // a caller may send again minutes later
+	DefaultRecentFor  = time.Minute
 	// MaxRecords bounds the fingerprints with losses, and MaxProven the ones
 	// that succeeded recently. Together they stay below 2 MB.
 	MaxRecords = 4096
