Keep a canary alone once a loss has been reported

The owner of a lost upstream answers only after the other VMs have acknowledged the report. Meanwhile the canary looked slow to the entry VM, which sent the request to a second group although its own ledger already held the suspicion. The entry VM now looks at the ledger before it widens the canary.

--- a/pkg/gateway/scatter.go
+++ b/pkg/gateway/scatter.go
@@ -173,7 +173,11 @@
 		return
 	}
 	delay := s.policy.Delay()
-	if !s.released && now.Sub(s.canaryAt) >= delay && s.canary < len(s.order) && !s.suspect {
+	if !s.released && now.Sub(s.canaryAt) >= delay {
+		// The report of a loss arrives before the owner's outcome does.
+		s.recheckPoison()
+	}
+	if !s.released && now.Sub(s.canaryAt) >= delay && s.canary < len(s.order) && !s.suspect && s.poisoned == nil {
 		// The canary is slow: ask one more group, which has to be asked anyway.
 		s.canaryAt = now
 		s.canary++
