--- a/cmd/nutmeghitchd/main.go
+++ b/cmd/nutmeghitchd/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/node"
 	"github.com/nutmeghitch/nutmeghitch/pkg/settings"
 )
@@ -27,10 +28,10 @@
 const flushTimeout = 2 * time.Second
 
 func main() {
-	os.Exit(run(os.Args[1:], os.Stderr))
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
 }
 
-func run(args []string, stderr io.Writer) int {
+func run(args []string, stdout, stderr io.Writer) int {
 	code := exitUsage
 	cmd := &cli.Command{
 		Name:        "nutmeghitchd",
@@ -56,7 +57,8 @@
 	}
 	for _, a := range args {
 		if a == "--help" || a == "-h" {
-			code = exitDone
+			// Help that was asked for is data; help after wrong usage is a message.
+			code, cmd.Writer = exitDone, stdout
 		}
 	}
 	if err := cmd.Run(context.Background(), append([]string{"nutmeghitchd"}, args...)); err != nil {
@@ -79,6 +81,10 @@
 	n, resources, err := node.Open(s, stderr)
 	if err != nil {
 		fmt.Fprintf(stderr, "nutmeghitchd: %v\n", err)
+		if errs.Is(err, errs.AddressInUse) {
+			// A later start can succeed with the same settings.
+			return exitFailed
+		}
 		return exitUsage
 	}
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
--- a/pkg/dispatch/attempt.go
+++ b/pkg/dispatch/attempt.go
@@ -27,8 +27,19 @@
 	replica     model.ReplicaID
 	fingerprint uint64
 	suspect     bool
-	caller      string
-	run         upstream.RunRequest
+	// proven attempts are not held responsible for the loss of an upstream.
+	proven bool
+	caller string
+	run    upstream.RunRequest
+}
+
+// accused returns the fingerprint that the loss of the upstream counts
+// against, or 0.
+func (a attempt) accused() uint64 {
+	if a.proven {
+		return 0
+	}
+	return a.fingerprint
 }
 
 // result is the outcome of an attempt.
@@ -59,11 +70,12 @@
 
 func (d *Dispatcher) acquire(ctx context.Context, t *target, a attempt) (uint64, error) {
 	id, granted, err := t.enter(d.cfg.Now(), limit.Request{
-		Deadline:  a.run.Deadline,
-		Caller:    a.caller,
+		Deadline: a.run.Deadline,
+		Caller:   a.caller,
+		// Operations differ in service time, which must not look like a jump.
 		Operation: a.run.Operation,
 		Suspect:   a.suspect,
-	}, a.fingerprint)
+	}, a.accused())
 	if err != nil || granted == nil {
 		return id, err
 	}
@@ -106,14 +118,28 @@
 	return result{response: response, err: err, hint: t.hint(), service: took}
 }
 
-// leave returns the slot, at once when the upstream has answered.
+// leave returns the slot, at once when the upstream has answered. An upstream
+// that went silent may still work, so its slot stays taken until it has
+// acknowledged a cancellation, or the deadline has ended the run there.
 func (d *Dispatcher) leave(t *target, id uint64, a attempt, err error, took time.Duration) {
-	if !errs.Is(err, errs.DeadlineExceeded) || errs.As(err).RunState == errs.DidNotRun {
+	late := errs.Is(err, errs.DeadlineExceeded)
+	silent := errs.Is(err, errs.ConnectionSilent)
+	if !late && !silent || errs.As(err).RunState == errs.DidNotRun {
 		t.leave(d.cfg.Now(), id, outcomeOf(err), took)
 		return
 	}
-	t.client.Cancel(a.run.RequestID)
-	time.AfterFunc(slotHold, func() { t.leave(d.cfg.Now(), id, limit.Failed, took) })
+	release := func() { t.leave(d.cfg.Now(), id, outcomeOf(err), took) }
+	if late {
+		t.client.Cancel(a.run.RequestID)
+		time.AfterFunc(slotHold, release)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithDeadline(context.Background(), a.run.Deadline)
+		defer cancel()
+		_ = t.client.Stop(ctx, a.run.RequestID)
+		time.AfterFunc(slotHold, release)
+	}()
 }
 
 // account updates instance identity and poison accounting before the slot is
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -46,7 +46,7 @@
 	gate     *limit.Gate
 	window   *ramp.Window
 	waiting  map[uint64]chan error
-	inFlight map[uint64]uint64 // attempt id to fingerprint
+	inFlight map[uint64]uint64 // attempt id to fingerprint, 0 if it is proven
 	nextID   uint64
 	wake     *time.Timer
 	instance string
@@ -328,13 +328,13 @@
 }
 
 // running returns the instance identity and the fingerprints of the attempts
-// that have a slot.
+// that have a slot and may be what brought the upstream down.
 func (t *target) running() (string, []uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	fps := make([]uint64, 0, len(t.inFlight))
 	for id, fp := range t.inFlight {
-		if _, queued := t.waiting[id]; !queued {
+		if _, queued := t.waiting[id]; !queued && fp != 0 {
 			fps = append(fps, fp)
 		}
 	}
