Report a deadline that passes in the admission queue as such

Cause: the context of a request ends at its deadline, mostly before the tick that expires its ticket, and its end was always reported as canceled.

Change: a deadline gives deadline_exceeded (did not run).

Conclusion: TestEndOfTheWaitInTheQueue/deadline failed before.

--- a/pkg/gateway/admit.go
+++ b/pkg/gateway/admit.go
@@ -125,14 +125,22 @@
 	if _, queued := a.waiting[id]; queued {
 		delete(a.waiting, id)
 		a.grant(a.ctl.Cancel(time.Now(), id))
-		return errs.Refuse(errs.Canceled, "caller gave up in the admission queue")
+		return ended(ctx, "in the admission queue")
 	}
 	// The grant and the cancellation crossed.
 	if err := <-wait; err != nil {
 		return err
 	}
 	a.grant(a.ctl.Done(time.Now(), id, 0))
-	return errs.Refuse(errs.Canceled, "caller gave up before the request was sent")
+	return ended(ctx, "before the request was sent")
+}
+
+// ended tells a deadline from a caller that gave up.
+func ended(ctx context.Context, when string) error {
+	if ctx.Err() == context.DeadlineExceeded {
+		return errs.Refuse(errs.DeadlineExceeded, "deadline passed %s", when)
+	}
+	return errs.Refuse(errs.Canceled, "caller gave up %s", when)
 }
 
 func (a *admitter) done(id uint64, took time.Duration) {
