Let operators' overrides in the random test end an outage first

The edit needs the platform, so the test waited for something that it had made impossible. The tier was not at fault.

Change: each edit of the overrides ends the outage.

--- a/pkg/e2e/random_test.go
+++ b/pkg/e2e/random_test.go
@@ -46,8 +46,10 @@
 	return c.cluster.Upstreams[ids[c.rng.IntN(len(ids))]]
 }
 
-// override changes the overrides; the platform may be down or lose the reply.
+// override changes the overrides. Operators need the platform for that, so an
+// outage ends first; it may still be slow and lose the reply.
 func (c *chaos) override(edit func(*model.Overrides)) {
+	c.cluster.Platform.SetDown(false)
 	c.await("overrides accepted", func() bool {
 		return c.cluster.EditOverrides(c.t.Context(), func(o *model.Overrides) error { edit(o); return nil }) == nil
 	})
@@ -57,7 +59,6 @@
 var faults = []fault{
 	{"domain out", func(c *chaos) func() {
 		d := []model.DomainID{"a", "b"}[c.rng.IntN(2)]
-		c.cluster.Platform.SetDown(false)
 		c.override(func(o *model.Overrides) { o.DomainsOut = []model.DomainID{d} })
 		return func() { c.override(func(o *model.Overrides) { o.DomainsOut = nil }) }
 	}},
