Export the state that operators watch, and test it against the page

Cause: /metrics had no platform calls, claims, view age, configuration version or lost log lines, and nothing compared it with docs/operations.md. Reading the callers in flight while a VM starts was a data race, found by the new metrics test under the race detector.

Change: a service samples the state once a second; claims are counted by verdict. Tests: every documented metric exists and every exported one is documented; 20 searches are answered behind a log writer that never returns, and the lost lines are in a metric; routing lines have query, choice and reason.

--- a/pkg/claim/service.go
+++ b/pkg/claim/service.go
@@ -71,8 +71,18 @@
 	// WritesPerSecond bounds the updates of the whole tier; 0 takes
 	// DefaultWritesPerSecond.
 	WritesPerSecond float64
+	// Observe is told the verdict of each claim of this VM's requests:
+	// VerdictGranted, VerdictRepeated or the code of the refusal. It must not
+	// block; nil ignores verdicts.
+	Observe func(verdict string)
 }
 
+// Verdicts of claims that were not refused.
+const (
+	VerdictGranted  = "granted"
+	VerdictRepeated = "repeated"
+)
+
 // Service takes claims for the requests of one VM and applies claims of other
 // VMs for the partitions it is asked for. It is safe for concurrent use.
 type Service struct {
@@ -104,6 +114,21 @@
 // is waited for until the deadline. Every error is an *errs.Refusal; unless it
 // is OutcomeUnknown, this request has not run and will not.
 func (s *Service) Claim(ctx context.Context, r Request) (Grant, *Prior, error) {
+	grant, prior, err := s.take(ctx, r)
+	if s.config.Observe != nil {
+		verdict := VerdictGranted
+		switch {
+		case err != nil:
+			verdict = string(errs.As(err).Code)
+		case prior != nil:
+			verdict = VerdictRepeated
+		}
+		s.config.Observe(verdict)
+	}
+	return grant, prior, err
+}
+
+func (s *Service) take(ctx context.Context, r Request) (Grant, *Prior, error) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	partitions, err := s.layout(ctx)
--- a/pkg/node/servers.go
+++ b/pkg/node/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
@@ -148,7 +149,8 @@
 	cfg       *Config
 	readiness *frontend.Readiness
 	control   *controlService
-	server    *frontend.Server
+	// server is nil until Start; operators and metrics read it before that.
+	server atomic.Pointer[frontend.Server]
 }
 
 // Start implements kernel.Starter.
@@ -161,7 +163,7 @@
 	if err != nil {
 		return err
 	}
-	s.server = frontend.NewServer(frontend.ServerConfig{
+	server := frontend.NewServer(frontend.ServerConfig{
 		Handler: frontend.NewCallers(frontend.CallersConfig{
 			Gateway: gw,
 			View:    s.control,
@@ -171,7 +173,8 @@
 		TLS: s.cfg.CallersTLS,
 		Log: logFor(s.cfg, "frontend"),
 	})
-	scope.Go(func(context.Context) error { return s.server.Serve(s.cfg.Callers) })
+	s.server.Store(server)
+	scope.Go(func(context.Context) error { return server.Serve(s.cfg.Callers) })
 	return nil
 }
 
@@ -181,14 +184,15 @@
 	return frontend.StopPlan{
 		Readiness: s.readiness,
 		Announce:  s.control.Leave,
-		Callers:   s.server,
+		Callers:   s.server.Load(),
 		Notice:    s.cfg.BalancerNotice,
 	}.Run(ctx)
 }
 
 func (s *callersService) inFlight() int {
-	if s.server == nil {
+	server := s.server.Load()
+	if server == nil {
 		return 0
 	}
-	return s.server.InFlight()
+	return server.InFlight()
 }
--- a/pkg/node/services.go
+++ b/pkg/node/services.go
@@ -30,6 +30,7 @@
 	dispatchHandle  = kernel.NewHandle[*dispatchService]("dispatch")
 	claimHandle     = kernel.NewHandle[*claimService]("claim")
 	gatewayHandle   = kernel.NewHandle[*gatewayService]("gateway")
+	metricsHandle   = kernel.NewHandle[*metricsService]("metrics")
 	acceptHandle    = kernel.NewHandle[*acceptService]("peer_listener")
 	drainHandle     = kernel.NewHandle[*drainService]("drain")
 	operatorsHandle = kernel.NewHandle[*operatorsService]("operators")
@@ -56,6 +57,7 @@
 		kernel.Add(k, claimHandle, &claimService{cfg: c}, peerHandle, controlHandle),
 		kernel.Add(k, gatewayHandle, gw, peerHandle, controlHandle, dispatchHandle, claimHandle),
 		kernel.Add(k, acceptHandle, &acceptService{}, peerHandle, controlHandle, dispatchHandle, claimHandle),
+		kernel.Add(k, metricsHandle, &metricsService{cfg: c, callers: callers}, controlHandle, dispatchHandle),
 		kernel.Add(k, drainHandle, &drainService{}, dispatchHandle, acceptHandle),
 		kernel.Add(k, operatorsHandle, &operatorsService{cfg: c, ledger: ledger, readiness: readiness, callers: callers}, controlHandle, drainHandle),
 		kernel.Add(k, callersHandle, callers, gatewayHandle, controlHandle, drainHandle, operatorsHandle),
@@ -192,6 +194,7 @@
 		Store:     s.cfg.Store,
 		Rank:      placement.Rank,
 		Log:       logFor(s.cfg, "claim"),
+		Observe:   claimVerdicts(s.cfg.Scope),
 	})
 	return nil
 }
