Use a new index version only when half of each group holds it

Cause: a version became the choice as soon as one replica of each group held it, so during a rollout all queries went to a third of the replicas (bounds of decision 0010).

--- a/pkg/snapshot/snapshot.go
+++ b/pkg/snapshot/snapshot.go
@@ -4,6 +4,7 @@
 package snapshot
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/model"
@@ -27,7 +28,8 @@
 }
 
 // Choose returns the snapshot that the largest share of the groups of its
-// shard map holds, and the newest of those. It is false if no replica that may
+// shard map holds; of those one that at least half of the usable replicas of
+// each group hold, and the newest of those. It is false if no replica that may
 // get work holds any.
 func Choose(svc *model.Service, v *model.View) (Choice, bool) {
 	return ChooseExcept(svc, v, nil)
@@ -39,8 +41,8 @@
 	var best candidate
 	for i := range svc.ShardMaps {
 		m := &svc.ShardMaps[i]
-		for s, covered := range coverage(m, v) {
-			c := candidate{snapshot: s, shardMap: m, covered: covered}
+		for s, held := range coverage(m, v) {
+			c := candidate{snapshot: s, shardMap: m, covered: held.groups, wide: held.wide == held.groups}
 			if !gone[s] && (best.shardMap == nil || c.better(best)) {
 				best = c
 			}
@@ -70,6 +72,10 @@
 	snapshot model.Snapshot
 	shardMap *model.ShardMap
 	covered  int
+	// wide is set when at least half of the usable replicas of each covered
+	// group hold the snapshot. While a version is rolled out, the first replica
+	// of each group alone could not carry all queries.
+	wide bool
 }
 
 // better orders candidates. Shares are compared and not numbers of groups,
@@ -81,28 +87,47 @@
 	if mine != others {
 		return mine > others
 	}
+	if c.wide != o.wide {
+		return c.wide
+	}
 	if c.snapshot.Version != o.snapshot.Version {
 		return c.snapshot.Version > o.snapshot.Version
 	}
 	return c.snapshot.Epoch > o.snapshot.Epoch
 }
 
+// held counts the groups that hold a snapshot, and those in which at least
+// half of the usable replicas do.
+type held struct {
+	groups, wide int
+}
+
 // coverage counts the groups that hold each snapshot of the map's epoch.
-func coverage(m *model.ShardMap, v *model.View) map[model.Snapshot]int {
-	counts := map[model.Snapshot]int{}
-	counted := map[model.Snapshot]int{} // number of the last group that counted
+func coverage(m *model.ShardMap, v *model.View) map[model.Snapshot]held {
+	counts := map[model.Snapshot]held{}
+	holders := map[model.Snapshot]int{}
 	for i := range m.Groups {
+		usable := 0
+		clear(holders)
 		for _, r := range m.Groups[i].Replicas {
 			if !Usable(v, r.ID) {
 				continue
 			}
-			for _, s := range v.Replicas[r.ID].Snapshots {
-				if s.Epoch == m.Epoch && counted[s] != i+1 {
-					counted[s] = i + 1
-					counts[s]++
+			usable++
+			for j, s := range v.Replicas[r.ID].Snapshots {
+				if s.Epoch == m.Epoch && !slices.Contains(v.Replicas[r.ID].Snapshots[:j], s) {
+					holders[s]++
 				}
 			}
 		}
+		for s, n := range holders {
+			h := counts[s]
+			h.groups++
+			if 2*n >= usable {
+				h.wide++
+			}
+			counts[s] = h
+		}
 	}
 	return counts
 }
