Let the embedding program choose whether a node makes its metrics

Cause: metrics by default gave pkg/session a golden file with varying values.

Change: node.Config.OwnMetrics; without it and without a handler /metrics is 404 as before. A test of the sampler counts lost lines once.

--- /dev/null
+++ b/pkg/node/metrics_test.go
@@ -0,0 +1,49 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/logging"
+	"github.com/nutmeghitch/nutmeghitch/pkg/model"
+	"github.com/nutmeghitch/nutmeghitch/pkg/platform"
+)
+
+// stuckWriter blocks until it is released.
+type stuckWriter struct{ release chan struct{} }
+
+// Write implements io.Writer.
+func (w stuckWriter) Write(p []byte) (int, error) {
+	<-w.release
+	return len(p), nil
+}
+
+// Guards against lost log lines that no metric shows, or that are counted
+// again with each sample.
+func TestSampleCountsLostLinesOnce(t *testing.T) {
+	w := stuckWriter{make(chan struct{})}
+	log, async := logging.New(w, logrus.InfoLevel, 1)
+	for range 10 {
+		log.Info("line")
+	}
+	scope := tally.NewTestScope("", nil)
+	now := time.Now()
+	s := newSampler(&Config{Self: model.VM{ID: "a"}, Scope: scope, Logger: log, Store: platform.NewClient(platform.Config{})})
+	for range 2 {
+		s.sample(now, &model.View{At: now.Add(-2 * time.Second)}, 3, 4)
+	}
+	lost := scope.Snapshot().Counters()["log_lines_dropped+"].Value()
+	assert.Equal(t, lost, int64(async.Dropped()))
+	assert.Assert(t, lost >= 8, "%d", lost)
+	gauges := scope.Snapshot().Gauges()
+	assert.Equal(t, gauges["view_age+"].Value(), 2.0)
+	assert.Equal(t, gauges["dispatch_in_flight+"].Value(), 3.0)
+	assert.Equal(t, gauges["callers_in_flight+"].Value(), 4.0)
+	close(w.release)
+	assert.NilError(t, async.Close(context.Background()))
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -53,10 +53,11 @@
 
 	Logger *logrus.Logger
 	// Scope and Metrics are the metrics root and the handler that exports it.
-	// Without Metrics the node makes both.
 	Scope   tally.Scope
 	Metrics http.Handler
-	Rand    *rand.Rand
+	// OwnMetrics makes the node create both while it runs.
+	OwnMetrics bool
+	Rand       *rand.Rand
 	// Policy selects a baseline for measurements.
 	Policy model.Policy
 }
@@ -96,6 +97,9 @@
 	if c.Scope == nil {
 		c.Scope = tally.NoopScope
 	}
+	if c.Metrics == nil {
+		c.Metrics = http.NotFoundHandler()
+	}
 	if c.Rand == nil {
 		c.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
@@ -109,7 +113,7 @@
 // VM leaves, accepts callers for the balancer's notice, and finishes
 // everything in flight within the stop timeout.
 func (n *Node) Run(ctx context.Context) error {
-	if n.cfg.Metrics == nil {
+	if n.cfg.OwnMetrics {
 		m := metrics.New(map[string]string{"vm": string(n.cfg.Self.ID), "domain": string(n.cfg.Self.Domain)}, func(err error) {
 			n.cfg.Logger.WithError(err).Warn("metrics: A metric was refused.")
 		})
