--- a/cmd/nutmeghitch/main.go
+++ b/cmd/nutmeghitch/main.go
@@ -9,6 +9,7 @@
 
 	ucli "github.com/urfave/cli/v3"
 
+	"github.com/nutmeghitch/nutmeghitch/pkg/capacity"
 	"github.com/nutmeghitch/nutmeghitch/pkg/cli"
 	"github.com/nutmeghitch/nutmeghitch/pkg/demo"
 	"github.com/nutmeghitch/nutmeghitch/pkg/measure"
@@ -26,6 +27,10 @@
 		Stdout:    os.Stdout,
 		Stderr:    os.Stderr,
 		OpenStore: cli.OpenPlatform,
-		Extra:     []*ucli.Command{demo.Command(os.Stdout, os.Stderr), measure.Command(os.Stdout, os.Stderr)},
+		Extra: []*ucli.Command{
+			demo.Command(os.Stdout, os.Stderr),
+			measure.Command(os.Stdout, os.Stderr),
+			capacity.Command(os.Stdout, os.Stderr),
+		},
 	})
 }
--- a/pkg/e2e/process_test.go
+++ b/pkg/e2e/process_test.go
@@ -22,6 +22,7 @@
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/fake"
 	"github.com/nutmeghitch/nutmeghitch/pkg/frontend"
+	"github.com/nutmeghitch/nutmeghitch/pkg/merge"
 	"github.com/nutmeghitch/nutmeghitch/pkg/model"
 	"github.com/nutmeghitch/nutmeghitch/pkg/testcluster"
 )
@@ -56,6 +57,7 @@
 	t       *testing.T
 	cluster *testcluster.Cluster
 	seeds   []map[string]any
+	mu      sync.Mutex // guards changes of vms while traffic runs
 	vms     []*process
 	client  *http.Client
 	scheme  string
@@ -65,7 +67,7 @@
 
 // process is one running nutmeghitchd.
 type process struct {
-	id                        string
+	id, domain                string
 	site                      *site
 	callers, peers, operators string
 	cmd                       *exec.Cmd
@@ -97,14 +99,17 @@
 
 // newSite starts upstreams and platform of two failure domains and publishes
 // the configuration.
-func newSite(t *testing.T) *site {
+func newSite(t *testing.T) *site { return newSiteOf(t, fake.ColdConfig{}) }
+
+// newSiteOf starts a site whose upstreams have the cold start.
+func newSiteOf(t *testing.T, cold fake.ColdConfig) *site {
 	t.Helper()
 	c, err := testcluster.Start(t.Context(), testcluster.Config{
 		Document: document(),
 		Seed:     1,
 		Records:  200,
 		Profile: func(model.ServiceID, *model.Service) testcluster.Profile {
-			return testcluster.Profile{ServiceTime: 2 * time.Millisecond, ConnCost: time.Millisecond, Cold: fake.ColdConfig{}}
+			return testcluster.Profile{ServiceTime: 2 * time.Millisecond, ConnCost: time.Millisecond, Cold: cold}
 		},
 	})
 	assert.NilError(t, err)
@@ -163,7 +168,7 @@
 func (s *site) start(id, domain string) *process {
 	s.t.Helper()
 	p := &process{
-		id: id, callers: freeAddr(s.t), peers: freeAddr(s.t), operators: freeAddr(s.t),
+		id: id, domain: domain, callers: freeAddr(s.t), peers: freeAddr(s.t), operators: freeAddr(s.t),
 		site: s, output: &output{}, exited: make(chan error, 1),
 	}
 	settings := map[string]any{
@@ -198,7 +203,9 @@
 			s.t.Logf("%s, end of log:\n%s", id, out[max(0, len(out)-4000):])
 		}
 	})
+	s.mu.Lock()
 	s.vms = append(s.vms, p)
+	s.mu.Unlock()
 	s.await("ready "+id, func() bool {
 		select {
 		case err := <-p.exited:
@@ -264,19 +271,21 @@
 // reply is the outcome of one request.
 type reply struct {
 	status   int
-	Code     string          `json:"code"`
-	RunState string          `json:"run_state"`
-	Result   json.RawMessage `json:"result"`
-	Coverage struct {
-		Covered int `json:"covered"`
-		Total   int `json:"total"`
-	} `json:"coverage"`
+	Code     string            `json:"code"`
+	RunState string            `json:"run_state"`
+	Result   json.RawMessage   `json:"result"`
+	Coverage merge.Coverage    `json:"coverage"`
+	Snapshot model.Snapshot    `json:"snapshot"`
+	Results  []json.RawMessage `json:"results"`
 }
 
 // post sends one request to one VM. A broken connection has status 0.
 func (p *process) post(path, key, body string, deadline time.Duration) reply {
 	var r reply
-	req, err := http.NewRequest(http.MethodPost, p.site.scheme+"://"+p.callers+path, bytes.NewBufferString(body))
+	// A frozen VM does not answer; its caller gives up some time after the deadline.
+	ctx, cancel := context.WithTimeout(context.Background(), deadline+time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, p.site.scheme+"://"+p.callers+path, bytes.NewBufferString(body))
 	if err != nil {
 		return r
 	}
@@ -304,7 +313,9 @@
 }
 
 // covered reports whether a search through the VM covers every shard.
-func (p *process) covered() bool {
-	r := p.search()
+func (p *process) covered() bool { return p.coveredBy(`{"query":{}}`) }
+
+func (p *process) coveredBy(body string) bool {
+	r := p.post("/v1/search/bookings", "", body, 5*time.Second)
 	return r.status == http.StatusOK && r.Coverage.Total == 6 && r.Coverage.Covered == 6
 }
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -76,9 +76,10 @@
 	idempotent bool
 	policy     *hedge.Policy
 	tried      map[model.ReplicaID]bool
-	attempts   uint32
-	// mayHaveRun is set when an attempt ended without proof that it did not run.
-	mayHaveRun bool
+	// attempts counts the sends but for those to a VM that was not the owner.
+	attempts uint32
+	// lastAttempt numbers all sends.
+	lastAttempt uint32
 }
 
 // callResult is the outcome of one attempt of a call.
@@ -94,7 +95,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan callResult, maxAttempts)
-	running, hedged := 0, false
+	running, hedged, mayHaveRun := 0, false, false
 	launch := func(reason string) error {
 		pick, err := c.pick(reason)
 		if err != nil {
@@ -119,18 +120,15 @@
 				return &frontend.CallAnswer{Result: res.answer}, nil
 			}
 			last = res.err
-			c.noteRunState(res.err)
+			mayHaveRun = mayHaveRun || errs.As(last).RunState == errs.MayHaveRun
 			if c.blocked() {
 				return nil, errs.Ambiguous(errs.Poisoned, "request %016x is blocked because upstreams were lost while running it", c.fp)
 			}
 			if running > 0 {
 				continue
 			}
-			if !c.mayRetry(res.err) || !pause(ctx, c.backoff(res.err)) {
-				return nil, c.refusal(res.err)
-			}
-			if err := launch("retry"); err != nil {
-				return nil, c.refusal(res.err)
+			if !c.mayRetry(res.err) || !pause(ctx, c.backoff(res.err)) || launch(retryReason(res.err)) != nil {
+				return nil, ambiguousIf(mayHaveRun, res.err)
 			}
 		case <-timer.C:
 			if hedged || c.suspect || c.g.cfg.Policy.NoHedges || c.policy.TryExtra(1) != nil {
@@ -139,33 +137,14 @@
 			hedged = true
 			_ = launch("hedge")
 		case <-ctx.Done():
-			if running > 0 {
-				c.mayHaveRun = true
-			}
-			if last != nil {
-				return nil, c.refusal(last)
+			if last != nil && running == 0 {
+				return nil, ambiguousIf(mayHaveRun, last)
 			}
 			return nil, errs.Ambiguous(errs.DeadlineExceeded, "no answer before the deadline")
 		}
 	}
 }
 
-func (c *call) noteRunState(err error) {
-	if errs.As(err).RunState == errs.MayHaveRun {
-		c.mayHaveRun = true
-	}
-}
-
-// refusal returns err with the run state of all attempts: the last one may
-// prove that it did not run while an earlier one may have.
-func (c *call) refusal(err error) error {
-	r := *errs.As(err)
-	if c.mayHaveRun {
-		r.RunState = errs.MayHaveRun
-	}
-	return &r
-}
-
 func (c *call) blocked() bool {
 	switch c.g.cfg.Ledger.Check(time.Now(), c.fp) {
 	case poison.Blocked:
@@ -179,7 +158,16 @@
 // mayRetry charges a retry. A send that did not run added no load, and the
 // first replacement of a lost send is always allowed.
 func (c *call) mayRetry(err error) bool {
-	if c.attempts >= maxAttempts || !hedge.RetryLegal(err, c.idempotent) {
+	if !hedge.RetryLegal(err, c.idempotent) {
+		return false
+	}
+	if hedge.Moved(err) {
+		// Ownership can take seconds to settle after a VM was lost, so moves
+		// do not count as attempts. The last one must end before the deadline.
+		c.attempts--
+		return time.Until(c.req.Deadline) > 2*moveDelay
+	}
+	if c.attempts >= maxAttempts {
 		return false
 	}
 	if errs.As(err).RunState == errs.DidNotRun {
@@ -192,9 +180,21 @@
 	return c.policy.TryExtra(1) == nil
 }
 
+// retryReason names a further send. Only one that replaces a send which may
+// have run is extra load for the upstreams.
+func retryReason(err error) string {
+	if errs.As(err).RunState == errs.MayHaveRun {
+		return "retry"
+	}
+	return "moved"
+}
+
 // backoff waits for ownership to settle, or for refusing replicas to recover.
 func (c *call) backoff(err error) time.Duration {
 	if hedge.Moved(err) {
+		if len(c.tried) < len(c.holders(c.g.cfg.View.Current())) {
+			return 0
+		}
 		clear(c.tried)
 		return moveDelay
 	}
@@ -258,7 +258,8 @@
 	}
 	c.tried[choice.Replica] = true
 	c.attempts++
-	p := picked{replica: choice.Replica, owner: v.VMs[v.Owners[choice.Replica]], attempt: c.attempts}
+	c.lastAttempt++
+	p := picked{replica: choice.Replica, owner: v.VMs[v.Owners[choice.Replica]], attempt: c.lastAttempt}
 	c.countSend(reason)
 	c.g.cfg.Log.WithFields(logrus.Fields{
 		"query": c.id, "request": c.req.RequestID, "choice": p.replica, "owner": p.owner.ID, "reason": reason, "expected": choice.Expected,
@@ -272,6 +273,8 @@
 		c.g.counters.hedges.inc(1)
 	case "retry":
 		c.g.counters.retries.inc(1)
+	case "moved":
+		c.g.counters.moves.inc(1)
 	default:
 		c.g.counters.primaries.inc(1)
 	}
--- a/pkg/gateway/scatter.go
+++ b/pkg/gateway/scatter.go
@@ -40,13 +40,22 @@
 	firstSent time.Time
 	sentAt    time.Time
 	hedged    bool
-	resolved  bool
-	resendAt  time.Time // not zero while a move waits
-	lastErr   error
-	// mayHaveRun is set when an attempt ended without proof that it did not run.
+	// denied is set when the budget did not allow a hedge; it is asked again.
+	denied   bool
+	resolved bool
+	resendAt time.Time // not zero while a move waits
+	lastErr  error
+	// mayHaveRun is set once an attempt ended without the word that it did not
+	// run. What later attempts say cannot take that back.
 	mayHaveRun bool
 }
 
+// ended notes how an attempt failed.
+func (st *groupState) ended(err error) {
+	st.lastErr = err
+	st.mayHaveRun = st.mayHaveRun || errs.As(err).RunState == errs.MayHaveRun
+}
+
 // send is one attempt in flight.
 type send struct {
 	replica model.ReplicaID
@@ -73,10 +82,13 @@
 	unresolved int
 	nextID     uint32
 	// canary is the number of groups sent before one of them has answered.
-	canary      int
-	canaryAt    time.Time
-	released    bool
-	suspect     bool
+	canary   int
+	canaryAt time.Time
+	released bool
+	suspect  bool
+	// proven is set once a group has answered: a request that crashes each
+	// upstream that runs it would not have got an answer.
+	proven      bool
 	versionGone bool
 	poisoned    error
 }
@@ -118,6 +130,7 @@
 func (s *search) planCanary() {
 	verdict := s.g.cfg.Ledger.Check(time.Now(), s.fp)
 	s.suspect = verdict == poison.Suspect
+	s.proven = verdict == poison.Proven
 	switch {
 	case s.suspect:
 		s.canary = 1
@@ -166,7 +179,11 @@
 		return
 	}
 	delay := s.policy.Delay()
-	if !s.released && now.Sub(s.canaryAt) >= delay && s.canary < len(s.order) && !s.suspect {
+	if !s.released && now.Sub(s.canaryAt) >= delay {
+		// The report of a loss arrives before the owner's outcome does.
+		s.recheckPoison()
+	}
+	if !s.released && now.Sub(s.canaryAt) >= delay && s.canary < len(s.order) && !s.suspect && s.poisoned == nil {
 		// The canary is slow: ask one more group, which has to be asked anyway.
 		s.canaryAt = now
 		s.canary++
@@ -197,14 +214,18 @@
 	if s.g.cfg.Policy.NoHedges || st.hedged || s.suspect || !s.released || len(st.running) == 0 || now.Sub(st.sentAt) < delay {
 		return false
 	}
-	st.hedged = true
 	if !s.hasAlternative(st) {
+		st.hedged = true
 		return false
 	}
 	if err := s.policy.TryExtra(1); err != nil {
-		s.g.counters.denied.inc(1)
+		if !st.denied {
+			st.denied = true
+			s.g.counters.denied.inc(1)
+		}
 		return false
 	}
+	st.hedged = true
 	return true
 }
 
@@ -247,7 +268,9 @@
 	s.count(reason, batches)
 	for owner, items := range batches {
 		s.logRouting(reason, owner, items)
-		s.sendBatch(v.VMs[owner], items)
+		// A group that lost an upstream while running this search may lose the
+		// next one to it as well, whatever the other groups have answered.
+		s.sendBatch(v.VMs[owner], items, s.proven && reason != "retry")
 	}
 }
 
@@ -296,6 +319,7 @@
 			continue
 		}
 		reason := code
+		st.mayHaveRun = st.mayHaveRun || len(st.running) > 0
 		if len(st.running) == 0 && st.lastErr != nil {
 			reason = errs.As(st.lastErr).Code
 		}
@@ -341,17 +365,30 @@
 	}, nil
 }
 
-// nothingCovered explains a search that no group answered. It did not run only
-// if that is known of every attempt.
+// nothingCovered explains a search that no group answered. It may have run
+// unless every attempt at every group says otherwise.
 func (s *search) nothingCovered() error {
-	state, code := errs.DidNotRun, errs.DeadlineExceeded
+	code := errs.DeadlineExceeded
 	for _, st := range s.order {
-		if st.mayHaveRun {
-			state = errs.MayHaveRun
+		if st.lastErr != nil {
+			code = errs.As(st.lastErr).Code
 		}
 		if st.lastErr != nil {
 			code = errs.As(st.lastErr).Code
 		}
 	}
+	state := errs.DidNotRun
+	if s.mayHaveRun() {
+		state = errs.MayHaveRun
+	}
 	return &errs.Refusal{Code: code, RunState: state, Detail: "no group answered", RetryAfter: time.Second}
 }
+
+func (s *search) mayHaveRun() bool {
+	for _, st := range s.order {
+		if st.mayHaveRun {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/measure/scenarios.go
+++ b/pkg/measure/scenarios.go
@@ -50,7 +50,7 @@
 			direct := latencyOf(r.baselines[0].samples(whole, isSearch)).P50
 			return []Target{fullCoverage(r.samples(whole, nil)), overheadTarget(tier, direct)}
 		},
-		Baselines: []Baseline{{Name: "direct fan-out by the client", Direct: true}},
+		Baselines: []Baseline{{Name: "direct fan-out by the client", Direct: true}, {Name: "no canary", Trim: noCanary}},
 	}
 }
 
