Make the test of lost log lines independent of scheduling

Cause: TestSampleCountsLostLinesOnce assumed that the writing goroutine takes at most two lines before it blocks; in a full run under load it took three (7 lost instead of at least 8). Change: the test waits until the writer is blocked, then expects exactly 8. Conclusion: the check is stricter and its verdict fixed.

--- a/pkg/node/metrics_test.go
+++ b/pkg/node/metrics_test.go
@@ -14,11 +14,15 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/platform"
 )
 
-// stuckWriter blocks until it is released.
-type stuckWriter struct{ release chan struct{} }
+// stuckWriter reports its first write and blocks until it is released.
+type stuckWriter struct{ entered, release chan struct{} }
 
 // Write implements io.Writer.
 func (w stuckWriter) Write(p []byte) (int, error) {
+	select {
+	case w.entered <- struct{}{}:
+	default:
+	}
 	<-w.release
 	return len(p), nil
 }
@@ -26,9 +30,11 @@
 // Guards against lost log lines that no metric shows, or that are counted
 // again with each sample.
 func TestSampleCountsLostLinesOnce(t *testing.T) {
-	w := stuckWriter{make(chan struct{})}
+	w := stuckWriter{make(chan struct{}, 1), make(chan struct{})}
 	log, async := logging.New(w, logrus.InfoLevel, 1)
-	for range 10 {
+	log.Info("line")
+	<-w.entered // from here on one line fits into the queue
+	for range 9 {
 		log.Info("line")
 	}
 	scope := tally.NewTestScope("", nil)
@@ -39,7 +45,7 @@
 	}
 	lost := scope.Snapshot().Counters()["log_lines_dropped+"].Value()
 	assert.Equal(t, lost, int64(async.Dropped()))
-	assert.Assert(t, lost >= 8, "%d", lost)
+	assert.Equal(t, lost, int64(8))
 	gauges := scope.Snapshot().Gauges()
 	assert.Equal(t, gauges["view_age+"].Value(), 2.0)
 	assert.Equal(t, gauges["dispatch_in_flight+"].Value(), 3.0)
