Detect silent paths between VMs sooner and skip unreachable adopted replicas

A silent path between VMs was noticed after 1 s, the whole deadline; an owner that adopted replicas of the domain that was cut off let requests wait for dials; and the progress bound of a replica stayed at 1 s until 32 answers. Change: peers are probed at 100 ms and retired at 400 ms without a byte; a newly adopted replica gets work only once it has answered its owner, or after 3 s; the first estimate of the bound needs 4 answers and is taken over from a replica of the same service; a replica that answers requests is not down because its status requests fail.

--- a/pkg/capacity/items_owner.go
+++ b/pkg/capacity/items_owner.go
@@ -142,21 +142,32 @@
 		QueryID: "q", Service: service, Operation: operation, Snapshot: pinned, Remaining: time.Minute,
 		Payload: []byte(`{"text":"plinth"}`), Limit: rowLimit, Fingerprint: 1, Caller: "caller", Items: items,
 	}
-	return micros(e, func() error {
-		answered := 0
-		var failure error
-		d.Search(ctx, batch, make(chan wire.Message), func(p *wire.SearchPartial) error {
-			for _, g := range p.Groups {
-				failure = errOr(failure, g.Failure.Err())
-				answered++
-			}
-			return nil
-		})
-		if answered != n {
-			return errs.Refuse(errs.Internal, "%d of %d items answered", answered, n)
+	run := func() error { return searchAll(ctx, d, batch) }
+	// A new owner sends nothing until its replicas have answered it.
+	for err = run(); errs.Is(err, errs.NotOwner); err = run() {
+		time.Sleep(time.Millisecond)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return micros(e, run)
+}
+
+// searchAll runs a batch and returns its first failure.
+func searchAll(ctx context.Context, d *dispatch.Dispatcher, batch *wire.SearchBatch) error {
+	answered := 0
+	var failure error
+	d.Search(ctx, batch, make(chan wire.Message), func(p *wire.SearchPartial) error {
+		for _, g := range p.Groups {
+			failure = errOr(failure, g.Failure.Err())
+			answered++
 		}
-		return failure
+		return nil
 	})
+	if answered != len(batch.Items) {
+		return errs.Refuse(errs.Internal, "%d of %d items answered", answered, len(batch.Items))
+	}
+	return failure
 }
 
 func errOr(first, second error) error {
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -146,6 +146,11 @@
 	t := newTarget(spec, d.cfg.Now(), d.cfg.Dial)
 	d.seed(t)
 	d.targets[id] = t
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), statusInterval)
+		defer cancel()
+		d.pollOne(ctx, t)
+	}()
 	d.cfg.Log.WithFields(logrus.Fields{"replica": id, "reason": "owner_by_rendezvous"}).Info("Adopted replica.")
 	return t
 }
@@ -156,7 +161,7 @@
 		if sibling.spec.service != t.spec.service {
 			continue
 		}
-		if known := sibling.baselines(); len(known) > 0 {
+		if known := sibling.normal(); len(known.services) > 0 {
 			t.seed(known)
 			return
 		}
@@ -234,6 +239,9 @@
 	if t == nil {
 		return nil, errs.Refuse(errs.NotOwner, "replica %s is not adopted yet", id)
 	}
+	if !t.usable(d.cfg.Now()) {
+		return nil, errs.Refuse(errs.NotOwner, "replica %s has not answered its new owner yet", id)
+	}
 	return t, nil
 }
 
--- a/pkg/dispatch/progress.go
+++ b/pkg/dispatch/progress.go
@@ -7,7 +7,10 @@
 
 const (
 	progressSamples = 128
+	// progressRefresh is the number of samples between two estimates; the first
+	// one is made after firstEstimate samples.
 	progressRefresh = 32
+	firstEstimate   = 4
 	// minProgress keeps fast upstreams from being taken for silent after a
 	// short pause of either process.
 	minProgress = 100 * time.Millisecond
@@ -26,7 +29,7 @@
 func (p *progressBound) observe(d time.Duration) {
 	p.samples[p.count%progressSamples] = d
 	p.count++
-	if p.count%progressRefresh == 0 {
+	if p.count == firstEstimate || p.count%progressRefresh == 0 {
 		p.refresh()
 	}
 }
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -20,6 +20,10 @@
 // a replica is reported as down. One lost request must not empty a group.
 const statusFailures = 3
 
+// answerWait bounds the time without work for a replica whose status endpoint
+// does not answer although the replica may.
+const answerWait = 3 * time.Second
+
 // stateDraining is what a draining upstream reports in its status.
 const stateDraining = "draining"
 
@@ -55,8 +59,14 @@
 	capped   float64
 	excluded bool
 	gone     bool
-	failures int
-	status   model.ReplicaStatus
+	// answered is set when the replica has answered this owner. Until then, or
+	// until answerWait has passed since the adoption, other replicas are used:
+	// an owner that adopts the replicas of a failure domain it cannot reach
+	// would keep requests waiting for connections.
+	answered  bool
+	adoptedAt time.Time
+	failures  int
+	status    model.ReplicaStatus
 }
 
 func ownedReplicas(v *model.View, self model.VMID, p model.Policy) map[model.ReplicaID]targetSpec {
@@ -104,6 +114,8 @@
 		waiting:  make(map[uint64]chan error),
 		inFlight: make(map[uint64]uint64),
 		status:   model.ReplicaStatus{Replica: s.replica.ID},
+
+		adoptedAt: now,
 		client: upstream.New(upstream.Config{
 			Replica:  s.replica.ID,
 			Addr:     s.replica.Addr,
@@ -117,8 +129,14 @@
 	return t
 }
 
-// baselines returns the normal service time of each operation that has one.
-func (t *target) baselines() map[string]time.Duration {
+// normal is what a new owner takes over from a replica of the same service.
+type normal struct {
+	services map[string]time.Duration // by operation
+	p99      time.Duration
+}
+
+// normal returns the service times that count as normal at the replica.
+func (t *target) normal() normal {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := make(map[string]time.Duration, len(t.spec.operations))
@@ -127,17 +145,18 @@
 			out[op] = d
 		}
 	}
-	return out
+	return normal{services: out, p99: t.progress.p99}
 }
 
 // seed takes over the normal service times of a replica of the same service.
 // Without them the slow answers of a cold replica would count as normal.
-func (t *target) seed(from map[string]time.Duration) {
+func (t *target) seed(from normal) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for op, d := range from {
+	for op, d := range from.services {
 		t.window.Seed(op, d)
 	}
+	t.progress.p99 = from.p99
 }
 
 // enter asks the gate for a slot. The returned channel delivers nil when the
@@ -188,6 +207,10 @@
 	delete(t.inFlight, id)
 	if o == limit.Succeeded {
 		t.progress.observe(service)
+		// An upstream that answers requests is not down, whatever became of
+		// its status requests.
+		t.answered = true
+		t.failures = 0
 	}
 	if o == limit.Shed || o == limit.ShedCold {
 		t.takeover.shed(now)
@@ -304,6 +327,13 @@
 	return t.gate.Hint()
 }
 
+// usable reports whether the replica may get work from its new owner.
+func (t *target) usable(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.answered || now.Sub(t.adoptedAt) > answerWait
+}
+
 func (t *target) progressBound() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -345,6 +375,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.failures = 0
+	t.answered = true
 	t.status = model.ReplicaStatus{
 		Replica:   t.spec.replica.ID,
 		Instance:  s.Instance,
--- a/pkg/peer/transport.go
+++ b/pkg/peer/transport.go
@@ -20,9 +20,10 @@
 
 const (
 	// ProgressBound is the default time without a received byte after which a
-	// connection with outstanding exchanges is retired. It is above the
-	// pauses of a loaded but live VM and below the deadline of most requests.
-	ProgressBound = time.Second
+	// connection with outstanding exchanges is retired; live peers answer a
+	// probe at a quarter of it. It is above the pauses of a loaded VM, and leaves
+	// a request with a deadline of one second time for another replica.
+	ProgressBound = 400 * time.Millisecond
 	// MaxIncoming is the default bound of incoming connections: two lanes of
 	// 1,500 VMs, and a quarter more for connections that are being replaced.
 	MaxIncoming = 3750
