Measure the loss of a failure domain

Cause: the time until 187 deaths at once are known was an estimate. Change: the item domain-loss stops an eighth of the nodes in virtual time.

--- a/pkg/capacity/items_fleet.go
+++ b/pkg/capacity/items_fleet.go
@@ -58,6 +58,15 @@
 			},
 			Measure: func(_ context.Context, e Effort, n int) ([]float64, error) { return measureDeath(n, e.Virtual) },
 		},
+		{
+			Name: "domain-loss", Size: "nodes", Sizes: fleetSizes, Quick: quickFleet, Target: targetVMs,
+			Metrics: []Metric{
+				{Name: "until all VMs of a failure domain are dead on every other node", Unit: "s", Model: Linear, Why: "the records of n/8 VMs share the messages"},
+				{Name: "bytes sent and received per node", Unit: "KB/s", Model: Linear, Why: "bounded by the size limit of a message", Budget: budgetBytes},
+				{Name: "processor time per node, codec included", Unit: "ms/s", Model: Linear, Why: "bounded by the size limit of a message", Budget: budgetCPU},
+			},
+			Measure: measureDomainLoss,
+		},
 		{
 			Name: "status-in-roll", Size: "nodes", Sizes: fleetSizes, Quick: quickFleet, Target: targetVMs,
 			Metrics: []Metric{
@@ -158,6 +167,42 @@
 	return []float64{took.Seconds(), float64(s.watched) / float64(n)}, s.failure
 }
 
+// lossCheck is the number of steps between two looks at a node: each look
+// copies its members.
+const lossCheck = 10
+
+// measureDomainLoss stops all nodes of a failure domain at once.
+func measureDomainLoss(_ context.Context, _ Effort, n int) ([]float64, error) {
+	s := newSim(n)
+	s.run(time.Second)
+	var dead []model.VMID
+	for i := range s.nodes {
+		if s.vms[i].Domain == domainID(0) {
+			s.nodes[i].up = false
+			dead = append(dead, s.vms[i].ID)
+		}
+	}
+	bytes, cpu, from := s.bytes, cpuTime(), s.now
+	_, ok := s.until(spreadLimit, func(i int) bool {
+		return s.steps%lossCheck == i%lossCheck && s.allDead(i, dead)
+	})
+	if !ok {
+		return nil, errs.Refuse(errs.Internal, "not dead everywhere after %v of virtual time", spreadLimit)
+	}
+	per := s.now.Sub(from).Seconds() * float64(n-len(dead))
+	return []float64{s.now.Sub(from).Seconds(), 2 * float64(s.bytes-bytes) / per / 1024, (cpuTime() - cpu).Seconds() * 1000 / per}, s.failure
+}
+
+func (s *sim) allDead(i int, dead []model.VMID) bool {
+	vms := s.nodes[i].members.VMs()
+	for _, id := range dead {
+		if vms[id].State != model.Dead {
+			return false
+		}
+	}
+	return true
+}
+
 func measureStatusInRoll(_ context.Context, e Effort, n int) ([]float64, error) {
 	s := newSim(n)
 	rng := rand.New(rand.NewPCG(uint64(n), 6))
