--- a/pkg/e2e/process_test.go
+++ b/pkg/e2e/process_test.go
@@ -20,7 +20,6 @@
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/fake"
 	"github.com/nutmeghitch/nutmeghitch/pkg/frontend"
-	"github.com/nutmeghitch/nutmeghitch/pkg/loadgen"
 	"github.com/nutmeghitch/nutmeghitch/pkg/merge"
 	"github.com/nutmeghitch/nutmeghitch/pkg/model"
 	"github.com/nutmeghitch/nutmeghitch/pkg/testcluster"
@@ -231,11 +230,6 @@
 	return st, json.NewDecoder(resp.Body).Decode(&st) == nil
 }
 
-// backend returns the VM as a load generator addresses it.
-func (p *process) backend() loadgen.Backend {
-	return loadgen.Backend{Callers: p.callers, Operators: p.operators}
-}
-
 // reply is the outcome of one request.
 type reply struct {
 	status   int
