Keep a VM that no peer accepts out of readiness

Change: while peers have refused the secret and none has accepted it, /readyz fails. The end-to-end test fails without this.

Limit: such a VM still opens connections to replicas and asks their status. A VM refused for another protocol version is not covered, because the first VM of an upgrade would then never be ready.

--- a/pkg/e2e/process_test.go
+++ b/pkg/e2e/process_test.go
@@ -166,6 +166,21 @@
 
 // start runs a VM in a failure domain and waits until it is ready.
 func (s *site) start(id, domain string) *process {
+	s.t.Helper()
+	p := s.launch(id, domain)
+	s.await("ready "+id, func() bool {
+		select {
+		case err := <-p.exited:
+			s.t.Fatalf("%s ended: %v\n%s", id, err, p.output)
+		default:
+		}
+		return p.ready()
+	})
+	return p
+}
+
+// launch runs a VM without waiting for it.
+func (s *site) launch(id, domain string) *process {
 	s.t.Helper()
 	p := &process{
 		id: id, domain: domain, callers: freeAddr(s.t), peers: freeAddr(s.t), operators: freeAddr(s.t),
@@ -206,14 +221,6 @@
 	s.mu.Lock()
 	s.vms = append(s.vms, p)
 	s.mu.Unlock()
-	s.await("ready "+id, func() bool {
-		select {
-		case err := <-p.exited:
-			s.t.Fatalf("%s ended: %v\n%s", id, err, p.output)
-		default:
-		}
-		return p.ready()
-	})
 	return p
 }
 
--- a/pkg/e2e/tls_test.go
+++ b/pkg/e2e/tls_test.go
@@ -92,7 +92,8 @@
 
 // Guards against a peer frame that is truncated, too large or of another
 // protocol version, or a peer with a wrong secret, that stops a VM, loses
-// work, or leaves no trace in the log; and against secrets in the log.
+// work, or leaves no trace in the log; against a VM that gets callers although
+// no peer accepts it; and against secrets in the log.
 func TestBadPeers(t *testing.T) {
 	s := newSite(t)
 	a, b := s.start("a1", "a"), s.start("b1", "b")
@@ -107,10 +108,22 @@
 	answers(t, b.peers, nil, frame(1<<31, wire.Protocol))
 	answers(t, b.peers, nil, frame(11, wire.Protocol+1))
 	s.edit = func(_ string, settings map[string]any) { settings["peer_secret"] = "another-secret-of-a-test" }
-	c := s.start("c1", "b")
+	c := s.launch("c1", "b")
 	for _, want := range []string{"frame_too_large", "protocol_mismatch", "authentication_failed"} {
 		s.await(want+" in the log of b1", func() bool { return b.output.contains(want) })
 	}
+	s.await("refusals in the log of c1", func() bool { return c.output.contains("authentication_failed") })
+	// It knows the configuration and all replicas, which is all that readiness
+	// needs otherwise, and has published more views since.
+	seq := uint64(0)
+	s.await("views of c1", func() bool {
+		st, ok := c.status()
+		if seq == 0 && ok && len(st.Replicas) == 8 {
+			seq = st.ViewSeq
+		}
+		return seq > 0 && st.ViewSeq > seq+20
+	})
+	assert.Assert(t, !c.ready())
 	assert.Assert(t, !b.knows("c1") && !a.knows("c1"))
 	assert.Equal(t, a.book("k1").status, http.StatusOK, "the recorded answer is lost")
 	assert.Assert(t, a.covered() && b.covered())
--- a/pkg/node/servers.go
+++ b/pkg/node/servers.go
@@ -78,15 +78,21 @@
 		Log: logFor(s.cfg, "operators"),
 	})
 	scope.Go(func(context.Context) error { return s.server.Serve(s.cfg.Operators) })
-	scope.Go(func(ctx context.Context) error { return s.followReadiness(ctx, ctl) })
+	transport, err := kernel.Get(scope, peerHandle)
+	if err != nil {
+		return err
+	}
+	scope.Go(func(ctx context.Context) error { return s.followReadiness(ctx, ctl, transport.Refused) })
 	return nil
 }
 
 // followReadiness makes the VM ready once its configuration is known, its
 // peers have been asked for a newer one, and it knows a snapshot of each search
 // service. A service whose upstreams are all lost must not keep a VM from
-// serving the others, so snapshots are waited for only for a time.
-func (s *operatorsService) followReadiness(ctx context.Context, ctl *controlService) error {
+// serving the others, so snapshots are waited for only for a time. A VM whose
+// secret all peers refuse is not ready: it would send to replicas that others
+// own, over their slots.
+func (s *operatorsService) followReadiness(ctx context.Context, ctl *controlService, refused func() bool) error {
 	tick := time.NewTicker(readyPoll)
 	defer tick.Stop()
 	var synced time.Time
@@ -98,7 +104,7 @@
 			synced = time.Now()
 		}
 		known := !synced.IsZero() && (s.readiness.Ready() || time.Since(synced) > snapshotWait || snapshotsKnown(ctl.Current()))
-		s.readiness.SetReady(known)
+		s.readiness.SetReady(known && !refused())
 		select {
 		case <-ctx.Done():
 			return nil
--- a/pkg/node/services.go
+++ b/pkg/node/services.go
@@ -59,7 +59,7 @@
 		kernel.Add(k, acceptHandle, &acceptService{}, peerHandle, controlHandle, dispatchHandle, claimHandle),
 		kernel.Add(k, metricsHandle, &metricsService{cfg: c, callers: callers}, controlHandle, dispatchHandle),
 		kernel.Add(k, drainHandle, &drainService{}, dispatchHandle, acceptHandle),
-		kernel.Add(k, operatorsHandle, &operatorsService{cfg: c, ledger: ledger, readiness: readiness, callers: callers}, controlHandle, drainHandle),
+		kernel.Add(k, operatorsHandle, &operatorsService{cfg: c, ledger: ledger, readiness: readiness, callers: callers}, peerHandle, controlHandle, drainHandle),
 		kernel.Add(k, callersHandle, callers, gatewayHandle, controlHandle, drainHandle, operatorsHandle),
 	}
 	for _, err := range add {
--- a/pkg/peer/serve.go
+++ b/pkg/peer/serve.go
@@ -66,6 +66,7 @@
 	intime := timer.Stop()
 	open := stop()
 	if err == nil && intime && open && t.keep(nc, br, hello) {
+		t.authenticated.Store(true)
 		return
 	}
 	t.incoming.Add(-1)
--- a/pkg/peer/transport.go
+++ b/pkg/peer/transport.go
@@ -67,6 +67,8 @@
 
 	handlers [256]atomic.Pointer[wire.Handler]
 	incoming atomic.Int64
+	// refused and authenticated tell whether a handshake has ever ended so.
+	refused, authenticated atomic.Bool
 
 	mu       sync.Mutex
 	closed   bool
@@ -202,6 +204,10 @@
 	}
 }
 
+// Refused reports whether peers refused this VM's secret and none has ever
+// accepted it. Such a VM sees nobody alive and would own every replica.
+func (t *Transport) Refused() bool { return t.refused.Load() && !t.authenticated.Load() }
+
 // connect dials and authenticates one connection.
 func (t *Transport) connect(ctx context.Context, to model.VM, k wire.Lane) (*conn, error) {
 	raw, err := t.cfg.Dial(ctx, to.Addr)
@@ -221,8 +227,12 @@
 	if err != nil {
 		_ = raw.Close()
 		t.log.Warnf("peer: handshake with %s failed: %v", to.ID, err)
+		if errs.Is(err, errs.AuthenticationFail) {
+			t.refused.Store(true)
+		}
 		return nil, err
 	}
+	t.authenticated.Store(true)
 	return newConn(t, nc, br, to, k, true), nil
 }
 
