Try another group after a lost canary and learn from overtaken attempts

An attempt that a hedge overtook taught routing nothing, so a silent owner kept getting work until it was declared dead.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -296,7 +296,7 @@
 		c.g.cfg.Ledger.Succeeded(now, c.fp)
 		return callResult{replica: p.replica, answer: reply.Result}
 	case errs.Is(err, errs.Canceled):
-		c.g.table.Canceled(now, p.replica)
+		c.g.table.Overtaken(now, p.replica, now.Sub(began))
 	default:
 		c.g.table.Failed(now, p.replica, errs.As(err).Code)
 	}
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -11,7 +11,6 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/hedge"
 	"github.com/nutmeghitch/nutmeghitch/pkg/model"
-	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
 	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
 )
 
@@ -208,18 +207,6 @@
 	return nil
 }
 
-// releaseCanary sends the groups that waited for the first answer.
-func (s *search) releaseCanary() {
-	if s.released {
-		return
-	}
-	s.released = true
-	s.suspect = false
-	rest := s.order[s.canary:]
-	s.canary = len(s.order)
-	s.sendGroups(rest, "primary")
-}
-
 func (s *search) attemptFailed(now time.Time, st *groupState, replica model.ReplicaID, err error) *groupState {
 	code := errs.As(err).Code
 	if code == errs.Canceled {
@@ -243,16 +230,6 @@
 	return s.retryOrMiss(st, err)
 }
 
-// recheckPoison stops a search that has just cost an upstream from costing more.
-func (s *search) recheckPoison() {
-	switch s.g.cfg.Ledger.Check(time.Now(), s.fp) {
-	case poison.Blocked:
-		s.poisoned = errs.Ambiguous(errs.Poisoned, "request %016x is blocked because upstreams were lost while running it", s.fp)
-	case poison.Suspect:
-		s.suspect = true
-	}
-}
-
 // retryOrMiss decides what happens to a group without attempts in flight.
 func (s *search) retryOrMiss(st *groupState, err error) *groupState {
 	st.ended(err)
@@ -267,6 +244,10 @@
 		s.fail(st, err)
 		return nil
 	}
+	if !s.released && errs.Is(err, errs.UpstreamLost) && s.canary < len(s.order) {
+		s.postpone(st)
+		return nil
+	}
 	if !s.chargeRetry(st, err) {
 		s.g.counters.denied.inc(1)
 		s.fail(st, err)
@@ -381,24 +362,6 @@
 	}
 }
 
-func (s *search) anyCanaryLeft() bool {
-	for _, st := range s.order[:s.canary] {
-		if !st.resolved {
-			return true
-		}
-	}
-	return false
-}
-
-func (s *search) nextCanary() {
-	if s.canary >= len(s.order) || s.ctx.Err() != nil {
-		return
-	}
-	s.canary++
-	s.canaryAt = time.Now()
-	s.sendGroups(s.order[s.canary-1:s.canary], "canary_failed")
-}
-
 func (s *search) resolve(st *groupState) {
 	if st.resolved {
 		return
--- a/pkg/gateway/scatter.go
+++ b/pkg/gateway/scatter.go
@@ -11,7 +11,6 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/hedge"
 	"github.com/nutmeghitch/nutmeghitch/pkg/merge"
 	"github.com/nutmeghitch/nutmeghitch/pkg/model"
-	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
 	"github.com/nutmeghitch/nutmeghitch/pkg/routing"
 	"github.com/nutmeghitch/nutmeghitch/pkg/snapshot"
 	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
@@ -44,7 +43,10 @@
 	denied   bool
 	resolved bool
 	resendAt time.Time // not zero while a move waits
-	lastErr  error
+	// postponed is set when the group's canary lost its upstream: the group is
+	// sent again with the others, once another group has answered.
+	postponed bool
+	lastErr   error
 	// mayHaveRun is set once an attempt ended without the word that it did not
 	// run. What later attempts say cannot take that back.
 	mayHaveRun bool
@@ -124,29 +126,6 @@
 	return s
 }
 
-// planCanary decides how many groups are asked before the others. A request
-// that crashes the upstreams running it then costs one upstream per canary
-// instead of one per group.
-func (s *search) planCanary() {
-	verdict := s.g.cfg.Ledger.Check(time.Now(), s.fp)
-	s.suspect = verdict == poison.Suspect
-	s.proven = verdict == poison.Proven
-	switch {
-	case s.suspect:
-		s.canary = 1
-	case verdict == poison.Unknown && s.svc.CanaryGroups > 0:
-		s.canary = s.svc.CanaryGroups
-	}
-	if s.canary == 0 || s.canary >= len(s.order) {
-		s.canary = len(s.order)
-		s.released = true
-		return
-	}
-	// A different group for each query, so that no group carries all canaries.
-	start := int(s.fp % uint64(len(s.order)))
-	s.order = append(s.order[start:len(s.order):len(s.order)], s.order[:start]...)
-}
-
 // run scatters the search and returns when every group is resolved or the
 // deadline has come.
 func (s *search) run() {
@@ -192,7 +171,7 @@
 	var hedges, moves []*groupState
 	for _, st := range s.order {
 		switch {
-		case st.resolved:
+		case st.resolved, st.postponed:
 		case !st.resendAt.IsZero():
 			if !now.Before(st.resendAt) {
 				st.resendAt = time.Time{}
@@ -342,7 +321,7 @@
 	for id, a := range st.running {
 		delete(st.running, id)
 		st.mayHaveRun = true
-		s.g.table.Canceled(now, a.replica)
+		s.g.table.Overtaken(now, a.replica, now.Sub(a.sentAt))
 		a.via.cancel(id)
 	}
 }
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -173,6 +173,17 @@
 	s.mu.Unlock()
 }
 
+// Overtaken reports a request that another replica answered first, after the
+// replica had it for elapsed. The replica's latency is at least that long;
+// without it a replica that has gone silent would look as fast as before.
+func (t *Table) Overtaken(now time.Time, r model.ReplicaID, elapsed time.Duration) {
+	s := t.entry(now, r)
+	s.mu.Lock()
+	s.ended(now)
+	s.overtaken(now, elapsed)
+	s.mu.Unlock()
+}
+
 // next returns the next value of a splitmix64 sequence.
 func (t *Table) next() uint64 {
 	z := t.random.Add(0x9e3779b97f4a7c15)
--- a/pkg/routing/stats.go
+++ b/pkg/routing/stats.go
@@ -40,6 +40,8 @@
 	// after a pause of several meanHalfLife replaces the mean.
 	meanWeight   = 1.0 / 8
 	meanHalfLife = 2 * time.Second
+	// overtakenWeight is the weight of an attempt that another replica overtook.
+	overtakenWeight = 1.0 / 4
 )
 
 // stats is what one entry VM knows of one replica.
@@ -80,6 +82,16 @@
 	s.penaltyAt = now
 }
 
+func (s *stats) overtaken(now time.Time, elapsed time.Duration) {
+	if s.answeredAt.IsZero() {
+		s.mean, s.window, s.answeredAt = float64(elapsed), 1, now
+		return
+	}
+	if float64(elapsed) > s.mean {
+		s.mean += (float64(elapsed) - s.mean) * overtakenWeight
+	}
+}
+
 func (s *stats) penaltyNow(now time.Time) float64 {
 	if s.penalty == 0 {
 		return 0
--- a/pkg/testcluster/cluster.go
+++ b/pkg/testcluster/cluster.go
@@ -18,6 +18,7 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/config"
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/fake"
+	"github.com/nutmeghitch/nutmeghitch/pkg/logging"
 	"github.com/nutmeghitch/nutmeghitch/pkg/model"
 	"github.com/nutmeghitch/nutmeghitch/pkg/platform"
 )
@@ -296,5 +297,6 @@
 		return l
 	}
 	l.SetOutput(w)
+	l.SetFormatter(&logging.Formatter{})
 	return l
 }
