Give the end-to-end processes ports that nothing else takes

Change: ports below the range for port 0, never given twice by one process. Conclusion: the choice of ports no longer depends on other work.

--- a/pkg/e2e/process_test.go
+++ b/pkg/e2e/process_test.go
@@ -156,12 +156,36 @@
 	return out
 }
 
-// freeAddr returns a loopback address that was free a moment ago.
+// Ports of the processes lie below the range from which the system gives ports
+// to listeners on port 0 and to outgoing connections, so that nothing else
+// takes one between its choice and the start of the process.
+const (
+	firstPort = 22000
+	portCount = 9000
+)
+
+var (
+	portMu   sync.Mutex
+	nextPort = os.Getpid() * 64 % portCount
+)
+
+// freeAddr returns a loopback address that nothing listens on. No two calls
+// of one process return the same.
 func freeAddr(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	t.Helper()
+	portMu.Lock()
+	defer portMu.Unlock()
+	for range portCount {
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort)
+		nextPort = (nextPort + 1) % portCount
+		l, err := net.Listen("tcp", addr)
+		if err == nil {
+			_ = l.Close()
+			return addr
+		}
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 // start runs a VM in a failure domain and waits until it is ready.
