Put changed slots and connections in force, hide addresses from callers

A replica given up twice while the first attempts still ran was lost track of. Refusals showed callers addresses of upstreams and of the platform. Node.View panicked before Run had started. Change: the owner applies the limits of each new view, keeps all targets that are retiring, and swaps the client when the connection limit changed; callers get fixed details for failures inside the site, the log keeps the cause; View and Sends answer before the start. Some names became plain terms. Before: TestChangedLimitsAreInForce fails with 1 of 3. Conclusion: configuration changes of limits are in force without a restart.

--- a/pkg/claim/route.go
+++ b/pkg/claim/route.go
@@ -9,12 +9,12 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
 )
 
-// OwnerPatience is how long a VM waits for the first reply of a partition's
+// OwnerTimeout is how long a VM waits for the first reply of a partition's
 // claim owner before it updates the partition itself as well. A quarter of the
 // request's remaining time is the bound for short deadlines.
 const (
-	OwnerPatience = 250 * time.Millisecond
-	patienceShare = 4
+	OwnerTimeout      = 250 * time.Millisecond
+	ownerTimeoutShare = 4
 	// acceptedShare is the part of the remaining time that is left to an owner
 	// that has accepted the operation: it may only be waiting for a slow
 	// platform, where a second VM's updates would add conflicts.
@@ -63,7 +63,7 @@
 	if owner, ok := s.owner(partition); ok {
 		r.attempt.Started()
 		s.running.start(func() { s.ask(ctx, owner, r) })
-		slow = time.NewTimer(min(remaining(ctx)/patienceShare, OwnerPatience))
+		slow = time.NewTimer(min(remaining(ctx)/ownerTimeoutShare, OwnerTimeout))
 	} else {
 		slow = time.NewTimer(remaining(ctx))
 		r.startLocal()
--- a/pkg/claim/service_test.go
+++ b/pkg/claim/service_test.go
@@ -67,7 +67,7 @@
 		begin := time.Now()
 		g, _, err := n.services["vm1"].Claim(t.Context(), request("k", 3*time.Second))
 		assert.NilError(t, err)
-		assert.Assert(t, time.Since(begin) < OwnerPatience+50*time.Millisecond, "%s", time.Since(begin))
+		assert.Assert(t, time.Since(begin) < OwnerTimeout+50*time.Millisecond, "%s", time.Since(begin))
 		assert.NilError(t, n.services["vm1"].Release(t.Context(), g))
 		_, prior, err := n.services["vm0"].Claim(t.Context(), request("k", time.Second))
 		assert.NilError(t, err)
--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -103,7 +103,7 @@
 	io, ioCtx := errgroup.WithContext(ctx)
 	io.SetLimit(maxIO)
 	now := time.Now()
-	c.state = newState(c, now, &courier{c: c, group: io, ctx: ioCtx})
+	c.state = newState(c, now, &ioRunner{c: c, group: io, ctx: ioCtx})
 	group.Go(func() error { return c.loop(ctx) })
 	err := group.Wait()
 	if ioErr := io.Wait(); err == nil {
@@ -214,8 +214,8 @@
 	}
 }
 
-// courier runs the I/O of the control goroutine in goroutines of its own.
-type courier struct {
+// ioRunner runs the I/O of the control goroutine in goroutines of its own.
+type ioRunner struct {
 	c     *Controller
 	group *errgroup.Group
 	ctx   context.Context
@@ -225,7 +225,7 @@
 const sendTimeout = 2 * time.Second
 
 // run starts f unless too much I/O is under way.
-func (k *courier) run(f func(ctx context.Context)) bool {
+func (k *ioRunner) run(f func(ctx context.Context)) bool {
 	started := k.group.TryGo(func() error {
 		f(k.ctx)
 		return nil
@@ -241,7 +241,7 @@
 
 // send delivers an envelope. Errors need no reaction: a missing answer is
 // what the protocol acts on.
-func (k *courier) send(e membership.Envelope, reply func(wire.Message) error) {
+func (k *ioRunner) send(e membership.Envelope, reply func(wire.Message) error) {
 	k.run(func(ctx context.Context) {
 		if e.Reply && reply != nil {
 			_ = reply(e.Message)
@@ -257,7 +257,7 @@
 }
 
 // post queues a result of I/O for the control goroutine.
-func (k *courier) post(e event) {
+func (k *ioRunner) post(e event) {
 	select {
 	case k.c.events <- e:
 	case <-k.ctx.Done():
--- a/pkg/control/events.go
+++ b/pkg/control/events.go
@@ -150,7 +150,7 @@
 
 // call runs one platform call and posts its result. A call that cannot start
 // posts nothing: the requests of confsync time out.
-func (k *courier) call(timeout time.Duration, f func(ctx context.Context) event) bool {
+func (k *ioRunner) call(timeout time.Duration, f func(ctx context.Context) event) bool {
 	return k.run(func(ctx context.Context) {
 		bound, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
@@ -158,7 +158,7 @@
 	})
 }
 
-func (k *courier) readManifest(ctx context.Context) event {
+func (k *ioRunner) readManifest(ctx context.Context) event {
 	if k.c.cfg.Store == nil {
 		return manifestRead{err: errNoStore}
 	}
@@ -171,7 +171,7 @@
 	return manifestRead{manifest: m, err: err}
 }
 
-func (k *courier) readSection(ctx context.Context, r confsync.Request) event {
+func (k *ioRunner) readSection(ctx context.Context, r confsync.Request) event {
 	if k.c.cfg.Store == nil {
 		return sectionRead{hash: r.Hash, err: errNoStore}
 	}
@@ -179,7 +179,7 @@
 	return sectionRead{hash: r.Hash, body: o.Value, err: err}
 }
 
-func (k *courier) watch(ctx context.Context, after uint64) event {
+func (k *ioRunner) watch(ctx context.Context, after uint64) event {
 	if k.c.cfg.Store == nil {
 		return watched{err: errNoStore}
 	}
@@ -192,7 +192,7 @@
 	return watched{revision: w.Revision, changed: len(w.Events) > 0}
 }
 
-func (k *courier) readVMs(ctx context.Context) event {
+func (k *ioRunner) readVMs(ctx context.Context) event {
 	if k.c.cfg.Store == nil {
 		return vmsRead{err: errNoStore}
 	}
--- a/pkg/control/state.go
+++ b/pkg/control/state.go
@@ -33,7 +33,7 @@
 // state is owned by the control goroutine.
 type state struct {
 	c       *Controller
-	io      *courier
+	io      *ioRunner
 	log     logger
 	self    model.VMID
 	started time.Time
@@ -75,7 +75,7 @@
 	Warnf(format string, args ...any)
 }
 
-func newState(c *Controller, now time.Time, io *courier) *state {
+func newState(c *Controller, now time.Time, io *ioRunner) *state {
 	s := &state{c: c, io: io, log: c.log, self: c.cfg.Self.ID, started: now, lastTurn: now, nextVMs: now}
 	s.members = membership.New(membership.Config{Self: c.cfg.Self, Seeds: c.cfg.Seeds, Rng: c.cfg.Rng}, now)
 	s.config = confsync.New(confsync.Config{Self: c.cfg.Self, Rng: c.cfg.Rng, Verify: c.cfg.Verify}, now)
--- a/pkg/dispatch/attempt.go
+++ b/pkg/dispatch/attempt.go
@@ -33,9 +33,9 @@
 	run    upstream.RunRequest
 }
 
-// accused returns the fingerprint that the loss of the upstream counts
+// lossFingerprint returns the fingerprint that the loss of the upstream counts
 // against, or 0.
-func (a attempt) accused() uint64 {
+func (a attempt) lossFingerprint() uint64 {
 	if a.proven {
 		return 0
 	}
@@ -75,7 +75,7 @@
 		// Operations differ in service time, which must not look like a jump.
 		Operation: a.run.Operation,
 		Suspect:   a.suspect,
-	}, a.accused())
+	}, a.lossFingerprint())
 	if err != nil || granted == nil {
 		return id, err
 	}
@@ -104,11 +104,11 @@
 	d.sent.Inc(1)
 	runCtx, stop := context.WithDeadline(context.WithoutCancel(ctx), a.run.Deadline.Add(cancelGrace))
 	defer stop()
-	unwatch := context.AfterFunc(ctx, func() { t.client.Cancel(a.run.RequestID) })
+	unwatch := context.AfterFunc(ctx, func() { t.client.Load().Cancel(a.run.RequestID) })
 	defer unwatch()
 
 	began := d.cfg.Now()
-	response, err := t.client.Run(runCtx, a.run)
+	response, err := t.client.Load().Run(runCtx, a.run)
 	took := d.cfg.Now().Sub(began)
 	if err == nil {
 		err = upstream.Check(a.run, response)
@@ -130,14 +130,14 @@
 	}
 	release := func() { t.leave(d.cfg.Now(), id, outcomeOf(err), took) }
 	if late {
-		t.client.Cancel(a.run.RequestID)
+		t.client.Load().Cancel(a.run.RequestID)
 		time.AfterFunc(slotHold, release)
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithDeadline(context.Background(), a.run.Deadline)
 		defer cancel()
-		_ = t.client.Stop(ctx, a.run.RequestID)
+		_ = t.client.Load().Stop(ctx, a.run.RequestID)
 		time.AfterFunc(slotHold, release)
 	}()
 }
--- /dev/null
+++ b/pkg/dispatch/configure_test.go
@@ -0,0 +1,49 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/model"
+	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
+)
+
+// Guards against an accepted change of slots or connections that is not in
+// force at replicas that are owned already, and against attempts that such a
+// change cuts.
+func TestChangedLimitsAreInForce(t *testing.T) {
+	bubble(t, 100*time.Millisecond, func(t *testing.T, ctx context.Context, u *upstreamDouble) {
+		o := newOwner(ctx, "vm", u, 1, 64, true)
+		load := func(round string) {
+			var all []<-chan *wire.CallReply
+			for i := range 8 {
+				all = append(all, o.call(ctx, fmt.Sprintf("%s-%d", round, i), 30*time.Second))
+			}
+			synctest.Wait()
+			if round == "changing" {
+				o.view.change(func(v *model.View) {
+					svc := *v.Config.Services["s"]
+					svc.Slots, svc.Connections, svc.ColdWindow = 3, 30, 3
+					v.Config = &model.Document{Services: map[model.ServiceID]*model.Service{"s": &svc}}
+				})
+			}
+			for _, r := range all {
+				assert.Assert(t, (<-r).Failure == nil)
+			}
+		}
+		load("before")
+		_, most := u.counts()
+		assert.Equal(t, most, 1)
+		load("changing")
+		for i := range 40 { // lets the window grow on evidence
+			load(fmt.Sprint("after", i))
+		}
+		_, most = u.counts()
+		assert.Equal(t, most, 3)
+	})
+}
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,7 +59,8 @@
 	mu      sync.RWMutex
 	targets map[model.ReplicaID]*target
 	// retiring holds replicas given up that still have attempts in flight.
-	retiring map[model.ReplicaID]*target
+	// A replica can be among them twice when its address changed again.
+	retiring []*target
 
 	index atomic.Pointer[groupIndex]
 
@@ -75,11 +77,10 @@
 		c.Scope = tally.NoopScope
 	}
 	return &Dispatcher{
-		cfg:      c,
-		targets:  make(map[model.ReplicaID]*target),
-		retiring: make(map[model.ReplicaID]*target),
-		sent:     c.Scope.Counter("dispatch_sent"),
-		lost:     c.Scope.Counter("dispatch_upstream_lost"),
+		cfg:     c,
+		targets: make(map[model.ReplicaID]*target),
+		sent:    c.Scope.Counter("dispatch_sent"),
+		lost:    c.Scope.Counter("dispatch_upstream_lost"),
 	}
 }
 
@@ -129,6 +130,7 @@
 		if !ok {
 			t = d.adopt(id, spec)
 		}
+		t.configure(d.cfg.Now(), spec, d.cfg.Dial)
 		t.applyTakeover(d.cfg.Now(), v.Gained[id])
 		t.applyExclusion(d.cfg.Now(), v.Excluded[id])
 	}
@@ -137,11 +139,13 @@
 // adopt must be called with d.mu held. A replica that is still retiring is
 // taken back with its gate, so that its attempts in flight keep counting.
 func (d *Dispatcher) adopt(id model.ReplicaID, spec targetSpec) *target {
-	if t, ok := d.retiring[id]; ok && t.spec.replica.Addr == spec.replica.Addr {
-		delete(d.retiring, id)
-		t.reopen(d.cfg.Now())
-		d.targets[id] = t
-		return t
+	for i, t := range d.retiring {
+		if t.spec.replica.ID == id && t.spec.replica.Addr == spec.replica.Addr {
+			d.retiring = slices.Delete(d.retiring, i, i+1)
+			t.reopen(d.cfg.Now())
+			d.targets[id] = t
+			return t
+		}
 	}
 	t := newTarget(spec, d.cfg.Now(), d.cfg.Dial)
 	d.seed(t)
@@ -171,7 +175,7 @@
 // giveUp must be called with d.mu held.
 func (d *Dispatcher) giveUp(id model.ReplicaID, t *target) {
 	delete(d.targets, id)
-	d.retiring[id] = t
+	d.retiring = append(d.retiring, t)
 	t.giveUp()
 	d.cfg.Log.WithFields(logrus.Fields{"replica": id, "reason": "owner_changed"}).Info("Gave up replica.")
 }
@@ -179,13 +183,14 @@
 func (d *Dispatcher) finishRetiring() {
 	var done []model.ReplicaID
 	d.mu.Lock()
-	for id, t := range d.retiring {
-		if t.load() == 0 {
-			delete(d.retiring, id)
-			t.close()
-			done = append(done, id)
+	d.retiring = slices.DeleteFunc(d.retiring, func(t *target) bool {
+		if t.load() > 0 {
+			return false
 		}
-	}
+		t.close()
+		done = append(done, t.spec.replica.ID)
+		return true
+	})
 	d.mu.Unlock()
 	for _, id := range done {
 		d.cfg.Released(id)
@@ -290,7 +295,7 @@
 }
 
 func (d *Dispatcher) pollOne(ctx context.Context, t *target) {
-	s, err := t.client.Status(ctx)
+	s, err := t.client.Load().Status(ctx)
 	if err != nil {
 		if status, changed := t.statusFailed(); changed {
 			d.cfg.Observe(status)
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -1,11 +1,8 @@
 package dispatch
 
 import (
-	"context"
-	"maps"
-	"net"
-	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
@@ -20,6 +17,10 @@
 // a replica is reported as down. One lost request must not empty a group.
 const statusFailures = 3
 
+// clientLinger is how long a replaced client is kept for attempts that began
+// with it. It is above the longest deadline.
+const clientLinger = time.Minute
+
 // answerWait bounds the time without work for a replica whose status endpoint
 // does not answer although the replica may.
 const answerWait = 3 * time.Second
@@ -27,26 +28,12 @@
 // stateDraining is what a draining upstream reports in its status.
 const stateDraining = "draining"
 
-// targetSpec is what the configuration says about one owned replica.
-type targetSpec struct {
-	replica model.Replica
-	service model.ServiceID
-	slots   int
-	conns   int
-	cold    float64
-	queue   int
-	// operations are the names whose service times are compared separately.
-	operations []string
-}
-
-type dialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
-
 // target is one owned replica: its gate, its window and its connections.
 type target struct {
-	spec   targetSpec
-	client *upstream.Client
+	client atomic.Pointer[upstream.Client]
 
 	mu       sync.Mutex
+	spec     targetSpec // the replica's id, address and service never change
 	gate     *limit.Gate
 	window   *ramp.Window
 	waiting  map[uint64]chan error
@@ -69,42 +56,6 @@
 	status    model.ReplicaStatus
 }
 
-func ownedReplicas(v *model.View, self model.VMID, p model.Policy) map[model.ReplicaID]targetSpec {
-	out := make(map[model.ReplicaID]targetSpec)
-	for name, svc := range v.Config.Services {
-		for _, m := range svc.ShardMaps {
-			for _, g := range m.Groups {
-				for _, r := range g.Replicas {
-					if v.Owners[r.ID] == self {
-						out[r.ID] = newSpec(name, svc, r, p)
-					}
-				}
-			}
-		}
-	}
-	return out
-}
-
-func newSpec(name model.ServiceID, svc *model.Service, r model.Replica, p model.Policy) targetSpec {
-	// Half of the limit, so that two owners together stay below it while
-	// ownership moves.
-	conns := min(svc.Slots+spareConns+controlConns, svc.Connections/2)
-	cold := svc.ColdWindow
-	if p.NoColdWindow {
-		cold = float64(svc.Slots)
-	}
-	return targetSpec{
-		replica: r,
-		service: name,
-		slots:   svc.Slots,
-		conns:   max(conns, 2),
-		cold:    cold,
-		queue:   svc.QueueLimit,
-
-		operations: slices.Sorted(maps.Keys(svc.Operations)),
-	}
-}
-
 func newTarget(s targetSpec, now time.Time, dial dialFunc) *target {
 	w := ramp.New(ramp.Config{Slots: s.slots, Cold: s.cold}, now)
 	t := &target{
@@ -116,14 +67,8 @@
 		status:   model.ReplicaStatus{Replica: s.replica.ID},
 
 		adoptedAt: now,
-		client: upstream.New(upstream.Config{
-			Replica:  s.replica.ID,
-			Addr:     s.replica.Addr,
-			MaxConns: s.conns,
-			Spare:    spareConns,
-			Dial:     dial,
-		}),
 	}
+	t.client.Store(newClient(s, dial))
 	t.wake = time.AfterFunc(time.Hour, t.poll)
 	t.wake.Stop()
 	return t
@@ -318,7 +263,7 @@
 
 func (t *target) close() {
 	t.wake.Stop()
-	t.client.Close()
+	t.client.Load().Close()
 }
 
 func (t *target) hint() wire.LoadHint {
--- a/pkg/e2e/process_test.go
+++ b/pkg/e2e/process_test.go
@@ -27,9 +27,9 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/testcluster"
 )
 
-// patience bounds every wait for a condition. It is far above the times of the
+// waitTimeout bounds every wait for a condition. It is far above the times of the
 // design, so that a slow machine does not change the verdict.
-const patience = 30 * time.Second
+const waitTimeout = 30 * time.Second
 
 // daemon is the built nutmeghitchd.
 var daemon string
@@ -251,7 +251,7 @@
 // await polls a condition.
 func (s *site) await(what string, done func() bool) {
 	s.t.Helper()
-	ctx, cancel := context.WithTimeout(s.t.Context(), patience)
+	ctx, cancel := context.WithTimeout(s.t.Context(), waitTimeout)
 	defer cancel()
 	tick := time.NewTicker(20 * time.Millisecond)
 	defer tick.Stop()
--- a/pkg/frontend/respond.go
+++ b/pkg/frontend/respond.go
@@ -41,7 +41,7 @@
 		w.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
 	}
 	body := refusalBody{
-		RequestID: id, Code: r.Code, RunState: r.RunState.String(), Detail: r.Detail,
+		RequestID: id, Code: r.Code, RunState: r.RunState.String(), Detail: publicDetail(r),
 		RetryAfterMS: r.RetryAfter.Milliseconds(),
 	}
 	encoded, err := json.Marshal(body)
@@ -52,6 +52,23 @@
 	writeJSON(w, status, encoded)
 }
 
+// publicDetail returns the detail of a refusal as callers see it. Failures of
+// connections inside the site name addresses, which are for the log only.
+func publicDetail(r *errs.Refusal) string {
+	switch r.Code {
+	case errs.UpstreamLost:
+		return "the connection to an upstream was lost"
+	case errs.ConnectionSilent:
+		return "an upstream did not answer"
+	case errs.PeerLost, errs.PeerUnreachable:
+		return "another VM of the tier could not be reached"
+	case errs.ClaimUnavailable:
+		return "the claim could not be stored in the platform in time"
+	default:
+		return r.Detail
+	}
+}
+
 // writeSearch encodes the whole answer before the first byte is sent, so
 // that a row that is not JSON becomes a refusal and not half an answer.
 func writeSearch(x *exchange, a *SearchAnswer) error {
--- a/pkg/gateway/once.go
+++ b/pkg/gateway/once.go
@@ -8,6 +8,7 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/claim"
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/frontend"
+	"github.com/sirupsen/logrus"
 )
 
 // recordGrace is how long the outcome of a non-idempotent run may still be
@@ -62,7 +63,7 @@
 	res := c.sendClaimed(ctx, grant.Token)
 	if res.err == nil {
 		if err := c.g.cfg.Claims.Record(ctx, grant, http.StatusOK, res.answer); err != nil {
-			return nil, errs.Ambiguous(errs.OutcomeUnknown, "the outcome could not be recorded: %v", err).WithRetryAfter(time.Second)
+			return nil, errs.Ambiguous(errs.OutcomeUnknown, "the outcome could not be recorded").WithRetryAfter(time.Second)
 		}
 		return &frontend.CallAnswer{Result: res.answer}, nil
 	}
@@ -74,7 +75,8 @@
 		_ = c.g.cfg.Claims.Release(ctx, grant)
 		return nil, r
 	}
-	return nil, errs.Ambiguous(errs.OutcomeUnknown, "%s", r.Detail)
+	c.g.cfg.Log.WithFields(logrus.Fields{"query": c.id, "reason": r.Code, "detail": r.Detail}).Warn("Outcome of a claimed request is unknown.")
+	return nil, errs.Ambiguous(errs.OutcomeUnknown, "the request may have run at an upstream, its outcome is not known").WithRetryAfter(time.Second)
 }
 
 // sendClaimed sends until one attempt may have run. Only a replica's or an
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -139,12 +139,26 @@
 // Self describes the VM.
 func (n *Node) Self() model.VM { return n.cfg.Self }
 
-// View returns the control state that traffic reads.
-func (n *Node) View() *model.View { return n.services.control.Current() }
+// started reports whether Run has started all services.
+func (n *Node) started() bool { return n.services.callers.server.Load() != nil }
+
+// View returns the control state that traffic reads. It is empty until Run has
+// started the services.
+func (n *Node) View() *model.View {
+	if !n.started() {
+		return &model.View{Self: n.cfg.Self}
+	}
+	return n.services.control.Current()
+}
 
 // Gateway returns the entry side, for programs that embed the tier. It is
 // usable while Run runs.
 func (n *Node) Gateway() frontend.Gateway { return n.services.gateway }
 
 // Sends returns the sub-requests that this VM has sent as an entry VM.
-func (n *Node) Sends() gateway.Sends { return n.services.gateway.Sends() }
+func (n *Node) Sends() gateway.Sends {
+	if !n.started() {
+		return gateway.Sends{}
+	}
+	return n.services.gateway.Sends()
+}
--- a/pkg/node/services.go
+++ b/pkg/node/services.go
@@ -41,6 +41,7 @@
 type services struct {
 	control *controlService
 	gateway *gatewayService
+	callers *callersService
 }
 
 // register adds all services to the kernel. The order of dependencies makes
@@ -67,7 +68,7 @@
 			return nil, err
 		}
 	}
-	return &services{control: ctl, gateway: gw}, nil
+	return &services{control: ctl, gateway: gw, callers: callers}, nil
 }
 
 // split returns a generator of its own for one service, because a generator
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -59,8 +59,8 @@
 	seed   maphash.Seed
 	random atomic.Uint64
 	shards [shardCount]shard
-	// blind picks at random, as a baseline for measurements.
-	blind bool
+	// uniform picks at random, as a baseline for measurements.
+	uniform bool
 }
 
 type shard struct {
@@ -84,7 +84,7 @@
 // reported to it. Measurements compare it with a table of NewTable.
 func NewRandomTable(rng *rand.Rand) *Table {
 	t := NewTable(rng)
-	t.blind = true
+	t.uniform = true
 	return t
 }
 
@@ -96,7 +96,7 @@
 	if n == 0 {
 		return Choice{}, false
 	}
-	if t.blind {
+	if t.uniform {
 		return Choice{Replica: candidates[t.next()%uint64(n)].Replica, Reason: ReasonRandom, Considered: n}, true
 	}
 	if n == 1 {
