Join three waits into one, shorten the wiring of services

Cause: a wait that ends with a context stood in gateway, loadgen and measure; the services of a node repeated the same look-up of each dependency; two errors had no type. Change: pkg/wait; joined look-ups; typed errors in settings and capacity.

--- a/pkg/capacity/items_view.go
+++ b/pkg/capacity/items_view.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/nutmeghitch/nutmeghitch/pkg/config"
 	"github.com/nutmeghitch/nutmeghitch/pkg/confsync"
 	"github.com/nutmeghitch/nutmeghitch/pkg/control"
@@ -173,7 +174,7 @@
 		c.Handle(ctx, vm.ID, &wire.Ping{From: wire.MemberOf(vm)}, nil, func(wire.Message) error { return nil })
 		err := c.await(ctx, func(v *model.View) bool { return v.VMs[vm.ID].Incarnation >= vm.Incarnation })
 		if err != nil {
-			return 0, fmt.Errorf("member %s: %w", vm.ID, err)
+			return 0, errors.Wrapf(err, "member %s", vm.ID)
 		}
 	}
 	return (cpuTime() - began).Seconds() * 1000 / float64(n), nil
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -13,6 +13,7 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/model"
 	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
 	"github.com/nutmeghitch/nutmeghitch/pkg/routing"
+	"github.com/nutmeghitch/nutmeghitch/pkg/wait"
 	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
 )
 
@@ -127,7 +128,7 @@
 			if running > 0 {
 				continue
 			}
-			if !c.mayRetry(res.err) || !pause(ctx, c.backoff(res.err)) || launch(retryReason(res.err)) != nil {
+			if !c.mayRetry(res.err) || !wait.Sleep(ctx, c.backoff(res.err)) || launch(retryReason(res.err)) != nil {
 				return nil, ambiguousIf(mayHaveRun, res.err)
 			}
 		case <-timer.C:
@@ -205,21 +206,6 @@
 	return 0
 }
 
-// pause reports false when ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // holders returns the replicas of the newest shard map.
 func (c *call) holders(v *model.View) []model.Replica {
 	var newest *model.ShardMap
--- a/pkg/gateway/once.go
+++ b/pkg/gateway/once.go
@@ -8,6 +8,7 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/claim"
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/frontend"
+	"github.com/nutmeghitch/nutmeghitch/pkg/wait"
 	"github.com/sirupsen/logrus"
 )
 
@@ -92,7 +93,7 @@
 		if res.err == nil || !c.mayRetry(res.err) {
 			return res
 		}
-		if !time.Now().Add(replyMargin).Before(c.req.Deadline) || !pause(ctx, c.backoff(res.err)) {
+		if !time.Now().Add(replyMargin).Before(c.req.Deadline) || !wait.Sleep(ctx, c.backoff(res.err)) {
 			return res
 		}
 		reason = retryReason(res.err)
--- a/pkg/loadgen/loadgen.go
+++ b/pkg/loadgen/loadgen.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/model"
+	"github.com/nutmeghitch/nutmeghitch/pkg/wait"
 )
 
 const (
@@ -133,7 +134,7 @@
 	for n := 0; ; n++ {
 		next = next.Add(time.Duration(rng.ExpFloat64() / (r.PerSecond * g.rate(next.Sub(g.start))) * float64(time.Second)))
 		at := next // the loop moves on while the request runs
-		if at.Sub(g.start) > d || !sleepUntil(ctx, at) {
+		if at.Sub(g.start) > d || !wait.Sleep(ctx, time.Until(at)) {
 			return
 		}
 		s := Sent{Request: r, Caller: callerName(rng), Body: r.Body(rng, n)}
@@ -156,21 +157,6 @@
 	return g.Rate(at)
 }
 
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	wait := time.Until(at)
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (g *Generator) send(ctx context.Context, s Sent, at time.Time, repeat bool) {
 	var wg sync.WaitGroup
 	if repeat {
@@ -199,7 +185,7 @@
 // resend repeats a request that got no answer, as an insistent caller does.
 func (g *Generator) resend(ctx context.Context, s Sent, res Result) {
 	for i := range s.Request.Resends {
-		if res.Code == "" || !sleepUntil(ctx, time.Now().Add(s.Request.ResendAfter)) {
+		if res.Code == "" || !wait.Sleep(ctx, s.Request.ResendAfter) {
 			return
 		}
 		again := s
--- a/pkg/measure/actions.go
+++ b/pkg/measure/actions.go
@@ -15,6 +15,7 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/loadgen"
 	"github.com/nutmeghitch/nutmeghitch/pkg/model"
 	"github.com/nutmeghitch/nutmeghitch/pkg/testcluster"
+	"github.com/nutmeghitch/nutmeghitch/pkg/wait"
 )
 
 // firstEpoch is the epoch of the shard maps in the examples.
@@ -126,7 +127,7 @@
 	ctx, cancel := context.WithTimeout(r.ctx, readyTimeout)
 	defer cancel()
 	for !vm.Node.Ready() {
-		if !sleep(ctx, 10*time.Millisecond) {
+		if !wait.Sleep(ctx, 10*time.Millisecond) {
 			return errs.Refuse(errs.NotReady, "%s did not become ready in %s", vm.ID, readyTimeout)
 		}
 	}
@@ -150,7 +151,7 @@
 	began := time.Now()
 	for i, item := range items {
 		due := time.Duration(float64(r.share(share)) * float64(i) / float64(len(items)))
-		if !sleep(r.ctx, time.Until(began.Add(due))) {
+		if !wait.Sleep(r.ctx, time.Until(began.Add(due))) {
 			return
 		}
 		do(item)
@@ -250,7 +251,7 @@
 	var sends errgroup.Group
 	for i := range copies {
 		sends.Go(func() error {
-			if !sleep(r.ctx, time.Duration(i)*gap) {
+			if !wait.Sleep(r.ctx, time.Duration(i)*gap) {
 				return nil
 			}
 			res := r.balancer.Search(r.ctx, loadgen.Sent{Request: request, Caller: "insistent", Body: body})
--- a/pkg/measure/run.go
+++ b/pkg/measure/run.go
@@ -15,6 +15,7 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/loadgen"
 	"github.com/nutmeghitch/nutmeghitch/pkg/model"
 	"github.com/nutmeghitch/nutmeghitch/pkg/testcluster"
+	"github.com/nutmeghitch/nutmeghitch/pkg/wait"
 	"github.com/nutmeghitch/nutmeghitch/pkg/workload"
 )
 
@@ -96,7 +97,7 @@
 		r.watcher.run(loadCtx)
 	}()
 	r.load(ctx)
-	sleep(ctx, settle)
+	wait.Sleep(ctx, settle)
 	r.closeOut()
 	stop()
 	<-watched
@@ -198,7 +199,7 @@
 func (r *run) runScript(ctx context.Context) {
 	var steps errgroup.Group
 	for _, s := range r.scenario.Script {
-		if !sleep(ctx, time.Until(r.start.Add(r.share(s.At)))) {
+		if !wait.Sleep(ctx, time.Until(r.start.Add(r.share(s.At)))) {
 			break
 		}
 		r.mark(s.Name)
@@ -241,21 +242,6 @@
 	}
 }
 
-// sleep reports false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // spread assigns VMs to failure domains in turn.
 func spread(doc *model.Document, n int) []model.DomainID {
 	domains := slices.Sorted(maps.Keys(doc.Domains))
--- a/pkg/measure/scenarios_faults.go
+++ b/pkg/measure/scenarios_faults.go
@@ -12,6 +12,7 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/loadgen"
 	"github.com/nutmeghitch/nutmeghitch/pkg/model"
 	"github.com/nutmeghitch/nutmeghitch/pkg/testcluster"
+	"github.com/nutmeghitch/nutmeghitch/pkg/wait"
 	"github.com/nutmeghitch/nutmeghitch/pkg/workload"
 )
 
@@ -174,7 +175,7 @@
 			{At: 0.3, Name: "2 replies lost", Do: func(r *run) error { r.cluster.Platform.LoseReplies(2); return nil }},
 			{At: 0.5, Name: "platform down", Do: func(r *run) error {
 				r.cluster.Platform.SetDown(true)
-				sleep(r.ctx, time.Second)
+				wait.Sleep(r.ctx, time.Second)
 				r.cluster.Platform.SetDown(false)
 				return nil
 			}},
--- a/pkg/node/services.go
+++ b/pkg/node/services.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"time"
@@ -180,12 +181,9 @@
 
 // Start implements kernel.Starter.
 func (s *claimService) Start(_ context.Context, scope *kernel.Scope) error {
-	transport, err := kernel.Get(scope, peerHandle)
-	if err != nil {
-		return err
-	}
-	ctl, err := kernel.Get(scope, controlHandle)
-	if err != nil {
+	transport, noPeer := kernel.Get(scope, peerHandle)
+	ctl, noControl := kernel.Get(scope, controlHandle)
+	if err := cmp.Or(noPeer, noControl); err != nil {
 		return err
 	}
 	s.Service = claim.New(claim.Config{
@@ -218,20 +216,11 @@
 
 // Start implements kernel.Starter.
 func (s *gatewayService) Start(_ context.Context, scope *kernel.Scope) error {
-	transport, err := kernel.Get(scope, peerHandle)
-	if err != nil {
-		return err
-	}
-	ctl, err := kernel.Get(scope, controlHandle)
-	if err != nil {
-		return err
-	}
-	local, err := kernel.Get(scope, dispatchHandle)
-	if err != nil {
-		return err
-	}
-	claims, err := kernel.Get(scope, claimHandle)
-	if err != nil {
+	transport, noPeer := kernel.Get(scope, peerHandle)
+	ctl, noControl := kernel.Get(scope, controlHandle)
+	local, noDispatch := kernel.Get(scope, dispatchHandle)
+	claims, noClaim := kernel.Get(scope, claimHandle)
+	if err := cmp.Or(noPeer, noControl, noDispatch, noClaim); err != nil {
 		return err
 	}
 	s.Gateway = gateway.New(gateway.Config{
@@ -268,16 +257,10 @@
 
 // routeMessages tells the transport which service handles which message.
 func routeMessages(t *peer.Transport, scope *kernel.Scope) error {
-	ctl, err := kernel.Get(scope, controlHandle)
-	if err != nil {
-		return err
-	}
-	local, err := kernel.Get(scope, dispatchHandle)
-	if err != nil {
-		return err
-	}
-	claims, err := kernel.Get(scope, claimHandle)
-	if err != nil {
+	ctl, noControl := kernel.Get(scope, controlHandle)
+	local, noDispatch := kernel.Get(scope, dispatchHandle)
+	claims, noClaim := kernel.Get(scope, claimHandle)
+	if err := cmp.Or(noControl, noDispatch, noClaim); err != nil {
 		return err
 	}
 	for _, k := range control.Kinds() {
--- a/pkg/settings/tls.go
+++ b/pkg/settings/tls.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"os"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 )
 
 // TLSError reports certificate files that cannot be used.
@@ -51,7 +53,7 @@
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(pem) {
-		return nil, &TLSError{File: t.CA, Err: fmt.Errorf("%w: no PEM certificate", os.ErrInvalid)}
+		return nil, &TLSError{File: t.CA, Err: errs.Refuse(errs.SettingsInvalid, "no PEM certificate")}
 	}
 	c.RootCAs, c.ClientCAs = pool, pool
 	c.ClientAuth = tls.RequireAndVerifyClientCert
