--- /dev/null
+++ b/cmd/nutmeghitch-edge/main.go
@@ -0,0 +1,131 @@
+// Command nutmeghitch-edge runs one VM of the query tier on the users'
+// platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/edge"
+	"github.com/nutmeghitch/nutmeghitch/pkg/logging"
+	"github.com/nutmeghitch/nutmeghitch/pkg/metrics"
+	"github.com/nutmeghitch/nutmeghitch/platform"
+)
+
+// Exit codes.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+const (
+	// flushTimeout bounds the time to write the last log lines.
+	flushTimeout = 200 * time.Millisecond
+	// settingsInterval is how often the settings file is read for changes that
+	// come without a signal.
+	settingsInterval = time.Second
+)
+
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+func run(args []string, stdout, stderr io.Writer) int {
+	code := exitUsage
+	cmd := &cli.Command{
+		Name:        "nutmeghitch-edge",
+		Usage:       "run one VM of the query tier on the users' platform",
+		UsageText:   "nutmeghitch-edge [--settings FILE] [--check]\n\nExample: nutmeghitch-edge --settings local.yaml --check",
+		Description: "The settings file is the platform's. SIGTERM starts a planned stop, SIGHUP reads the settings again.\nExit codes: 0 done, 1 failed, 2 wrong usage or settings.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`; without it the platform's environment names one"},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+		},
+		HideHelpCommand: true,
+		Writer:          stdout,
+		ErrWriter:       stderr,
+		ExitErrHandler:  func(context.Context, *cli.Command, error) {},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			code = serve(ctx, c.String("settings"), c.Bool("check"), stdout, stderr)
+			return nil
+		},
+	}
+	for _, a := range args {
+		if a == "--help" || a == "-h" {
+			code = exitDone
+		}
+	}
+	if err := cmd.Run(context.Background(), append([]string{"nutmeghitch-edge"}, args...)); err != nil {
+		return exitUsage
+	}
+	return code
+}
+
+// serve runs the VM until a signal asks it to stop.
+func serve(ctx context.Context, file string, checkOnly bool, stdout, stderr io.Writer) int {
+	settings, path, err := load(file)
+	if err != nil {
+		fmt.Fprintf(stderr, "nutmeghitch-edge: %v\n", err)
+		return exitUsage
+	}
+	if checkOnly {
+		fmt.Fprintf(stderr, "nutmeghitch-edge: settings of VM %s are correct\n", settings.VM)
+		return exitDone
+	}
+	log, async := logging.New(stdout, logrus.InfoLevel, logging.DefaultCapacity)
+	m := metrics.New(map[string]string{"vm": settings.VM}, func(err error) { log.WithField("error", err).Warn("metric refused") })
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	go reload(ctx, path, log)
+	err = edge.Run(ctx, edge.Config{
+		Settings: settings, Store: platform.NewClient(settings.StoreAddr),
+		Headers: platform.Headers, ReadyPath: platform.ReadyPath, Log: log, Metrics: m,
+	})
+	if err != nil {
+		log.WithField("error", err).Error("ended")
+	}
+	flush, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	_ = async.Close(flush) // lines that cannot be written have nowhere to go
+	if err != nil {
+		return exitFailed
+	}
+	return exitDone
+}
+
+func load(file string) (edge.Settings, string, error) {
+	if file == "" {
+		var err error
+		if file, err = platform.SettingsPath(); err != nil {
+			return edge.Settings{}, "", err
+		}
+	}
+	settings, err := platform.LoadSettings(file)
+	return settings, file, err
+}
+
+// reload logs changes of the settings. SIGHUP must not end the process; all
+// values that can change while it runs come from the store.
+func reload(ctx context.Context, path string, log logrus.FieldLogger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go platform.WatchSettings(path, settingsInterval, ctx.Done(), func(s edge.Settings, err error) {
+		log.WithFields(logrus.Fields{"vm": s.VM, "error": err}).Info("settings file changed")
+	})
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			s, err := platform.LoadSettings(path)
+			log.WithFields(logrus.Fields{"vm": s.VM, "error": err}).Info("settings read again")
+		}
+	}
+}
--- /dev/null
+++ b/pkg/discovery/discovery.go
@@ -0,0 +1,199 @@
+// Package discovery keeps the replicas that serve each service, from the
+// entries that they write to the platform's store. It performs no I/O; the
+// caller passes the time.
+package discovery
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// RejoinGrace is how long an entry that lapsed while the store was away may
+// stay missing after the store is back. Live replicas write theirs again
+// within about two seconds; the rest is room for the way of the event.
+const RejoinGrace = 2200 * time.Millisecond
+
+// Replica is the entry of one replica.
+type Replica struct {
+	ID      string
+	Service string
+	Addr    string
+	Domain  string
+	// Slots is the number of requests that the replica works on at once.
+	Slots    int
+	Draining bool
+	// WarmupLeft is how long the replica stayed cold when it wrote the entry.
+	WarmupLeft time.Duration
+	// Born is the start of the replica's process in Unix milliseconds; a
+	// restart under the same ID has a later one.
+	Born int64
+}
+
+// Member is a replica as this VM believes it to be.
+type Member struct {
+	Replica
+	// ColdUntil is the local time at which the replica is warm, by its entry.
+	ColdUntil time.Time
+	// Revision is the version of the entry in the store.
+	Revision int64
+	// missingSince is set while the entry is gone but the replica is kept,
+	// because the store was away when the entry lapsed.
+	missingSince time.Time
+}
+
+// View is an immutable picture of all replicas.
+type View struct {
+	// Services holds the usable replicas by service, sorted by ID.
+	Services map[string][]*Member
+	// TakenOut are the failure domains that get no requests.
+	TakenOut map[string]bool
+}
+
+// Registry applies events of the store. It is used by one goroutine.
+type Registry struct {
+	members  map[string]*Member
+	takenOut map[string]bool
+	// away is true while the store does not answer; until then and for
+	// RejoinGrace after backAt, missing entries are kept.
+	away   bool
+	backAt time.Time
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry {
+	return &Registry{members: map[string]*Member{}, takenOut: map[string]bool{}}
+}
+
+// Put takes in an entry. It reports whether the view changes.
+func (r *Registry) Put(now time.Time, entry Replica, revision int64) bool {
+	old := r.members[entry.ID]
+	if old != nil && (revision < old.Revision || entry.Born < old.Born) {
+		return false
+	}
+	m := &Member{Replica: entry, Revision: revision}
+	if entry.WarmupLeft > 0 {
+		m.ColdUntil = now.Add(entry.WarmupLeft)
+	}
+	r.members[entry.ID] = m
+	r.dropFormerTenant(m)
+	return old == nil || old.Replica != entry || !old.missingSince.IsZero()
+}
+
+// dropFormerTenant removes replicas with older entries whose address the new
+// one has: an address belongs to one replica at a time.
+func (r *Registry) dropFormerTenant(current *Member) {
+	for id, m := range r.members {
+		if id != current.ID && m.Addr == current.Addr && m.Revision < current.Revision {
+			delete(r.members, id)
+		}
+	}
+}
+
+// Remove takes in that an entry is gone or unreadable. It reports whether the
+// view changes. A replica whose entry lapsed while the store was away is kept
+// until it has had time to write it again.
+func (r *Registry) Remove(now time.Time, id string) bool {
+	m := r.members[id]
+	if m == nil {
+		return false
+	}
+	if r.recovering(now) {
+		if m.missingSince.IsZero() {
+			m.missingSince = now
+		}
+		return false
+	}
+	delete(r.members, id)
+	return true
+}
+
+// Replace takes in a complete list. It reports whether the view changes.
+func (r *Registry) Replace(now time.Time, entries []Replica, revisions []int64) bool {
+	listed := map[string]bool{}
+	changed := false
+	for i, e := range entries {
+		listed[e.ID] = true
+		changed = r.Put(now, e, revisions[i]) || changed
+	}
+	for _, id := range slices.Collect(maps.Keys(r.members)) {
+		if !listed[id] {
+			changed = r.Remove(now, id) || changed
+		}
+	}
+	return changed
+}
+
+// recovering reports whether missing entries are kept for now.
+func (r *Registry) recovering(now time.Time) bool {
+	return r.away || (!r.backAt.IsZero() && now.Before(r.backAt.Add(RejoinGrace)))
+}
+
+// StoreLost takes in that the store does not answer.
+func (r *Registry) StoreLost() { r.away = true }
+
+// StoreBack takes in that the store answers again.
+func (r *Registry) StoreBack(now time.Time) {
+	if r.away {
+		r.away, r.backAt = false, now
+	}
+}
+
+// Tick drops the replicas that did not write their entries again in time. It
+// reports whether the view changes.
+func (r *Registry) Tick(now time.Time) bool {
+	if r.recovering(now) {
+		return false
+	}
+	changed := false
+	for id, m := range r.members {
+		if !m.missingSince.IsZero() {
+			delete(r.members, id)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// TakeOut marks a failure domain whose replicas get no requests, or takes the
+// mark back. It reports whether the view changes.
+func (r *Registry) TakeOut(domain string, out bool) bool {
+	if r.takenOut[domain] == out {
+		return false
+	}
+	if out {
+		r.takenOut[domain] = true
+	} else {
+		delete(r.takenOut, domain)
+	}
+	return true
+}
+
+// TakenOut returns the failure domains that are taken out, sorted.
+func (r *Registry) TakenOut() []string { return slices.Sorted(maps.Keys(r.takenOut)) }
+
+// View returns the replicas that may get requests.
+func (r *Registry) View() *View {
+	v := &View{Services: map[string][]*Member{}, TakenOut: maps.Clone(r.takenOut)}
+	for _, m := range r.members {
+		if !m.Draining && !r.takenOut[m.Domain] {
+			copied := *m
+			v.Services[m.Service] = append(v.Services[m.Service], &copied)
+		}
+	}
+	for _, list := range v.Services {
+		slices.SortFunc(list, func(a, b *Member) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return v
+}
+
+// Len returns the number of known replicas, usable or not.
+func (r *Registry) Len() int { return len(r.members) }
+
+// VM is the entry of one VM of the tier.
+type VM struct {
+	Name     string
+	PeerAddr string
+	Domain   string
+}
--- /dev/null
+++ b/pkg/edge/callers.go
@@ -0,0 +1,87 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/kernel"
+	"github.com/nutmeghitch/nutmeghitch/pkg/netconn"
+	"github.com/nutmeghitch/nutmeghitch/pkg/wait"
+)
+
+const (
+	// balancerNotice is the time in which the balancer has noticed that this
+	// VM is not ready any more: two misses a second apart, and their way.
+	balancerNotice = 2500 * time.Millisecond
+	// headerTimeout and idleTimeout bound a caller's connection. Callers reuse
+	// connections for a good part of the operators' limit, so an idle one is
+	// kept longer than that.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 60 * time.Second
+	// maxHeaderBytes bounds the head of a request.
+	maxHeaderBytes = 64 << 10
+	// callerSilence ends connections to callers whose VM has gone.
+	callerSilence = 10 * time.Second
+)
+
+// callersService serves callers.
+type callersService struct {
+	settings Settings
+	control  *controlService
+	ready    *readiness
+	log      logrus.FieldLogger
+	server   *http.Server
+}
+
+// Start implements kernel.Starter.
+func (s *callersService) Start(_ context.Context, scope *kernel.Scope) error {
+	s.server = &http.Server{
+		Handler:           s.control.forwarder,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	if err := serve(scope, s.server, s.settings.Callers); err != nil {
+		return err
+	}
+	s.log.WithFields(logrus.Fields{"vm": s.settings.VM, "domain": s.settings.Domain, "addr": s.settings.Callers}).Info("started")
+	return nil
+}
+
+// Stop implements kernel.Stopper. The VM first counts as not ready while it
+// still serves, so that the balancer sends no new connections, and then
+// finishes the requests in flight.
+func (s *callersService) Stop(ctx context.Context) error {
+	s.log.Info("stopping, no longer ready")
+	s.ready.stopping.Store(true)
+	s.control.forwarder.Stop()
+	wait.Sleep(ctx, balancerNotice)
+	err := s.server.Shutdown(ctx)
+	s.log.WithField("cut", err != nil).Info("stopped")
+	if err != nil {
+		return s.server.Close()
+	}
+	return nil
+}
+
+// serve listens on addr and serves in the scope's group.
+func serve(scope *kernel.Scope, server *http.Server, addr string) error {
+	config := net.ListenConfig{KeepAliveConfig: netconn.KeepAlive(callerSilence)}
+	listener, err := config.Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return errs.Refuse(errs.AddressInUse, "%v", err)
+	}
+	scope.Go(func(context.Context) error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	return nil
+}
--- /dev/null
+++ b/pkg/edge/edge.go
@@ -0,0 +1,175 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/discovery"
+	"github.com/nutmeghitch/nutmeghitch/pkg/forward"
+	"github.com/nutmeghitch/nutmeghitch/pkg/kernel"
+	"github.com/nutmeghitch/nutmeghitch/pkg/metrics"
+	"github.com/nutmeghitch/nutmeghitch/pkg/netconn"
+	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
+	"github.com/nutmeghitch/nutmeghitch/pkg/storewatch"
+)
+
+const (
+	// dialTimeout bounds one dial of a replica, whose handshake takes
+	// milliseconds.
+	dialTimeout = 400 * time.Millisecond
+	// upstreamSilence ends connections to replicas that show no sign of life.
+	upstreamSilence = 2 * time.Second
+	// memoryShare of the VM's memory is the collector's limit; the rest is for
+	// socket buffers and stacks.
+	memoryShare = 0.6
+	// stopReserve is the part of the grace time that is kept for the exit.
+	stopReserve = 300 * time.Millisecond
+	// defaultGrace holds when the settings state none.
+	defaultGrace = 6 * time.Second
+)
+
+// Store is the platform's object store as the tier uses it.
+type Store interface {
+	Configs() storewatch.Source[*routes.Table]
+	Replicas() storewatch.Source[discovery.Replica]
+	TakenOut() storewatch.Source[string]
+	VMs() storewatch.Source[discovery.VM]
+	RegisterVM(ctx context.Context, vm discovery.VM) error
+}
+
+// Config describes one VM.
+type Config struct {
+	Settings Settings
+	Store    Store
+	Headers  forward.Headers
+	// ReadyPath is the path that the balancer asks.
+	ReadyPath string
+	Log       *logrus.Logger
+	Metrics   *metrics.Metrics
+}
+
+// Handles of the services of a VM.
+var (
+	controlHandle  = kernel.NewHandle[*controlService]("control")
+	balancerHandle = kernel.NewHandle[*balancerService]("balancer")
+	callersHandle  = kernel.NewHandle[*callersService]("callers")
+)
+
+// Run serves until ctx ends and then stops without cutting requests. Its
+// errors are those of package kernel.
+func Run(ctx context.Context, c Config) error {
+	limitProcess(c.Settings)
+	k := kernel.New()
+	ready := newReadiness()
+	control := newControlService(c, ready)
+	services := []error{
+		kernel.Add(k, controlHandle, control),
+		kernel.Add(k, balancerHandle, &balancerService{addr: c.Settings.Ready, path: c.ReadyPath, ready: ready, metrics: c.Metrics}, controlHandle),
+		kernel.Add(k, callersHandle, &callersService{settings: c.Settings, control: control, ready: ready, log: c.Log.WithField("part", "callers")}, controlHandle, balancerHandle),
+	}
+	for _, err := range services {
+		if err != nil {
+			return err
+		}
+	}
+	return k.Run(ctx, func() (context.Context, context.CancelFunc) {
+		return context.WithTimeout(context.Background(), stopGrace(c.Settings))
+	})
+}
+
+func stopGrace(s Settings) time.Duration {
+	if s.Bounds.StopGrace <= stopReserve {
+		return defaultGrace
+	}
+	return s.Bounds.StopGrace - stopReserve
+}
+
+// limitProcess fits the runtime to the VM: threads beyond its cores only cost
+// wake-ups, and the collector must stay within its memory.
+func limitProcess(s Settings) {
+	runtime.GOMAXPROCS(max(1, s.Cores))
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	}
+	debug.SetGCPercent(gcPercent)
+}
+
+// gcPercent lets the heap grow to four times what is in use, because processor
+// time is scarcer than memory.
+const gcPercent = 300
+
+// controlService follows the store and probes replicas.
+type controlService struct {
+	config    Config
+	control   *control
+	forwarder *forward.Forwarder
+	prober    *prober
+}
+
+func newControlService(c Config, ready *readiness) *controlService {
+	probeLog := c.Log.WithField("part", "probe")
+	p := newProber(c.Headers, probeLog)
+	f := forward.New(c.Headers, p, c.Log.WithField("part", "forward"), c.Metrics.Scope, metrics.LatencyBuckets)
+	dialer := netconn.Dialer(dialTimeout, upstreamSilence)
+	s := newState(c.Settings, c.Log.WithField("part", "control"), dialer.DialContext)
+	return &controlService{config: c, forwarder: f, prober: p, control: newControl(s, f, p, ready, c.Log.WithField("part", "control"))}
+}
+
+// Start implements kernel.Starter.
+func (s *controlService) Start(_ context.Context, scope *kernel.Scope) error {
+	s.prober.start(scope.Context(), func(u *forward.Upstream, left time.Duration) {
+		s.control.post(scope.Context(), func(now time.Time) bool { return s.control.becameCold(now, u, left) })
+	})
+	scope.Go(s.control.run)
+	store := s.config.Store
+	for _, follow := range []func(context.Context, Store){
+		s.control.followConfigs, s.control.followReplicas, s.control.followTakenOut, s.control.followVMs,
+	} {
+		scope.Go(func(ctx context.Context) error { follow(ctx, store); return nil })
+	}
+	scope.Go(func(ctx context.Context) error { s.register(ctx); return nil })
+	return nil
+}
+
+// register stores the entry of this VM, by which the others divide what
+// replicas bear.
+func (s *controlService) register(ctx context.Context) {
+	set := s.config.Settings
+	vm := discovery.VM{Name: set.VM, PeerAddr: set.Peers, Domain: set.Domain}
+	log := s.config.Log.WithField("part", "control")
+	storewatch.Retry(ctx, func() error {
+		err := s.config.Store.RegisterVM(ctx, vm)
+		if err != nil {
+			log.WithField("error", err).Warn("registration failed")
+		}
+		return err
+	})
+}
+
+// balancerService answers the balancer and serves the metrics.
+type balancerService struct {
+	addr, path string
+	ready      *readiness
+	metrics    *metrics.Metrics
+	server     *http.Server
+}
+
+// Start implements kernel.Starter.
+func (s *balancerService) Start(_ context.Context, scope *kernel.Scope) error {
+	mux := http.NewServeMux()
+	mux.Handle(s.path, s.ready)
+	mux.Handle("/metrics", s.metrics.Handler)
+	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: balancerTimeout}
+	return serve(scope, s.server, s.addr)
+}
+
+// balancerTimeout bounds the reading of a balancer's request.
+const balancerTimeout = 5 * time.Second
+
+// Stop implements kernel.Stopper.
+func (s *balancerService) Stop(context.Context) error { return s.server.Close() }
--- /dev/null
+++ b/pkg/edge/settings.go
@@ -0,0 +1,70 @@
+// Package edge runs one VM of the tier in front of replicas that register
+// themselves in the platform's store: it follows the store, keeps what is
+// believed of configuration and replicas, and serves callers.
+package edge
+
+import (
+	"strings"
+	"time"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+)
+
+// Settings are what one VM needs to know at its start.
+type Settings struct {
+	// VM and Domain name this VM and its failure domain.
+	VM, Domain string
+	// Callers is the address that serves callers, Ready the one that the
+	// balancer asks, Peers the one for other VMs.
+	Callers, Ready, Peers string
+	StoreAddr             string
+
+	Cores       int
+	CPUShare    float64
+	MemoryBytes int64
+	Files       int
+	// Heartbeat is the interval at which replicas write their entries.
+	Heartbeat time.Duration
+	Bounds    Bounds
+}
+
+// Bounds are the operators' bounds that hold over all VMs.
+type Bounds struct {
+	// Drain is the time in which a leaving replica must get no more requests.
+	Drain time.Duration
+	// StopGrace is the time between the request to stop and the kill.
+	StopGrace time.Duration
+	// Contact is the time after which a VM without disturbance must keep all
+	// bounds again.
+	Contact time.Duration
+	// RetryRatio and RetrySlack bound the sends beyond the first of each
+	// request: a share of the requests plus a number in each RetryWindow.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	// ColdOverage times the rate that a cold replica bears plus ColdSlack
+	// bounds the requests in any second.
+	ColdOverage, ColdSlack float64
+}
+
+// Validate reports every missing or senseless value at once.
+func (s Settings) Validate() error {
+	var faults []string
+	check := func(ok bool, fault string) {
+		if !ok {
+			faults = append(faults, fault)
+		}
+	}
+	check(s.VM != "", "the name of the VM is missing")
+	check(s.Domain != "", "the failure domain is missing")
+	check(s.Callers != "", "the address for callers is missing")
+	check(s.Ready != "", "the address for the balancer is missing")
+	check(s.StoreAddr != "", "the address of the store is missing")
+	check(s.MemoryBytes >= 0, "the memory limit is negative")
+	check(s.Bounds.StopGrace >= 0, "the grace time is negative")
+	check(s.Bounds.RetryRatio >= 0 && s.Bounds.RetrySlack >= 0, "the retry budget is negative")
+	if len(faults) == 0 {
+		return nil
+	}
+	return errs.Refuse(errs.SettingsInvalid, "%s", strings.Join(faults, "; "))
+}
--- /dev/null
+++ b/pkg/edge/state.go
@@ -0,0 +1,183 @@
+package edge
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/discovery"
+	"github.com/nutmeghitch/nutmeghitch/pkg/exchange"
+	"github.com/nutmeghitch/nutmeghitch/pkg/forward"
+	"github.com/nutmeghitch/nutmeghitch/pkg/hedge"
+	"github.com/nutmeghitch/nutmeghitch/pkg/replica"
+	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
+)
+
+const (
+	// connShare is the part of a replica's connections that all VMs use; the
+	// rest is room for VMs that have just joined and for health probes.
+	connShare = 0.85
+	// retryShare is the part of the shared retry slack that VMs use together;
+	// a VM that restarts begins with a full share again.
+	retryShare = 0.6
+	// ratioShare is the part of the retry ratio that is used, because callers'
+	// requests and sends fall into different windows.
+	ratioShare = 0.85
+	// coldMargin prolongs a cold time for the way of the entry that told it.
+	coldMargin = 300 * time.Millisecond
+	// hedgeQuantileBudget makes second sends start behind the slowest 8%.
+	hedgeQuantileBudget = 0.1
+	hedgeTarget         = 0.999
+)
+
+// key identifies one run of a replica at one address.
+type key struct {
+	id   string
+	born int64
+	addr string
+}
+
+// state is what this VM believes. One goroutine owns it.
+type state struct {
+	settings  Settings
+	log       logrus.FieldLogger
+	dial      exchange.DialFunc
+	registry  *discovery.Registry
+	table     *routes.Table
+	vms       map[string]discovery.VM
+	upstreams map[key]*forward.Upstream
+	budgets   map[string]*hedge.Policy
+	delays    map[string]*hedge.Policy
+	// listed tells that the replicas were listed once.
+	listed bool
+}
+
+func newState(s Settings, log logrus.FieldLogger, dial exchange.DialFunc) *state {
+	return &state{
+		settings: s, log: log, dial: dial,
+		registry:  discovery.NewRegistry(),
+		vms:       map[string]discovery.VM{},
+		upstreams: map[key]*forward.Upstream{},
+		budgets:   map[string]*hedge.Policy{},
+		delays:    map[string]*hedge.Policy{},
+	}
+}
+
+// ready reports whether requests can be served.
+func (s *state) ready() bool { return s.table != nil && s.listed }
+
+// setTable takes in a configuration. Versions only move forward.
+func (s *state) setTable(t *routes.Table) bool {
+	if s.table != nil && t.Version <= s.table.Version {
+		return false
+	}
+	s.table = t
+	return true
+}
+
+// vmNames returns the names of all VMs, this one among them.
+func (s *state) vmNames() []string {
+	names := slices.Collect(maps.Keys(s.vms))
+	if _, ok := s.vms[s.settings.VM]; !ok {
+		names = append(names, s.settings.VM)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// view builds what requests are decided by and retires the replicas that are
+// gone.
+func (s *state) view(now time.Time) *forward.View {
+	if s.table == nil {
+		return nil
+	}
+	vms := s.vmNames()
+	v := &forward.View{Table: s.table, Groups: map[string]*forward.Group{}, Delays: map[string]*hedge.Policy{}}
+	current := map[key]bool{}
+	members := s.registry.View().Services
+	for name, service := range s.table.Services {
+		g := &forward.Group{Service: name, Budget: s.budget(name, len(vms))}
+		for _, m := range members[name] {
+			u := s.upstream(now, m, service, vms)
+			current[keyOf(m)] = true
+			g.Upstreams = append(g.Upstreams, u)
+		}
+		v.Groups[name] = g
+	}
+	for k, u := range s.upstreams {
+		if !current[k] {
+			u.Pool.Close()
+			delete(s.upstreams, k)
+		}
+	}
+	for _, r := range s.table.Routes {
+		d, ok := s.delays[r.Name]
+		if !ok {
+			d = hedge.NewPolicy(hedge.Config{Groups: 1, TargetQuantile: hedgeTarget, ExtraLoad: hedgeQuantileBudget})
+			s.delays[r.Name] = d
+		}
+		v.Delays[r.Name] = d
+	}
+	return v
+}
+
+func keyOf(m *discovery.Member) key { return key{id: m.ID, born: m.Born, addr: m.Addr} }
+
+// upstream returns what is kept for a replica, new if it was not known.
+func (s *state) upstream(now time.Time, m *discovery.Member, service *routes.Service, vms []string) *forward.Upstream {
+	limit := connLimit(service.MaxConns, len(vms))
+	k := keyOf(m)
+	u, ok := s.upstreams[k]
+	if !ok {
+		u = &forward.Upstream{
+			Member:  m,
+			Tracker: replica.NewTracker(m.Domain == s.settings.Domain, m.Slots),
+			Pool:    exchange.NewPool(s.dial, m.Addr, limit),
+		}
+		s.upstreams[k] = u
+		s.log.WithFields(logrus.Fields{
+			"replica": m.ID, "service": m.Service, "addr": m.Addr, "domain": m.Domain, "revision": m.Revision,
+			"cold_ms": max(0, m.ColdUntil.Sub(now).Milliseconds()), "connections": limit,
+		}).Info("replica joined")
+	} else {
+		u.Pool.SetLimit(limit)
+	}
+	if m.ColdUntil.After(now) {
+		s.cold(u, m.ColdUntil, service, vms)
+	}
+	return u
+}
+
+// cold limits the requests to a cold replica to this VM's share.
+func (s *state) cold(u *forward.Upstream, until time.Time, service *routes.Service, vms []string) {
+	if service.WarmupPerSecond <= 0 {
+		return
+	}
+	total := service.WarmupPerSecond*s.settings.Bounds.ColdOverage + s.settings.Bounds.ColdSlack
+	u.Tracker.Cold(until.Add(coldMargin), replica.ColdShare(total, u.Member.ID, s.settings.VM, vms))
+}
+
+// connLimit returns the connections that one VM may open to a replica.
+func connLimit(all, vms int) int {
+	return max(1, int(math.Floor(connShare*float64(all)/float64(max(1, vms)))))
+}
+
+// budget returns the budget for sends beyond the first at a service. Every VM
+// adds a share of its own requests; the fixed part is divided among the VMs.
+func (s *state) budget(service string, vms int) *hedge.Policy {
+	name := fmt.Sprintf("%s/%d", service, vms)
+	b, ok := s.budgets[name]
+	if !ok {
+		b = hedge.NewPolicy(hedge.Config{
+			Groups: 1, TargetQuantile: hedgeTarget,
+			ExtraLoad: ratioShare * s.settings.Bounds.RetryRatio,
+			Burst:     int(retryShare * s.settings.Bounds.RetrySlack / float64(max(1, vms))),
+		})
+		s.budgets[name] = b
+	}
+	return b
+}
--- /dev/null
+++ b/pkg/forward/forward.go
@@ -0,0 +1,197 @@
+// Package forward passes callers' requests on to replicas: each to one replica
+// of a service, or to one replica of every shard with the parts merged.
+package forward
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
+)
+
+// Headers are the names of the headers that the tier reads and sets.
+type Headers struct {
+	RequestID, Deadline, TargetReplica, Receipt, NotRun string
+	Receipts, MissingShards                             string
+	ReplicaID, WarmupLeft                               string
+}
+
+const (
+	// defaultBodyLimit holds until a configuration is known.
+	defaultBodyLimit = 1 << 20
+	// notReadyRetry and noReplicaRetry are the times after which a caller
+	// should try again: the first covers a start, the second the recovery of a
+	// connection or the choice of another VM.
+	notReadyRetry  = 300 * time.Millisecond
+	noReplicaRetry = 50 * time.Millisecond
+	// maxTimeout bounds a request whose route and caller state no time.
+	maxTimeout = time.Minute
+)
+
+// Observer learns what requests show of replicas.
+type Observer interface {
+	// Unreachable gets a replica that no connection could be opened to, or
+	// that is not the one expected at its address.
+	Unreachable(u *Upstream, why *errs.Refusal)
+	// Broken gets a replica that broke off a request.
+	Broken(u *Upstream, why *errs.Refusal)
+}
+
+// Forwarder serves callers. It may be used by many goroutines.
+type Forwarder struct {
+	headers  Headers
+	observer Observer
+	log      logrus.FieldLogger
+	view     atomic.Pointer[View]
+	stopping atomic.Bool
+	metrics  forwardMetrics
+}
+
+type forwardMetrics struct {
+	answers   map[bool]tally.Counter
+	refusals  tally.Counter
+	hedges    tally.Counter
+	retries   tally.Counter
+	noBudget  tally.Counter
+	latency   tally.Histogram
+	subLength tally.Histogram
+}
+
+// New returns a forwarder that knows no configuration yet.
+func New(headers Headers, observer Observer, log logrus.FieldLogger, scope tally.Scope, buckets tally.Buckets) *Forwarder {
+	scope = scope.SubScope("forward")
+	return &Forwarder{
+		headers: headers, observer: observer, log: log,
+		metrics: forwardMetrics{
+			answers: map[bool]tally.Counter{
+				true:  scope.Tagged(map[string]string{"outcome": "whole"}).Counter("answers"),
+				false: scope.Tagged(map[string]string{"outcome": "partial"}).Counter("answers"),
+			},
+			refusals:  scope.Counter("refusals"),
+			hedges:    scope.Counter("hedges"),
+			retries:   scope.Counter("retries"),
+			noBudget:  scope.Counter("budget_refusals"),
+			latency:   scope.Histogram("request_latency", buckets),
+			subLength: scope.Histogram("replica_latency", buckets),
+		},
+	}
+}
+
+// SetView makes all later requests use v.
+func (f *Forwarder) SetView(v *View) { f.view.Store(v) }
+
+// Stop makes every answer ask its caller to close the connection.
+func (f *Forwarder) Stop() { f.stopping.Store(true) }
+
+// ServeHTTP implements http.Handler.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	start := time.Now()
+	if f.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	id := r.Header.Get(f.headers.RequestID)
+	view := f.view.Load()
+	if view == nil || view.Table == nil {
+		f.refuse(w, id, nil, start, errs.Refuse(errs.NotReady, "no configuration is known yet").WithRetryAfter(notReadyRetry))
+		return
+	}
+	route := view.Table.Match(r.Host, r.URL.Path)
+	if route == nil {
+		f.refuse(w, id, nil, start, errs.Refuse(errs.UnknownService, "no route for host %q path %q in version %d", r.Host, r.URL.Path, view.Table.Version))
+		return
+	}
+	body, refusal := readBody(w, r, view.Table.Limits)
+	if refusal != nil {
+		f.refuse(w, id, route, start, refusal)
+		return
+	}
+	q := f.newQuery(r, id, body, view, route, start)
+	answer, refusal := q.run(r.Context())
+	if refusal != nil {
+		f.logQuery(q, refusal)
+		f.writeRefusal(w, id, refusal)
+		return
+	}
+	f.logQuery(q, nil)
+	f.metrics.latency.RecordDuration(time.Since(start))
+	answer.write(w)
+}
+
+// refuse answers a request that was not sent to any replica.
+func (f *Forwarder) refuse(w http.ResponseWriter, id string, route *routes.Route, start time.Time, refusal *errs.Refusal) {
+	name := ""
+	if route != nil {
+		name = route.Name
+	}
+	f.log.WithFields(logrus.Fields{
+		"id": id, "route": name, "code": refusal.Code, "detail": refusal.Detail, "ms": milliseconds(time.Since(start)),
+	}).Info("refused")
+	f.writeRefusal(w, id, refusal)
+}
+
+func (f *Forwarder) writeRefusal(w http.ResponseWriter, id string, refusal *errs.Refusal) {
+	f.metrics.refusals.Inc(1)
+	h := w.Header()
+	if id != "" {
+		h.Set(f.headers.RequestID, id)
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	if refusal.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	content := refusal.Error() + "\n"
+	h.Set("Content-Length", strconv.Itoa(len(content)))
+	w.WriteHeader(status(refusal))
+	// A caller that has gone cannot be told; net/http closes its connection.
+	_, _ = w.Write([]byte(content))
+}
+
+// status returns the status of a refusal. 503 says that the request did not
+// run, so a request that may have run never gets it.
+func status(refusal *errs.Refusal) int {
+	code := refusal.HTTPStatus()
+	if refusal.RunState == errs.MayHaveRun && (code == http.StatusServiceUnavailable || code == http.StatusTooManyRequests) {
+		return http.StatusBadGateway
+	}
+	if refusal.RunState == errs.DidNotRun && (code == http.StatusBadGateway || code == http.StatusGatewayTimeout) {
+		return http.StatusServiceUnavailable
+	}
+	return code
+}
+
+// readBody returns the whole body of a request, nil if it has none.
+func readBody(w http.ResponseWriter, r *http.Request, limits routes.Limits) ([]byte, *errs.Refusal) {
+	if r.Body == nil || r.Body == http.NoBody || (r.ContentLength == 0 && len(r.TransferEncoding) == 0) {
+		return nil, nil
+	}
+	limit := limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyLimit
+	}
+	if r.ContentLength > limit {
+		return nil, errs.Refuse(errs.TooLarge, "body of %d bytes exceeds %d", r.ContentLength, limit)
+	}
+	body, err := readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	if err == nil {
+		return body, nil
+	}
+	var tooLarge *http.MaxBytesError
+	if asMaxBytes(err, &tooLarge) {
+		return nil, errs.Refuse(errs.TooLarge, "body exceeds %d bytes", limit)
+	}
+	return nil, errs.Refuse(errs.Canceled, "reading the body: %v", err)
+}
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d.Round(10*time.Microsecond)) / float64(time.Millisecond)
+}
+
+// draw returns a number for the choice between weighted services.
+func draw() float64 { return rand.Float64() }
--- /dev/null
+++ b/pkg/forward/query.go
@@ -0,0 +1,423 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/exchange"
+	"github.com/nutmeghitch/nutmeghitch/pkg/hedge"
+	"github.com/nutmeghitch/nutmeghitch/pkg/replica"
+	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
+)
+
+const (
+	// minHedgeShare and maxHedgeShare bound the delay of a second send as
+	// shares of the route's target: an earlier one wastes the budget, a later
+	// one comes too late to help.
+	minHedgeShare = 0.25
+	maxHedgeShare = 0.5
+	// usualShare of the target stands for the usual latency until it is known.
+	usualShare = 0.2
+	// answerMargin is the part of the target that is left for the way between
+	// the caller and this VM; an answer that lacks shards is given up on them
+	// then.
+	answerMargin = 0.14
+	// loserGrace is how long a request that is no longer needed may run on, so
+	// that its connection can be kept. Replicas must be idle half a second
+	// after a caller has left.
+	loserGrace = 150 * time.Millisecond
+	// freshConnection bounds the age of a kept connection for requests that
+	// may not be repeated: a replica may forget an idle one without notice.
+	freshConnection = time.Second
+	// minLeft is the least time for which a request is worth sending.
+	minLeft = 2 * time.Millisecond
+)
+
+// query is one request of a caller on its way.
+type query struct {
+	f        *Forwarder
+	id       string
+	method   string
+	head     []byte
+	body     []byte
+	view     *View
+	route    *routes.Route
+	start    time.Time
+	deadline time.Time
+	delay    *hedge.Policy
+	shards   []*shard
+	results  chan result
+	// ctx bounds the sends; it ends some time after the answer, so that those
+	// still running can finish.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// counts for the log
+	sends, hedges, retries, denied int
+	missing                        int
+}
+
+// shard is the part of a query that one service answers.
+type shard struct {
+	group   *Group
+	service string
+	tried   []*Upstream
+	// running counts the sends without an outcome, runs those that may have
+	// run, arrivals those that reached a replica.
+	running, runs, arrivals int
+	done                    bool
+	reply                   *exchange.Reply
+	// failed is the last replica's own failure, refusal the last other one.
+	failed  *exchange.Reply
+	refusal *errs.Refusal
+	// ran is set when any send may have run.
+	ran bool
+}
+
+// result is the outcome of one send.
+type result struct {
+	shard    *shard
+	upstream *Upstream
+	start    time.Time
+	reply    exchange.Reply
+	refusal  *errs.Refusal
+}
+
+func (f *Forwarder) newQuery(r *http.Request, id string, body []byte, view *View, route *routes.Route, start time.Time) *query {
+	q := &query{
+		f: f, id: id, method: r.Method, body: body, view: view, route: route, start: start,
+		deadline: start.Add(allowed(r.Header.Get(f.headers.Deadline), route)),
+		delay:    view.Delays[route.Name],
+	}
+	q.head = f.requestHead(r)
+	services := route.Shards
+	if !route.FanOut() {
+		services = []string{route.Pick(draw())}
+	}
+	for _, s := range services {
+		q.shards = append(q.shards, &shard{service: s, group: view.Groups[s]})
+	}
+	q.results = make(chan result, len(q.shards)*(route.Attempts+maxExtraSends))
+	return q
+}
+
+// allowed returns the time a request may take: the caller's, but not more than
+// the route's.
+func allowed(stated string, route *routes.Route) time.Duration {
+	limit := route.Timeout
+	if limit <= 0 {
+		limit = maxTimeout
+	}
+	ms, err := strconv.ParseFloat(stated, 64)
+	if err != nil || ms < 0 || math.IsNaN(ms) {
+		return limit
+	}
+	return min(limit, time.Duration(ms*float64(time.Millisecond)))
+}
+
+// connectionHeaders concern one connection only and are not passed on.
+var connectionHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Expect": true,
+}
+
+// requestHead returns the request line and the header lines that all sends of
+// a request share.
+func (f *Forwarder) requestHead(r *http.Request) []byte {
+	target := r.RequestURI
+	if len(target) == 0 || target[0] != '/' {
+		target = r.URL.RequestURI()
+	}
+	var b bytes.Buffer
+	b.Grow(512)
+	b.WriteString(r.Method)
+	b.WriteByte(' ')
+	b.WriteString(target)
+	b.WriteString(" HTTP/1.1\r\n")
+	line(&b, "Host", r.Host)
+	for name, values := range r.Header {
+		if connectionHeaders[name] || name == f.headers.Deadline || name == f.headers.TargetReplica {
+			continue
+		}
+		for _, v := range values {
+			line(&b, name, v)
+		}
+	}
+	return b.Bytes()
+}
+
+func line(b *bytes.Buffer, name, value string) {
+	b.WriteString(name)
+	b.WriteString(": ")
+	b.WriteString(value)
+	b.WriteString("\r\n")
+}
+
+// run sends the request and waits for what the answer needs.
+func (q *query) run(caller context.Context) (*answer, *errs.Refusal) {
+	q.ctx, q.cancel = context.WithDeadline(context.Background(), q.deadline)
+	defer q.finish()
+	now := time.Now()
+	for _, s := range q.shards {
+		if s.group != nil && s.group.Budget != nil {
+			s.group.Budget.Primary(1)
+		}
+		q.launch(now, s)
+	}
+	hedge := time.NewTimer(q.hedgeDelay())
+	defer hedge.Stop()
+	cutoff := q.cutoff()
+	defer cutoff.Stop()
+	late := false
+	for {
+		if a, refusal, over := q.settled(late); over {
+			return a, refusal
+		}
+		select {
+		case r := <-q.results:
+			q.take(r)
+		case <-hedge.C:
+			q.hedge()
+			hedge.Reset(q.hedgeDelay())
+		case <-cutoff.C:
+			late = true
+		case <-caller.Done():
+			return nil, q.ended(errs.Canceled, "the caller has left")
+		case <-q.ctx.Done():
+			return nil, q.ended(errs.DeadlineExceeded, "no answer in time")
+		}
+	}
+}
+
+// ended returns the refusal of a query that ends without an answer.
+func (q *query) ended(code errs.Code, why string) *errs.Refusal {
+	for _, s := range q.shards {
+		if s.ran || s.running > 0 {
+			return errs.Ambiguous(code, "%s", why)
+		}
+	}
+	return errs.Refuse(code, "%s", why)
+}
+
+// finish lets the sends that still run end on their own for a short time.
+func (q *query) finish() {
+	for _, s := range q.shards {
+		if s.running > 0 {
+			time.AfterFunc(loserGrace, q.cancel)
+			return
+		}
+	}
+	q.cancel()
+}
+
+// usual returns the usual latency of the route.
+func (q *query) usual() time.Duration {
+	return time.Duration(usualShare * float64(q.route.Target))
+}
+
+// hedgeDelay returns the time after which a shard without an answer is asked
+// at a second replica.
+func (q *query) hedgeDelay() time.Duration {
+	target := float64(q.route.Target)
+	least, most := time.Duration(minHedgeShare*target), time.Duration(maxHedgeShare*target)
+	if q.delay == nil {
+		return max(most, time.Millisecond)
+	}
+	return max(min(max(q.delay.Delay(), least), most), time.Millisecond)
+}
+
+// cutoff returns the timer after which an answer without some shards is better
+// than a late one.
+func (q *query) cutoff() *time.Timer {
+	if !q.route.FanOut() || q.route.Target <= 0 {
+		return time.NewTimer(maxTimeout)
+	}
+	return time.NewTimer(time.Duration((1 - answerMargin) * float64(q.route.Target)))
+}
+
+// hedge asks the shards without an answer at a second replica.
+func (q *query) hedge() {
+	if !q.route.Idempotent {
+		return
+	}
+	now := time.Now()
+	for _, s := range q.shards {
+		if s.done || s.running == 0 || s.runs >= q.route.Attempts {
+			continue
+		}
+		if q.launchExtra(now, s) {
+			q.hedges++
+			q.f.metrics.hedges.Inc(1)
+		}
+	}
+}
+
+// maxExtraSends bounds the sends of one shard beyond its attempts: those that
+// replicas refused or that found no connection.
+const maxExtraSends = 4
+
+// launch sends the request to the best replica of a shard. It reports false
+// when there is none.
+func (q *query) launch(now time.Time, s *shard) bool {
+	if s.group == nil || q.deadline.Sub(now) < minLeft || len(s.tried) >= q.route.Attempts+maxExtraSends {
+		return false
+	}
+	u := s.group.pick(now, q.usual(), s.tried)
+	if u == nil {
+		return false
+	}
+	s.tried = append(s.tried, u)
+	s.running++
+	s.runs++
+	q.sends++
+	go q.send(s, u, now)
+	return true
+}
+
+// launchExtra is launch for a send beyond the first that reaches a replica. It
+// takes one from the budget.
+func (q *query) launchExtra(now time.Time, s *shard) bool {
+	if s.group == nil || s.group.pick(now, q.usual(), s.tried) == nil {
+		return false
+	}
+	if err := s.group.Budget.TryExtra(1); err != nil {
+		q.denied++
+		q.f.metrics.noBudget.Inc(1)
+		return false
+	}
+	return q.launch(now, s)
+}
+
+// send makes one exchange and reports its outcome.
+func (q *query) send(s *shard, u *Upstream, start time.Time) {
+	u.Tracker.Begin(start)
+	call := exchange.Call{
+		Method: q.method, Head: q.sendHead(u, start), Body: q.body,
+		IDHeader: q.f.headers.RequestID, ID: q.id,
+	}
+	if !q.route.Idempotent {
+		call.MaxIdle = freshConnection
+	}
+	reply, refusal := u.Pool.Do(q.ctx, call)
+	now := time.Now()
+	q.f.observe(u, now, start, reply, refusal)
+	q.results <- result{shard: s, upstream: u, start: start, reply: reply, refusal: refusal}
+}
+
+// sendHead adds the header lines of one send.
+func (q *query) sendHead(u *Upstream, now time.Time) []byte {
+	head := make([]byte, 0, len(q.head)+96)
+	head = append(head, q.head...)
+	head = append(head, q.f.headers.Deadline...)
+	head = append(head, ": "...)
+	head = strconv.AppendInt(head, max(1, q.deadline.Sub(now).Milliseconds()), 10)
+	head = append(head, "\r\n"...)
+	head = append(head, q.f.headers.TargetReplica...)
+	head = append(head, ": "...)
+	head = append(head, u.Member.ID...)
+	return append(head, "\r\n"...)
+}
+
+// observe takes in what a send shows of its replica.
+func (f *Forwarder) observe(u *Upstream, now, start time.Time, reply exchange.Reply, refusal *errs.Refusal) {
+	switch {
+	case refusal == nil && f.notRun(reply):
+		u.Tracker.End(now, start, replica.Shed)
+		if reply.Status == http.StatusMisdirectedRequest {
+			f.observer.Unreachable(u, errs.Refuse(errs.NotOwner, "another replica has the address"))
+		}
+	case refusal == nil && reply.Status >= http.StatusInternalServerError:
+		u.Tracker.End(now, start, replica.Failed)
+	case refusal == nil:
+		f.metrics.subLength.RecordDuration(now.Sub(start))
+		u.Tracker.End(now, start, replica.Served)
+	case refusal.Code == errs.Canceled || refusal.Code == errs.DeadlineExceeded || refusal.Code == errs.QueueFull:
+		u.Tracker.End(now, start, replica.Abandoned)
+	case refusal.RunState == errs.DidNotRun:
+		u.Tracker.End(now, start, replica.Failed)
+		f.observer.Unreachable(u, refusal)
+	default:
+		u.Tracker.End(now, start, replica.Failed)
+		f.observer.Broken(u, refusal)
+	}
+}
+
+// notRun reports whether a replica said that it did not run the request.
+func (f *Forwarder) notRun(reply exchange.Reply) bool {
+	return reply.Status == http.StatusMisdirectedRequest || reply.Header.Get(f.headers.NotRun) != ""
+}
+
+// take takes in the outcome of one send.
+func (q *query) take(r result) {
+	s := r.shard
+	s.running--
+	now := time.Now()
+	switch {
+	case r.refusal == nil && q.f.notRun(r.reply):
+		s.runs--
+		s.refusal = errs.Refuse(errs.UpstreamShed, "%s refused with status %d", r.upstream.Member.ID, r.reply.Status)
+		q.retry(now, s, true)
+	case r.refusal != nil && r.refusal.RunState == errs.DidNotRun:
+		s.runs--
+		s.refusal = r.refusal
+		q.retry(now, s, false)
+	case r.refusal != nil:
+		s.ran = true
+		s.refusal = r.refusal
+		if q.route.Idempotent {
+			q.retry(now, s, true)
+		}
+	default:
+		s.ran = true
+		q.takeReply(now, s, r)
+	}
+}
+
+// takeReply takes in an answer of a replica that ran the request.
+func (q *query) takeReply(now time.Time, s *shard, r result) {
+	reply := r.reply
+	good := reply.Status >= 200 && reply.Status < 300
+	switch {
+	case good && (reply.Header.Get(q.f.headers.Receipt) == "" || reply.Header.Get("Content-Encoding") != ""):
+		s.refusal = errs.Ambiguous(errs.ResponseMismatch, "%s answered without a receipt", r.upstream.Member.ID)
+		if q.route.Idempotent {
+			q.retry(now, s, true)
+		}
+	case good || (reply.Status < http.StatusInternalServerError && !q.route.FanOut()):
+		s.done, s.reply = true, &reply
+		if q.delay != nil {
+			q.delay.Observe(now.Sub(r.start))
+		}
+	default:
+		s.failed = &reply
+		if q.route.Idempotent {
+			q.retry(now, s, true)
+		}
+	}
+}
+
+// retry sends the request of a shard again, if that is allowed and no other
+// send of it runs. arrived tells that the failed send reached a replica, so
+// that the next one counts against the budget.
+func (q *query) retry(now time.Time, s *shard, arrived bool) {
+	if s.done || s.running > 0 || s.runs >= q.route.Attempts {
+		return
+	}
+	if arrived {
+		s.arrivals++
+	}
+	sent := false
+	if s.arrivals > 0 {
+		sent = q.launchExtra(now, s)
+	} else {
+		sent = q.launch(now, s)
+	}
+	if sent {
+		q.retries++
+		q.f.metrics.retries.Inc(1)
+	}
+}
--- a/pkg/hedge/hedge.go
+++ b/pkg/hedge/hedge.go
@@ -47,6 +47,9 @@
 	TargetQuantile float64
 	// ExtraLoad is the share of primary sends that extra attempts may add.
 	ExtraLoad float64
+	// Burst is the number of extra attempts that a full budget allows at once;
+	// 0 stands for a number that fits the groups.
+	Burst int
 }
 
 // Policy decides on the extra attempts of one service at one entry VM. It may
@@ -66,7 +69,7 @@
 func NewPolicy(c Config) *Policy {
 	p := &Policy{
 		quantile: Quantile(c),
-		burst:    int64(max(MinBurst, BurstQueries*c.Groups)) * tokenUnit,
+		burst:    int64(burst(c)) * tokenUnit,
 		deposit:  int64(math.Round(math.Max(0, c.ExtraLoad) * tokenUnit)),
 	}
 	if p.deposit > 0 {
@@ -76,6 +79,13 @@
 	return p
 }
 
+func burst(c Config) int {
+	if c.Burst > 0 {
+		return c.Burst
+	}
+	return max(MinBurst, BurstQueries*c.Groups)
+}
+
 // Quantile returns the quantile of group latencies at which a hedge is sent:
 // as early as the budget allows, but not after the quantile that each group
 // must meet for the whole query to meet its target.
--- a/pkg/kernel/kernel.go
+++ b/pkg/kernel/kernel.go
@@ -107,6 +107,9 @@
 	return Lookup(s.kernel, h)
 }
 
+// Context returns the context of the service's goroutines.
+func (s *Scope) Context() context.Context { return s.ctx }
+
 // Go runs f in the service's errgroup. Its context is canceled after the
 // service was stopped. An error that f returns earlier stops the process.
 func (s *Scope) Go(f func(ctx context.Context) error) {
--- /dev/null
+++ b/pkg/storewatch/storewatch.go
@@ -0,0 +1,132 @@
+// Package storewatch follows the objects of one kind in the platform's store:
+// it lists them, watches for changes, and lists again when history is gone.
+package storewatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/wait"
+)
+
+const (
+	// WatchFor is the longest wait of one watch call. A waiting call counts as
+	// one, so longer waits cost less; a connection that goes silent is found
+	// by its keep-alive probes.
+	WatchFor = 20 * time.Second
+	// minPause and maxPause bound the pause after a failed call. The longest
+	// keeps a VM within a second of the store's return.
+	minPause = 100 * time.Millisecond
+	maxPause = time.Second
+)
+
+// Item is one object, decoded.
+type Item[T any] struct {
+	Name     string
+	Revision int64
+	Deleted  bool
+	Value    T
+	// Err tells why the object could not be decoded; Value is then unset.
+	Err error
+}
+
+// Batch is a set of objects as of one revision of the store.
+type Batch[T any] struct {
+	Items    []Item[T]
+	Revision int64
+}
+
+// Source reads the objects of one kind. Its errors carry an *errs.Refusal;
+// errs.PlatformWatchGap means that the history since the revision is gone.
+type Source[T any] interface {
+	List(ctx context.Context) (Batch[T], error)
+	Watch(ctx context.Context, after int64, longest time.Duration) (Batch[T], error)
+}
+
+// Sink takes in what a Follower learns. Its methods are called by the
+// follower's goroutine, one at a time.
+type Sink[T any] interface {
+	// Listed gets all objects of the kind.
+	Listed(Batch[T])
+	// Changed gets the objects that changed.
+	Changed(Batch[T])
+	// Failed gets the error of a call, Answered that a call succeeded.
+	Failed(error)
+	Answered()
+}
+
+// Follow passes all objects and then every change to the sink until ctx ends.
+func Follow[T any](ctx context.Context, source Source[T], sink Sink[T]) {
+	f := follower[T]{source: source, sink: sink, pause: minPause}
+	for ctx.Err() == nil {
+		after, ok := f.list(ctx)
+		if ok {
+			f.watch(ctx, after)
+		}
+	}
+}
+
+type follower[T any] struct {
+	source Source[T]
+	sink   Sink[T]
+	pause  time.Duration
+}
+
+// list reports whether it could list the objects.
+func (f *follower[T]) list(ctx context.Context) (int64, bool) {
+	batch, err := f.source.List(ctx)
+	if err != nil {
+		f.failed(ctx, err)
+		return 0, false
+	}
+	f.answered()
+	f.sink.Listed(batch)
+	return batch.Revision, true
+}
+
+// watch returns when the history is gone or ctx ends.
+func (f *follower[T]) watch(ctx context.Context, after int64) {
+	for ctx.Err() == nil {
+		batch, err := f.source.Watch(ctx, after, WatchFor)
+		switch {
+		case errs.Is(err, errs.PlatformWatchGap):
+			f.sink.Failed(err)
+			return
+		case err != nil:
+			f.failed(ctx, err)
+		default:
+			f.answered()
+			if len(batch.Items) > 0 {
+				f.sink.Changed(batch)
+			}
+			after = max(after, batch.Revision)
+		}
+	}
+}
+
+func (f *follower[T]) answered() {
+	f.pause = minPause
+	f.sink.Answered()
+}
+
+// failed reports err and waits. Pauses are drawn at random, so that VMs do not
+// return to a recovering store together.
+func (f *follower[T]) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	f.sink.Failed(err)
+	wait.Sleep(ctx, f.pause/2+rand.N(f.pause/2))
+	f.pause = min(2*f.pause, maxPause)
+}
+
+// Retry calls f until it succeeds or ctx ends, with the pauses of a Follower.
+func Retry(ctx context.Context, f func() error) {
+	pause := minPause
+	for ctx.Err() == nil && f() != nil {
+		wait.Sleep(ctx, pause/2+rand.N(pause/2))
+		pause = min(2*pause, maxPause)
+	}
+}
