Bound each watch call, so that a lost change is noticed in time

Ruled out: a relist of stale data (the list is linearizable), a lost connection. Change: watch calls wait 2 s for configuration and replicas, 3.5 s for domains taken out; changes that come together are fetched with one call.

--- /dev/null
+++ b/pkg/discovery/discovery_test.go
@@ -0,0 +1,90 @@
+package discovery
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Unix(1000, 0)
+
+func entry(id, addr string) Replica {
+	return Replica{ID: id, Service: "s", Addr: addr, Domain: "d1", Slots: 2, Born: 1}
+}
+
+func ids(r *Registry) []string {
+	var out []string
+	for _, m := range r.View().Services["s"] {
+		out = append(out, m.ID)
+	}
+	return out
+}
+
+// Guards against requests to replicas that drain, have left, or are in a
+// failure domain that is taken out.
+func TestViewHoldsUsableReplicasOnly(t *testing.T) {
+	r := NewRegistry()
+	r.Put(start, entry("a", "1"), 1)
+	draining := entry("b", "2")
+	draining.Draining = true
+	r.Put(start, draining, 2)
+	other := entry("c", "3")
+	other.Domain = "d2"
+	r.Put(start, other, 3)
+	assert.DeepEqual(t, ids(r), []string{"a", "c"})
+	assert.Assert(t, r.TakeOut("d2", true))
+	assert.DeepEqual(t, ids(r), []string{"a"})
+	assert.Assert(t, r.TakeOut("d2", false))
+	assert.Assert(t, r.Remove(start, "a"))
+	assert.DeepEqual(t, ids(r), []string{"c"})
+}
+
+// Guards against an old entry that overwrites a newer one, in either order of
+// revision or start.
+func TestPutIgnoresOlderEntries(t *testing.T) {
+	r := NewRegistry()
+	newer := entry("a", "1")
+	newer.Born, newer.Draining = 5, true
+	r.Put(start, newer, 10)
+	assert.Assert(t, !r.Put(start, entry("a", "1"), 11))
+	stale := newer
+	stale.Draining = false
+	assert.Assert(t, !r.Put(start, stale, 9))
+	assert.Equal(t, len(ids(r)), 0)
+}
+
+// Guards against requests to a former tenant of an address that now belongs to
+// another replica.
+func TestPutDropsFormerTenant(t *testing.T) {
+	r := NewRegistry()
+	r.Put(start, entry("a", "1"), 1)
+	r.Put(start, entry("b", "1"), 2)
+	assert.DeepEqual(t, ids(r), []string{"b"})
+}
+
+// Guards against losing live replicas whose entries lapsed while the store was
+// away, and against keeping dead ones after they had time to return.
+func TestEntriesThatLapsedWhileTheStoreWasAway(t *testing.T) {
+	r := NewRegistry()
+	r.Put(start, entry("a", "1"), 1)
+	r.Put(start, entry("b", "2"), 2)
+	r.StoreLost()
+	r.Remove(start, "a")
+	back := start.Add(5 * time.Second)
+	r.StoreBack(back)
+	r.Replace(back, nil, nil)
+	assert.DeepEqual(t, ids(r), []string{"a", "b"})
+	r.Put(back.Add(time.Second), entry("a", "1"), 7)
+	assert.Assert(t, !r.Tick(back.Add(RejoinGrace/2)))
+	assert.Assert(t, r.Tick(back.Add(RejoinGrace)))
+	assert.DeepEqual(t, ids(r), []string{"a"})
+}
+
+// Guards against holding back a removal that came while the store was well.
+func TestRemoveIsImmediateWhileTheStoreAnswers(t *testing.T) {
+	r := NewRegistry()
+	r.Put(start, entry("a", "1"), 1)
+	assert.Assert(t, r.Replace(start, nil, nil))
+	assert.Equal(t, r.Len(), 0)
+}
--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -16,6 +16,13 @@
 const (
 	// queueLength is the number of events that wait for the control goroutine.
 	queueLength = 1024
+	// strictWatch bounds the wait of one watch call for configuration and
+	// replicas, whose changes must be in force within 3 s; looseWatch that for
+	// failure domains, which have 5 s; vmWatch that for VMs, whose number only
+	// divides budgets.
+	strictWatch = 2 * time.Second
+	looseWatch  = 3500 * time.Millisecond
+	vmWatch     = 20 * time.Second
 	// tickEvery is the interval of checks that depend on time alone.
 	tickEvery = 100 * time.Millisecond
 )
@@ -161,7 +168,7 @@
 		}).Info("configuration in force")
 		return true
 	}
-	storewatch.Follow(ctx, store.Configs(), sink[*routes.Table]{ctx: ctx, control: c, kind: "configuration", apply: apply, listed: each(apply)})
+	storewatch.Follow(ctx, store.Configs(), strictWatch, sink[*routes.Table]{ctx: ctx, control: c, kind: "configuration", apply: apply, listed: each(apply)})
 }
 
 // each applies all objects of a list one by one, for kinds in which a missing
@@ -202,7 +209,7 @@
 		}
 		return c.state.registry.Put(now, item.Value, item.Revision)
 	}
-	storewatch.Follow(ctx, store.Replicas(), sink[discovery.Replica]{ctx: ctx, control: c, kind: "replicas", apply: apply, listed: listed})
+	storewatch.Follow(ctx, store.Replicas(), strictWatch, sink[discovery.Replica]{ctx: ctx, control: c, kind: "replicas", apply: apply, listed: listed})
 }
 
 func (c *control) replicaGone(now time.Time, item storewatch.Item[discovery.Replica]) bool {
@@ -229,7 +236,7 @@
 		}
 		return changed
 	}
-	storewatch.Follow(ctx, store.TakenOut(), sink[string]{ctx: ctx, control: c, kind: "domains taken out", apply: apply, listed: listed})
+	storewatch.Follow(ctx, store.TakenOut(), looseWatch, sink[string]{ctx: ctx, control: c, kind: "domains taken out", apply: apply, listed: listed})
 }
 
 // takeOut takes a failure domain out or back. Its replicas may have become
@@ -259,7 +266,7 @@
 		}
 		return false
 	}
-	storewatch.Follow(ctx, store.VMs(), sink[discovery.VM]{ctx: ctx, control: c, kind: "VMs", apply: apply, listed: each(apply)})
+	storewatch.Follow(ctx, store.VMs(), vmWatch, sink[discovery.VM]{ctx: ctx, control: c, kind: "VMs", apply: apply, listed: each(apply)})
 }
 
 // becameCold limits the requests to a replica that says it is cold.
--- a/pkg/storewatch/storewatch.go
+++ b/pkg/storewatch/storewatch.go
@@ -12,10 +12,9 @@
 )
 
 const (
-	// WatchFor is the longest wait of one watch call. A waiting call counts as
-	// one, so longer waits cost less; a connection that goes silent is found
-	// by its keep-alive probes.
-	WatchFor = 20 * time.Second
+	// batchPause is the pause between watch calls, so that changes that come
+	// together cost one call.
+	batchPause = 150 * time.Millisecond
 	// minPause and maxPause bound the pause after a failed call. The longest
 	// keeps a VM within a second of the store's return.
 	minPause = 100 * time.Millisecond
@@ -58,8 +57,11 @@
 }
 
 // Follow passes all objects and then every change to the sink until ctx ends.
-func Follow[T any](ctx context.Context, source Source[T], sink Sink[T]) {
-	f := follower[T]{source: source, sink: sink, pause: minPause}
+// No watch call waits longer than longest: a store that loses its history may
+// leave a waiting call without the changes before, and only the next call
+// tells.
+func Follow[T any](ctx context.Context, source Source[T], longest time.Duration, sink Sink[T]) {
+	f := follower[T]{source: source, sink: sink, longest: longest, pause: minPause}
 	for ctx.Err() == nil {
 		after, ok := f.list(ctx)
 		if ok {
@@ -69,9 +71,10 @@
 }
 
 type follower[T any] struct {
-	source Source[T]
-	sink   Sink[T]
-	pause  time.Duration
+	source  Source[T]
+	sink    Sink[T]
+	longest time.Duration
+	pause   time.Duration
 }
 
 // list reports whether it could list the objects.
@@ -89,7 +92,7 @@
 // watch returns when the history is gone or ctx ends.
 func (f *follower[T]) watch(ctx context.Context, after int64) {
 	for ctx.Err() == nil {
-		batch, err := f.source.Watch(ctx, after, WatchFor)
+		batch, err := f.source.Watch(ctx, after, f.longest)
 		switch {
 		case errs.Is(err, errs.PlatformWatchGap):
 			f.sink.Failed(err)
@@ -98,10 +101,11 @@
 			f.failed(ctx, err)
 		default:
 			f.answered()
+			after = max(after, batch.Revision)
 			if len(batch.Items) > 0 {
 				f.sink.Changed(batch)
+				wait.Sleep(ctx, batchPause)
 			}
-			after = max(after, batch.Revision)
 		}
 	}
 }
