Probe without an identifier, leave out late shards, spend retries before hedges

Ruled out: entries missing from the registry, the probe's time-out. Cause 2: replicas that refuse as full kept their rank; hedges took the budget that refused sends needed; parts that missed the answer kept replicas busy.

--- a/pkg/edge/prober.go
+++ b/pkg/edge/prober.go
@@ -132,13 +132,20 @@
 			}
 			return
 		}
-		if u.Tracker.SetDown(true) {
+		if conclusive(refusal) && u.Tracker.SetDown(true) {
 			p.log.WithFields(logrus.Fields{"replica": u.Member.ID, "service": u.Member.Service, "why": refusal.Error()}).Info("replica down")
 		}
 		pause = min(max(minProbePause, pause*3/2), maxProbePause)
 	}
 }
 
+// conclusive reports whether a failed probe shows that the replica cannot be
+// reached. A busy replica lets a probe wait, and all connections to it may be
+// in use.
+func conclusive(refusal *errs.Refusal) bool {
+	return refusal.Code == errs.UpstreamLost || refusal.Code == errs.NotOwner
+}
+
 func (p *prober) wanted(u *forward.Upstream) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -34,7 +34,8 @@
 	Head []byte
 	// Body is sent with its length unless it is nil.
 	Body []byte
-	// IDHeader is the header that replicas echo, ID its value.
+	// IDHeader is the header that replicas echo, ID its value. Health probes
+	// have none.
 	IDHeader, ID string
 	// MaxIdle bounds the age of a kept connection; 0 is no bound. A request
 	// that may not be repeated needs a connection that was in use lately.
@@ -148,15 +149,14 @@
 		if err != nil {
 			return Reply{}, false, err
 		}
-		echoed := response.Header.Get(call.IDHeader)
-		if echoed != "" && echoed != call.ID {
-			if response.Close {
+		if call.IDHeader != "" {
+			echoed := response.Header.Get(call.IDHeader)
+			if echoed != "" && echoed != call.ID && !response.Close {
+				continue
+			}
+			if echoed != call.ID && (echoed != "" || response.StatusCode < http.StatusMultipleChoices) {
 				break
 			}
-			continue
-		}
-		if echoed == "" && response.StatusCode < http.StatusMultipleChoices {
-			break
 		}
 		c.keep = keepFor(response.Header)
 		reuse := !response.Close && response.ContentLength >= 0 || isChunked(response)
--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -55,7 +54,7 @@
 		}
 	}
 	total := len(q.shards)
-	least := max(1, int(math.Ceil(q.route.MinCoverage*float64(total)-1e-9)))
+	least := q.least()
 	switch {
 	case open == 0 && in >= least, late && in >= least:
 		q.missing = total - in
@@ -83,6 +82,8 @@
 	for _, s := range q.shards {
 		switch {
 		case s.done:
+		case s.skipped:
+			return s.service + ": left out, would answer too late"
 		case s.refusal != nil:
 			return s.service + ": " + s.refusal.Error()
 		case s.failed != nil:
@@ -91,7 +92,7 @@
 			return s.service + ": no replica can take requests now"
 		}
 	}
-	return "none failed"
+	return "no answer in time"
 }
 
 // merged returns the answer made of the parts that are in.
@@ -156,6 +157,9 @@
 	} else if n := len(q.shards[0].tried); n > 0 {
 		fields["service"], fields["replica"] = q.shards[0].service, q.shards[0].tried[n-1].Member.ID
 	}
+	if q.skipped > 0 {
+		fields["skipped"] = q.skipped
+	}
 	if q.missing > 0 {
 		fields["why"] = q.lastFailure()
 	}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -30,7 +30,7 @@
 	// should try again: the first covers a start, the second the recovery of a
 	// connection or the choice of another VM.
 	notReadyRetry  = 300 * time.Millisecond
-	noReplicaRetry = 50 * time.Millisecond
+	noReplicaRetry = 20 * time.Millisecond
 	// maxTimeout bounds a request whose route and caller state no time.
 	maxTimeout = time.Minute
 )
--- /dev/null
+++ b/pkg/forward/plan.go
@@ -0,0 +1,79 @@
+package forward
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+)
+
+// least returns the number of shards without which there is no success.
+func (q *query) least() int {
+	if !q.route.FanOut() {
+		return 1
+	}
+	// The share may be meant as a fraction that has no exact binary form.
+	const rounding = 1e-9
+	return max(1, int(math.Ceil(q.route.MinCoverage*float64(len(q.shards))-rounding)))
+}
+
+// plan decides before the first send which shards are asked. Where too few have
+// a replica, the query is refused and has not run anywhere. Shards that would
+// answer too late are left out, as far as the coverage allows: asking them
+// would only delay the queries behind this one.
+func (q *query) plan(now time.Time) *errs.Refusal {
+	if !q.route.FanOut() {
+		q.countPrimary(q.shards[0])
+		return nil
+	}
+	expected := make([]time.Duration, len(q.shards))
+	usable := 0
+	for i, s := range q.shards {
+		if s.group == nil {
+			continue
+		}
+		if u := s.group.best(now, q.usual(), nil); u != nil {
+			usable++
+			expected[i], _ = u.Tracker.Expected(now, q.usual())
+		}
+	}
+	if usable < q.least() {
+		q.missing = len(q.shards) - usable
+		return errs.Refuse(errs.NoReplica, "%d of %d shards have a replica, %s", usable, len(q.shards), q.lastFailure()).WithRetryAfter(noReplicaRetry)
+	}
+	q.skip(expected, usable-q.least())
+	for _, s := range q.shards {
+		if !s.skipped {
+			q.countPrimary(s)
+		}
+	}
+	return nil
+}
+
+// skip leaves out up to most shards that are expected to answer too late, the
+// slowest first.
+func (q *query) skip(expected []time.Duration, most int) {
+	if q.route.Target <= 0 {
+		return
+	}
+	useful := time.Duration((1 - answerMargin) * float64(q.route.Target))
+	order := make([]int, 0, len(expected))
+	for i, d := range expected {
+		if d > useful {
+			order = append(order, i)
+		}
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(expected[b], expected[a]) })
+	for _, i := range order[:min(most, len(order))] {
+		q.shards[i].skipped = true
+		q.skipped++
+	}
+}
+
+func (q *query) countPrimary(s *shard) {
+	if s.group != nil {
+		s.group.Budget.Primary(1)
+	}
+}
--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -57,8 +57,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	// counts for the log
-	sends, hedges, retries, denied int
-	missing                        int
+	sends, hedges, retries, denied, skipped int
+	missing                                 int
 }
 
 // shard is the part of a query that one service answers.
@@ -70,7 +70,9 @@
 	// run, arrivals those that reached a replica.
 	running, runs, arrivals int
 	done                    bool
-	reply                   *exchange.Reply
+	// skipped is set for a shard that is left out from the start.
+	skipped bool
+	reply   *exchange.Reply
 	// failed is the last replica's own failure, refusal the last other one.
 	failed  *exchange.Reply
 	refusal *errs.Refusal
@@ -162,11 +164,13 @@
 	q.ctx, q.cancel = context.WithDeadline(context.Background(), q.deadline)
 	defer q.finish()
 	now := time.Now()
+	if refusal := q.plan(now); refusal != nil {
+		return nil, refusal
+	}
 	for _, s := range q.shards {
-		if s.group != nil && s.group.Budget != nil {
-			s.group.Budget.Primary(1)
+		if !s.skipped {
+			q.launch(now, s)
 		}
-		q.launch(now, s)
 	}
 	hedge := time.NewTimer(q.hedgeDelay())
 	defer hedge.Stop()
@@ -249,7 +253,7 @@
 		if s.done || s.running == 0 || s.runs >= q.route.Attempts {
 			continue
 		}
-		if q.launchExtra(now, s) {
+		if q.launchExtra(now, s, spare) {
 			q.hedges++
 			q.f.metrics.hedges.Inc(1)
 		}
@@ -278,13 +282,13 @@
 	return true
 }
 
-// launchExtra is launch for a send beyond the first that reaches a replica. It
-// takes one from the budget.
-func (q *query) launchExtra(now time.Time, s *shard) bool {
+// launchExtra is launch for a send beyond the first that reaches a replica,
+// which take takes from the budget.
+func (q *query) launchExtra(now time.Time, s *shard, take func(*hedge.Policy) error) bool {
 	if s.group == nil || s.group.pick(now, q.usual(), s.tried) == nil {
 		return false
 	}
-	if err := s.group.Budget.TryExtra(1); err != nil {
+	if err := take(s.group.Budget); err != nil {
 		q.denied++
 		q.f.metrics.noBudget.Inc(1)
 		return false
@@ -292,6 +296,9 @@
 	return q.launch(now, s)
 }
 
+func extra(p *hedge.Policy) error { return p.TryExtra(1) }
+func spare(p *hedge.Policy) error { return p.TrySpare(1) }
+
 // send makes one exchange and reports its outcome.
 func (q *query) send(s *shard, u *Upstream, start time.Time) {
 	u.Tracker.Begin(start)
@@ -314,7 +321,7 @@
 	head = append(head, q.head...)
 	head = append(head, q.f.headers.Deadline...)
 	head = append(head, ": "...)
-	head = strconv.AppendInt(head, max(1, q.deadline.Sub(now).Milliseconds()), 10)
+	head = strconv.AppendInt(head, max(1, q.sendDeadline(now).Sub(now).Milliseconds()), 10)
 	head = append(head, "\r\n"...)
 	head = append(head, q.f.headers.TargetReplica...)
 	head = append(head, ": "...)
@@ -322,6 +329,21 @@
 	return append(head, "\r\n"...)
 }
 
+// sendDeadline returns the time until which a replica should work on a send.
+// A part that misses the time of the answer is of no use, and a replica that
+// works on it makes the next ones late too; so parts get little more than that
+// time, unless it has passed already.
+func (q *query) sendDeadline(now time.Time) time.Time {
+	if !q.route.FanOut() || q.route.Target <= 0 {
+		return q.deadline
+	}
+	useful := q.start.Add(q.route.Target)
+	if useful.Sub(now) < q.route.Target/4 || useful.After(q.deadline) {
+		return q.deadline
+	}
+	return useful
+}
+
 // observe takes in what a send shows of its replica.
 func (f *Forwarder) observe(u *Upstream, now, start time.Time, reply exchange.Reply, refusal *errs.Refusal) {
 	switch {
@@ -412,7 +434,7 @@
 	}
 	sent := false
 	if s.arrivals > 0 {
-		sent = q.launchExtra(now, s)
+		sent = q.launchExtra(now, s, extra)
 	} else {
 		sent = q.launch(now, s)
 	}
--- a/pkg/forward/view.go
+++ b/pkg/forward/view.go
@@ -60,7 +60,7 @@
 		if wasTried(u, tried) {
 			continue
 		}
-		expected, usable := u.Tracker.Expected(now, usual)
+		expected, usable := u.Tracker.Rank(now, usual)
 		if !usable {
 			continue
 		}
--- a/pkg/hedge/hedge.go
+++ b/pkg/hedge/hedge.go
@@ -16,6 +16,8 @@
 	// HedgeShare is the part of the extra-load budget that the delay is
 	// computed for. The rest stays for retries.
 	HedgeShare = 0.8
+	// RetryReserve is the share of a full budget that TrySpare leaves.
+	RetryReserve = 0.4
 	// MinSamples is the number of answers before the first hedge.
 	MinSamples = 32
 	// NeverHedge is the delay during warm-up. It is longer than any deadline.
@@ -148,6 +150,15 @@
 	}
 }
 
+// TrySpare is TryExtra for sends that are only a precaution. It leaves a part
+// of the budget to the replacement of sends that failed.
+func (p *Policy) TrySpare(n int) error {
+	if float64(p.tokens.Load()) < RetryReserve*float64(p.burst) {
+		return errs.Refuse(errs.BudgetSpent, "the rest of the extra-load budget is kept for retries")
+	}
+	return p.TryExtra(n)
+}
+
 // Charge takes n extra attempts from the budget even when it is spent, down to
 // a debt of one burst. It is for the first replacement of a send whose upstream
 // or owner was lost: coverage must not depend on the budget, but hedges and
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -99,6 +99,7 @@
 		t.fail(now, 0)
 	case Shed:
 		t.shedUntil = now.Add(shedPause)
+		t.fail(now, 1)
 	case Failed:
 		t.fail(now, 1)
 	}
@@ -182,12 +183,14 @@
 func (t *Tracker) Expected(now time.Time, usual time.Duration) (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.down {
-		return 0, false
-	}
-	if now.Before(t.window.until) && !t.window.room(now) {
-		return 0, false
-	}
+	return t.expected(now, usual), t.usable(now)
+}
+
+func (t *Tracker) usable(now time.Time) bool {
+	return !t.down && (!now.Before(t.window.until) || t.window.room(now))
+}
+
+func (t *Tracker) expected(now time.Time, usual time.Duration) time.Duration {
 	expected := usual
 	if !t.sampledAt.IsZero() {
 		kept := math.Exp2(-float64(now.Sub(t.sampledAt)) / float64(forgetAfter))
@@ -200,6 +203,20 @@
 			expected += silent
 		}
 	}
+	return expected
+}
+
+// Rank returns the expected time with what else speaks against the replica
+// added: failures, recent sheds and the way to another failure domain. The
+// replica with the least rank is to be used. It reports false for a replica
+// that must not be used.
+func (t *Tracker) Rank(now time.Time, usual time.Duration) (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.usable(now) {
+		return 0, false
+	}
+	expected := t.expected(now, usual)
 	expected += time.Duration(t.failureRate(now) * float64(failureCost))
 	if now.Before(t.shedUntil) {
 		expected += shedPause
