Feed most VMs from two that follow the store

Ruled out: longer waits of watch calls (a lost change must be noticed within 3 s), stale reads (they may be seconds old). Change: pkg/feed ranks the VMs by a hash; the first two (one more per 24) follow the store and pass changes on over TCP with msgpack; a subscriber that hears nothing for 1.1 s, or whose sender was not confirmed by the store for 2.3 s, follows the store again from the revision it has. Objects are taken in by revision, so a source that lags changes nothing. A VM that knows nothing while the store is away asks its seeds. Replicas of a failure domain that comes back are probed before they are used.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -91,12 +91,13 @@
 	}
 }
 
-// Remove takes in that an entry is gone or unreadable. It reports whether the
+// Remove takes in that an entry is gone or unreadable as of a revision, 0 for
+// the newest. It reports whether the
 // view changes. A replica whose entry lapsed while the store was away is kept
 // until it has had time to write it again.
-func (r *Registry) Remove(now time.Time, id string) bool {
+func (r *Registry) Remove(now time.Time, id string, revision int64) bool {
 	m := r.members[id]
-	if m == nil {
+	if m == nil || (revision > 0 && revision < m.Revision) {
 		return false
 	}
 	if r.recovering(now) {
@@ -109,17 +110,13 @@
 	return true
 }
 
-// Replace takes in a complete list. It reports whether the view changes.
-func (r *Registry) Replace(now time.Time, entries []Replica, revisions []int64) bool {
-	listed := map[string]bool{}
+// Retain takes in the names of a complete list: entries that it lacks are
+// gone. It reports whether the view changes.
+func (r *Registry) Retain(now time.Time, listed map[string]bool) bool {
 	changed := false
-	for i, e := range entries {
-		listed[e.ID] = true
-		changed = r.Put(now, e, revisions[i]) || changed
-	}
 	for _, id := range slices.Collect(maps.Keys(r.members)) {
 		if !listed[id] {
-			changed = r.Remove(now, id) || changed
+			changed = r.Remove(now, id, 0) || changed
 		}
 	}
 	return changed
@@ -188,6 +185,11 @@
 	return v
 }
 
+// Members returns all known replicas, sorted by ID.
+func (r *Registry) Members() []*Member {
+	return slices.SortedFunc(maps.Values(r.members), func(a, b *Member) int { return cmp.Compare(a.ID, b.ID) })
+}
+
 // Len returns the number of known replicas, usable or not.
 func (r *Registry) Len() int { return len(r.members) }
 
--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -36,8 +36,9 @@
 	assert.Assert(t, r.TakeOut("d2", true))
 	assert.DeepEqual(t, ids(r), []string{"a"})
 	assert.Assert(t, r.TakeOut("d2", false))
-	assert.Assert(t, r.Remove(start, "a"))
+	assert.Assert(t, r.Remove(start, "a", 0))
 	assert.DeepEqual(t, ids(r), []string{"c"})
+	assert.Assert(t, !r.Remove(start, "c", 2), "a removal from before the entry")
 }
 
 // Guards against an old entry that overwrites a newer one, in either order of
@@ -70,10 +71,10 @@
 	r.Put(start, entry("a", "1"), 1)
 	r.Put(start, entry("b", "2"), 2)
 	r.StoreLost()
-	r.Remove(start, "a")
+	r.Remove(start, "a", 0)
 	back := start.Add(5 * time.Second)
 	r.StoreBack(back)
-	r.Replace(back, nil, nil)
+	r.Retain(back, nil)
 	assert.DeepEqual(t, ids(r), []string{"a", "b"})
 	r.Put(back.Add(time.Second), entry("a", "1"), 7)
 	assert.Assert(t, !r.Tick(back.Add(RejoinGrace/2)))
@@ -85,6 +86,6 @@
 func TestRemoveIsImmediateWhileTheStoreAnswers(t *testing.T) {
 	r := NewRegistry()
 	r.Put(start, entry("a", "1"), 1)
-	assert.Assert(t, r.Replace(start, nil, nil))
+	assert.Assert(t, r.Retain(start, nil))
 	assert.Equal(t, r.Len(), 0)
 }
--- a/pkg/edge/callers.go
+++ b/pkg/edge/callers.go
@@ -70,12 +70,20 @@
 	return nil
 }
 
+func listen(addr string) (net.Listener, error) {
+	config := net.ListenConfig{KeepAliveConfig: netconn.KeepAlive(callerSilence)}
+	l, err := config.Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return nil, errs.Refuse(errs.AddressInUse, "%v", err)
+	}
+	return l, nil
+}
+
 // serve listens on addr and serves in the scope's group.
 func serve(scope *kernel.Scope, server *http.Server, addr string) error {
-	config := net.ListenConfig{KeepAliveConfig: netconn.KeepAlive(callerSilence)}
-	listener, err := config.Listen(context.Background(), "tcp", addr)
+	listener, err := listen(addr)
 	if err != nil {
-		return errs.Refuse(errs.AddressInUse, "%v", err)
+		return err
 	}
 	scope.Go(func(context.Context) error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -2,27 +2,20 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/nutmeghitch/nutmeghitch/pkg/discovery"
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/feed"
 	"github.com/nutmeghitch/nutmeghitch/pkg/forward"
-	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
-	"github.com/nutmeghitch/nutmeghitch/pkg/storewatch"
+	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
 )
 
 const (
 	// queueLength is the number of events that wait for the control goroutine.
 	queueLength = 1024
-	// strictWatch bounds the wait of one watch call for configuration and
-	// replicas, whose changes must be in force within 3 s; looseWatch that for
-	// failure domains, which have 5 s; vmWatch that for VMs, whose number only
-	// divides budgets.
-	strictWatch = 2 * time.Second
-	looseWatch  = 3500 * time.Millisecond
-	vmWatch     = 20 * time.Second
 	// tickEvery is the interval of checks that depend on time alone.
 	tickEvery = 100 * time.Millisecond
 )
@@ -35,16 +28,26 @@
 	readiness *readiness
 	log       logrus.FieldLogger
 	events    chan func(now time.Time) (changed bool)
-	// away counts the kinds of objects whose last call failed.
+	hub       *feed.Hub
+	topics    []anyTopic
+	// away holds the topics whose last call failed.
 	away map[string]bool
+	// following tells that this VM follows the store itself.
+	following bool
+	// status is what other goroutines read of the two above.
+	status atomic.Pointer[feed.Status]
 }
 
-func newControl(s *state, f *forward.Forwarder, p *prober, r *readiness, log logrus.FieldLogger) *control {
-	return &control{
+func newControl(s *state, f *forward.Forwarder, p *prober, r *readiness, store Store, log logrus.FieldLogger) *control {
+	c := &control{
 		state: s, forwarder: f, prober: p, readiness: r, log: log,
 		events: make(chan func(time.Time) bool, queueLength),
 		away:   map[string]bool{},
 	}
+	c.hub = feed.NewHub(c, log.WithField("part", "feed"))
+	c.topics = c.newTopics(store)
+	c.status.Store(&feed.Status{})
+	return c
 }
 
 // run applies events until ctx ends. Events that wait together lead to one view.
@@ -67,6 +70,7 @@
 		if changed {
 			c.publish(time.Now())
 		}
+		c.noteStatus()
 	}
 }
 
@@ -76,6 +80,7 @@
 	if view == nil {
 		return
 	}
+	c.probeReturned(view)
 	c.forwarder.SetView(view)
 	c.prober.keep(view)
 	if c.state.ready() {
@@ -83,12 +88,31 @@
 	}
 }
 
+// probeReturned keeps requests from the replicas of a failure domain that has
+// come back until each has said whether it is cold.
+func (c *control) probeReturned(view *forward.View) {
+	if len(c.state.returned) == 0 {
+		return
+	}
+	c.prober.keep(view)
+	for _, group := range view.Groups {
+		for _, u := range group.Upstreams {
+			if c.state.returned[u.Member.Domain] {
+				c.prober.Unreachable(u, errs.Refuse(errs.UpstreamCold, "its failure domain has come back"))
+			}
+		}
+	}
+	clear(c.state.returned)
+}
+
 // post queues an event. It waits when the queue is full, so that no change is
-// lost; traffic uses offer.
-func (c *control) post(ctx context.Context, event func(time.Time) bool) {
+// lost; traffic never posts.
+func (c *control) post(ctx context.Context, event func(time.Time) bool) bool {
 	select {
 	case c.events <- event:
+		return true
 	case <-ctx.Done():
+		return false
 	}
 }
 
@@ -117,156 +141,66 @@
 	}
 }
 
-// sink posts what one follower learns.
-type sink[T any] struct {
-	ctx     context.Context
-	control *control
-	kind    string
-	// put and remove apply one object; listed is called before the objects of
-	// a complete list.
-	listed func(now time.Time, batch storewatch.Batch[T]) bool
-	apply  func(now time.Time, item storewatch.Item[T]) bool
-}
-
-// Listed implements storewatch.Sink.
-func (s sink[T]) Listed(batch storewatch.Batch[T]) {
-	s.control.post(s.ctx, func(now time.Time) bool { return s.listed(now, batch) })
-}
-
-// Changed implements storewatch.Sink.
-func (s sink[T]) Changed(batch storewatch.Batch[T]) {
-	s.control.post(s.ctx, func(now time.Time) bool {
-		changed := false
-		for _, item := range batch.Items {
-			if item.Err != nil {
-				s.control.log.WithFields(logrus.Fields{"kind": s.kind, "name": item.Name, "revision": item.Revision, "error": item.Err}).Warn("unreadable object")
-			}
-			changed = s.apply(now, item) || changed
-		}
-		return changed
-	})
-}
-
-// Failed implements storewatch.Sink.
-func (s sink[T]) Failed(err error) {
-	s.control.post(s.ctx, func(time.Time) bool { s.control.storeFailed(s.kind, err); return false })
-}
-
-// Answered implements storewatch.Sink.
-func (s sink[T]) Answered() {
-	s.control.post(s.ctx, func(now time.Time) bool { s.control.storeAnswered(now, s.kind); return false })
-}
-
-// follow keeps the state in step with the store until ctx ends.
-func (c *control) followConfigs(ctx context.Context, store Store) {
-	apply := func(now time.Time, item storewatch.Item[*routes.Table]) bool {
-		if item.Deleted || item.Err != nil || !c.state.setTable(item.Value) {
-			return false
-		}
-		c.log.WithFields(logrus.Fields{
-			"version": item.Value.Version, "revision": item.Revision, "routes": len(item.Value.Routes), "services": len(item.Value.Services),
-		}).Info("configuration in force")
-		return true
+// setFollowing notes whether this VM follows the store itself. A VM that is fed
+// relies on the feed, which ends when its sender loses the store.
+func (c *control) setFollowing(now time.Time, following bool) {
+	c.following = following
+	if !following && len(c.away) > 0 {
+		clear(c.away)
+		c.state.registry.StoreBack(now)
 	}
-	storewatch.Follow(ctx, store.Configs(), strictWatch, sink[*routes.Table]{ctx: ctx, control: c, kind: "configuration", apply: apply, listed: each(apply)})
 }
 
-// each applies all objects of a list one by one, for kinds in which a missing
-// object means nothing.
-func each[T any](apply func(time.Time, storewatch.Item[T]) bool) func(time.Time, storewatch.Batch[T]) bool {
-	return func(now time.Time, batch storewatch.Batch[T]) bool {
-		changed := false
-		for _, item := range batch.Items {
-			changed = apply(now, item) || changed
+func (c *control) noteStatus() {
+	status := feed.Status{Following: c.following, Away: len(c.away) > 0}
+	for _, t := range c.topics {
+		if at, urgent := t.verified(); urgent && (status.VerifiedAt.IsZero() || at.Before(status.VerifiedAt)) {
+			status.VerifiedAt = at
 		}
-		return changed
 	}
+	c.status.Store(&status)
 }
 
-func (c *control) followReplicas(ctx context.Context, store Store) {
-	listed := func(now time.Time, batch storewatch.Batch[discovery.Replica]) bool {
-		var entries []discovery.Replica
-		var revisions []int64
-		for _, item := range batch.Items {
-			if item.Err != nil {
-				c.log.WithFields(logrus.Fields{"name": item.Name, "error": item.Err}).Warn("unreadable replica entry")
-				continue
-			}
-			entries, revisions = append(entries, item.Value), append(revisions, item.Revision)
-		}
-		first := !c.state.listed
-		c.state.listed = true
-		changed := c.state.registry.Replace(now, entries, revisions)
-		c.log.WithFields(logrus.Fields{"revision": batch.Revision, "replicas": len(entries)}).Info("replicas listed")
-		return changed || first
-	}
-	apply := func(now time.Time, item storewatch.Item[discovery.Replica]) bool {
-		if item.Deleted || item.Err != nil {
-			return c.replicaGone(now, item)
-		}
-		if item.Value.Draining {
-			c.log.WithFields(logrus.Fields{"replica": item.Name, "service": item.Value.Service, "revision": item.Revision}).Info("replica drains")
-		}
-		return c.state.registry.Put(now, item.Value, item.Revision)
-	}
-	storewatch.Follow(ctx, store.Replicas(), strictWatch, sink[discovery.Replica]{ctx: ctx, control: c, kind: "replicas", apply: apply, listed: listed})
-}
-
-func (c *control) replicaGone(now time.Time, item storewatch.Item[discovery.Replica]) bool {
-	removed := c.state.registry.Remove(now, item.Name)
-	c.log.WithFields(logrus.Fields{"replica": item.Name, "revision": item.Revision, "removed": removed}).Info("replica entry gone")
-	return removed
-}
+// Status implements feed.Source.
+func (c *control) Status() feed.Status { return *c.status.Load() }
 
-func (c *control) followTakenOut(ctx context.Context, store Store) {
-	apply := func(_ time.Time, item storewatch.Item[string]) bool {
-		return c.takeOut(item.Name, !item.Deleted, item.Revision)
-	}
-	listed := func(_ time.Time, batch storewatch.Batch[string]) bool {
-		out := map[string]bool{}
-		changed := false
-		for _, item := range batch.Items {
-			out[item.Name] = true
-			changed = c.takeOut(item.Name, true, item.Revision) || changed
-		}
-		for _, domain := range c.state.registry.TakenOut() {
-			if !out[domain] {
-				changed = c.takeOut(domain, false, batch.Revision) || changed
+// Join implements feed.Source.
+func (c *control) Join(ctx context.Context, join func([]wire.FeedTopic)) bool {
+	done := make(chan bool, 1)
+	c.post(ctx, func(now time.Time) bool {
+		all := make([]wire.FeedTopic, 0, len(c.topics))
+		for _, t := range c.topics {
+			out, err := t.snapshot(now)
+			if err != nil {
+				c.log.WithFields(logrus.Fields{"kind": t.title(), "error": err}).Error("subscriber not served")
+				done <- false
+				return false
 			}
+			all = append(all, out)
 		}
-		return changed
-	}
-	storewatch.Follow(ctx, store.TakenOut(), looseWatch, sink[string]{ctx: ctx, control: c, kind: "domains taken out", apply: apply, listed: listed})
-}
-
-// takeOut takes a failure domain out or back. Its replicas may have become
-// cold meanwhile, so each is probed before it is used again.
-func (c *control) takeOut(domain string, out bool, revision int64) bool {
-	if !c.state.registry.TakeOut(domain, out) {
+		join(all)
+		done <- true
+		return false
+	})
+	select {
+	case ok := <-done:
+		return ok
+	case <-ctx.Done():
 		return false
 	}
-	c.log.WithFields(logrus.Fields{"domain": domain, "out": out, "revision": revision}).Info("failure domain changed")
-	return true
 }
 
-func (c *control) followVMs(ctx context.Context, store Store) {
-	apply := func(_ time.Time, item storewatch.Item[discovery.VM]) bool {
-		if item.Err != nil {
-			return false
-		}
-		_, known := c.state.vms[item.Name]
-		if item.Deleted {
-			delete(c.state.vms, item.Name)
-		} else {
-			c.state.vms[item.Name] = item.Value
-		}
-		if known == item.Deleted {
-			c.log.WithFields(logrus.Fields{"vm": item.Name, "domain": item.Value.Domain, "vms": len(c.state.vms), "revision": item.Revision}).Info("VMs changed")
-			return true
+// takeFeed takes in what another VM passes on.
+func (c *control) takeFeed(now time.Time, topics []wire.FeedTopic) bool {
+	changed := false
+	for _, in := range topics {
+		for _, t := range c.topics {
+			if t.title() == in.Name {
+				changed = t.takeFeed(now, in) || changed
+			}
 		}
-		return false
 	}
-	storewatch.Follow(ctx, store.VMs(), vmWatch, sink[discovery.VM]{ctx: ctx, control: c, kind: "VMs", apply: apply, listed: each(apply)})
+	return changed
 }
 
 // becameCold limits the requests to a replica that says it is cold.
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -24,6 +24,8 @@
 	dialTimeout = 400 * time.Millisecond
 	// upstreamSilence ends connections to replicas that show no sign of life.
 	upstreamSilence = 2 * time.Second
+	// peerSilence ends connections to VMs that show no sign of life.
+	peerSilence = time.Second
 	// memoryShare of the VM's memory is the collector's limit; the rest is for
 	// socket buffers and stacks.
 	memoryShare = 0.6
@@ -117,7 +119,7 @@
 	f := forward.New(c.Headers, p, c.Log.WithField("part", "forward"), c.Metrics.Scope, metrics.LatencyBuckets)
 	dialer := netconn.Dialer(dialTimeout, upstreamSilence)
 	s := newState(c.Settings, c.Log.WithField("part", "control"), dialer.DialContext)
-	return &controlService{config: c, forwarder: f, prober: p, control: newControl(s, f, p, ready, c.Log.WithField("part", "control"))}
+	return &controlService{config: c, forwarder: f, prober: p, control: newControl(s, f, p, ready, c.Store, c.Log.WithField("part", "control"))}
 }
 
 // Start implements kernel.Starter.
@@ -126,21 +128,40 @@
 		s.control.post(scope.Context(), func(now time.Time) bool { return s.control.becameCold(now, u, left) })
 	})
 	scope.Go(s.control.run)
-	store := s.config.Store
-	for _, follow := range []func(context.Context, Store){
-		s.control.followConfigs, s.control.followReplicas, s.control.followTakenOut, s.control.followVMs,
-	} {
-		scope.Go(func(ctx context.Context) error { follow(ctx, store); return nil })
+	if err := s.startFeeds(scope); err != nil {
+		return err
 	}
 	scope.Go(func(ctx context.Context) error { s.register(ctx); return nil })
 	return nil
 }
 
+// startFeeds serves other VMs and keeps this one supplied.
+func (s *controlService) startFeeds(scope *kernel.Scope) error {
+	set := s.config.Settings
+	log := s.config.Log.WithField("part", "feed")
+	dialer := netconn.Dialer(dialTimeout, peerSilence)
+	p := &supply{self: s.self(), seeds: set.Seeds, control: s.control, dial: dialer.DialContext, log: log}
+	if set.Peers != "" {
+		l, err := listen(set.Peers)
+		if err != nil {
+			return err
+		}
+		scope.Go(func(ctx context.Context) error { return s.control.hub.Serve(ctx, l) })
+	}
+	scope.Go(func(ctx context.Context) error { p.run(ctx); return nil })
+	scope.Go(func(ctx context.Context) error { p.bootstrap(ctx); return nil })
+	return nil
+}
+
+func (s *controlService) self() discovery.VM {
+	set := s.config.Settings
+	return discovery.VM{Name: set.VM, PeerAddr: set.Peers, Domain: set.Domain}
+}
+
 // register stores the entry of this VM, by which the others divide what
 // replicas bear.
 func (s *controlService) register(ctx context.Context) {
-	set := s.config.Settings
-	vm := discovery.VM{Name: set.VM, PeerAddr: set.Peers, Domain: set.Domain}
+	vm := s.self()
 	log := s.config.Log.WithField("part", "control")
 	storewatch.Retry(ctx, func() error {
 		err := s.config.Store.RegisterVM(ctx, vm)
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -18,6 +18,8 @@
 	// balancer asks, Peers the one for other VMs.
 	Callers, Ready, Peers string
 	StoreAddr             string
+	// Seeds are the peer addresses of some VMs, which may be out of date.
+	Seeds []string
 
 	Cores       int
 	CPUShare    float64
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -54,6 +54,10 @@
 	delays    map[string]*hedge.Policy
 	// listed tells that the replicas were listed once.
 	listed bool
+	// tableRevision is the version of the configuration's object in the store.
+	tableRevision int64
+	// returned holds the failure domains that came back since the last view.
+	returned map[string]bool
 }
 
 func newState(s Settings, log logrus.FieldLogger, dial exchange.DialFunc) *state {
@@ -64,6 +68,7 @@
 		upstreams: map[key]*forward.Upstream{},
 		budgets:   map[string]*hedge.Policy{},
 		delays:    map[string]*hedge.Policy{},
+		returned:  map[string]bool{},
 	}
 }
 
--- /dev/null
+++ b/pkg/edge/supply.go
@@ -0,0 +1,135 @@
+package edge
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/discovery"
+	"github.com/nutmeghitch/nutmeghitch/pkg/feed"
+	"github.com/nutmeghitch/nutmeghitch/pkg/wait"
+	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
+)
+
+const (
+	// firstFollow is how long a VM that has just started follows the store
+	// before it looks for a VM to subscribe to.
+	firstFollow = 1500 * time.Millisecond
+	// followAgain is the time between attempts of a VM that follows the store
+	// in place of others to subscribe again.
+	followAgain = 3 * time.Second
+	// bootstrapAfter is how long a VM that knows nothing waits for the store
+	// before it asks other VMs; bootstrapEvery the pause between rounds.
+	bootstrapAfter = 700 * time.Millisecond
+	bootstrapEvery = 500 * time.Millisecond
+)
+
+// supply decides where this VM learns of changes: from the store, or from
+// another VM that follows the store.
+type supply struct {
+	self    discovery.VM
+	seeds   []string
+	control *control
+	dial    feed.DialFunc
+	log     logrus.FieldLogger
+}
+
+// run keeps the control goroutine supplied until ctx ends. Following the store
+// goes on until a subscription has begun, and begins again at once when it ends.
+func (s *supply) run(ctx context.Context) {
+	for pause := firstFollow; ctx.Err() == nil; pause = followAgain {
+		followCtx, stop := context.WithCancel(ctx)
+		var following sync.WaitGroup
+		s.setFollowing(ctx, true)
+		for _, t := range s.control.topics {
+			following.Go(func() { t.follow(followCtx) })
+		}
+		var fed *feed.Subscription
+		for fed == nil && wait.Sleep(ctx, pause) {
+			fed = s.subscribe(ctx)
+			pause = followAgain
+		}
+		stop()
+		following.Wait()
+		for fed != nil {
+			s.setFollowing(ctx, false)
+			s.consume(ctx, fed)
+			fed = s.subscribe(ctx)
+		}
+	}
+}
+
+func (s *supply) setFollowing(ctx context.Context, following bool) {
+	s.control.post(ctx, func(now time.Time) bool { s.control.setFollowing(now, following); return false })
+}
+
+// subscribe opens the feed of the best VM that offers one, nil if this VM is
+// to follow the store.
+func (s *supply) subscribe(ctx context.Context) *feed.Subscription {
+	for _, vm := range feed.Candidates(s.self, s.vms(ctx)) {
+		fed, all, err := feed.Subscribe(ctx, s.dial, vm.PeerAddr, wire.FeedSubscribe{VM: s.self.Name})
+		if err != nil {
+			s.log.WithFields(logrus.Fields{"vm": vm.Name, "error": err}).Info("no feed")
+			continue
+		}
+		s.log.WithField("vm", vm.Name).Info("fed")
+		s.control.post(ctx, func(now time.Time) bool { return s.control.takeFeed(now, all) })
+		return fed
+	}
+	return nil
+}
+
+// consume takes in changes until the feed ends.
+func (s *supply) consume(ctx context.Context, fed *feed.Subscription) {
+	defer fed.Close()
+	stop := context.AfterFunc(ctx, fed.Close)
+	defer stop()
+	for {
+		topics, err := fed.Next()
+		if err != nil {
+			s.log.WithField("error", err).Info("feed ended")
+			return
+		}
+		if len(topics) > 0 {
+			s.control.post(ctx, func(now time.Time) bool { return s.control.takeFeed(now, topics) })
+		}
+	}
+}
+
+// vms returns the VMs that are known.
+func (s *supply) vms(ctx context.Context) map[string]discovery.VM {
+	known := make(chan map[string]discovery.VM, 1)
+	s.control.post(ctx, func(time.Time) bool { known <- maps.Clone(s.control.state.vms); return false })
+	select {
+	case vms := <-known:
+		return vms
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// bootstrap asks the seeds for what they know while this VM knows nothing: the
+// store may be away just when it starts.
+func (s *supply) bootstrap(ctx context.Context) {
+	for pause := bootstrapAfter; wait.Sleep(ctx, pause); pause = bootstrapEvery {
+		select {
+		case <-s.control.readiness.first:
+			return
+		default:
+		}
+		for _, addr := range s.seeds {
+			fed, all, err := feed.Subscribe(ctx, s.dial, addr, wire.FeedSubscribe{VM: s.self.Name, Any: true})
+			if err != nil {
+				s.log.WithFields(logrus.Fields{"addr": addr, "error": err}).Info("seed has nothing")
+				continue
+			}
+			fed.Close()
+			s.log.WithField("addr", addr).Info("started from what a seed knows")
+			s.control.post(ctx, func(now time.Time) bool { return s.control.takeFeed(now, all) })
+			break
+		}
+	}
+}
--- /dev/null
+++ b/pkg/edge/topic.go
@@ -0,0 +1,174 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/storewatch"
+	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
+)
+
+// topic is one kind of objects in the store with what this VM does about them.
+// Its fields belong to the control goroutine.
+type topic[T any] struct {
+	name    string
+	control *control
+	source  storewatch.Source[T]
+	// longest bounds the wait of one watch call.
+	longest time.Duration
+	// urgent topics have changes that must be in force within 3 s.
+	urgent bool
+	// revision is that of the store up to which all changes are known; 0 means
+	// that the objects were never listed.
+	revision int64
+	// verifiedAt is when the store or a feed last confirmed the revision.
+	verifiedAt time.Time
+	// apply takes in one object; absent the names of a complete list, so that
+	// others can be removed.
+	apply  func(now time.Time, item storewatch.Item[T]) bool
+	absent func(now time.Time, listed map[string]bool) bool
+	// current returns all objects that are known.
+	current func(now time.Time) []storewatch.Item[T]
+}
+
+// anyTopic is a topic whatever the type of its objects.
+type anyTopic interface {
+	title() string
+	follow(ctx context.Context)
+	takeFeed(now time.Time, in wire.FeedTopic) bool
+	snapshot(now time.Time) (wire.FeedTopic, error)
+	// verified returns when the topic was last confirmed and whether its
+	// changes are urgent.
+	verified() (time.Time, bool)
+}
+
+func (t *topic[T]) title() string { return t.name }
+
+func (t *topic[T]) verified() (time.Time, bool) { return t.verifiedAt, t.urgent }
+
+// follow keeps the topic in step with the store until ctx ends. It begins
+// where the topic is.
+func (t *topic[T]) follow(ctx context.Context) {
+	from := make(chan int64, 1)
+	t.control.post(ctx, func(time.Time) bool { from <- t.revision; return false })
+	select {
+	case after := <-from:
+		storewatch.Follow(ctx, t.source, after, t.longest, sink[T]{ctx: ctx, topic: t})
+	case <-ctx.Done():
+	}
+}
+
+// take takes in objects; full tells that others do not exist. What is already
+// known is left out, so that a source that lags behind changes nothing.
+func (t *topic[T]) take(now time.Time, batch storewatch.Batch[T], full bool) bool {
+	if batch.Revision < t.revision && full {
+		return false
+	}
+	changed := false
+	listed := map[string]bool{}
+	for _, item := range batch.Items {
+		listed[item.Name] = true
+		if !full && item.Revision > 0 && item.Revision <= t.revision {
+			continue
+		}
+		if item.Err != nil {
+			t.control.log.WithFields(logrus.Fields{"kind": t.name, "name": item.Name, "revision": item.Revision, "error": item.Err}).Warn("unreadable object")
+		}
+		changed = t.apply(now, item) || changed
+	}
+	if full {
+		changed = t.absent(now, listed) || changed
+		t.control.log.WithFields(logrus.Fields{"kind": t.name, "objects": len(batch.Items), "revision": batch.Revision, "before": t.revision}).Info("listed")
+	}
+	t.revision = max(t.revision, batch.Revision)
+	t.verifiedAt = now
+	t.publish(batch, full)
+	return changed
+}
+
+// publish passes a change on to the subscribers.
+func (t *topic[T]) publish(batch storewatch.Batch[T], full bool) {
+	if t.control.hub.Subscribers() == 0 {
+		return
+	}
+	out, err := encodeTopic(t.name, batch, full)
+	if err != nil {
+		t.control.log.WithFields(logrus.Fields{"kind": t.name, "error": err}).Error("change not passed on")
+		return
+	}
+	t.control.hub.Publish(out)
+}
+
+// snapshot returns all objects for a new subscriber.
+func (t *topic[T]) snapshot(now time.Time) (wire.FeedTopic, error) {
+	return encodeTopic(t.name, storewatch.Batch[T]{Items: t.current(now), Revision: t.revision}, true)
+}
+
+// takeFeed takes in what another VM passes on.
+func (t *topic[T]) takeFeed(now time.Time, in wire.FeedTopic) bool {
+	if in.Full && in.Revision == 0 {
+		return false // the other VM has not listed the objects itself
+	}
+	batch := storewatch.Batch[T]{Revision: in.Revision}
+	for _, i := range in.Items {
+		item := storewatch.Item[T]{Name: i.Name, Revision: i.Revision, Deleted: i.Gone}
+		if !i.Gone {
+			if err := msgpack.Unmarshal(i.Value, &item.Value); err != nil {
+				item.Err = errs.Refuse(errs.FrameMalformed, "%v", err)
+			}
+		}
+		batch.Items = append(batch.Items, item)
+	}
+	return t.take(now, batch, in.Full)
+}
+
+func encodeTopic[T any](name string, batch storewatch.Batch[T], full bool) (wire.FeedTopic, error) {
+	out := wire.FeedTopic{Name: name, Full: full, Revision: batch.Revision}
+	for _, item := range batch.Items {
+		i := wire.FeedItem{Name: item.Name, Revision: item.Revision, Gone: item.Deleted || item.Err != nil}
+		if !i.Gone {
+			value, err := msgpack.Marshal(item.Value)
+			if err != nil {
+				return wire.FeedTopic{}, errs.Refuse(errs.FrameMalformed, "%s/%s: %v", name, item.Name, err)
+			}
+			i.Value = value
+		}
+		out.Items = append(out.Items, i)
+	}
+	return out, nil
+}
+
+// sink passes what a follower learns to the control goroutine.
+type sink[T any] struct {
+	ctx   context.Context
+	topic *topic[T]
+}
+
+// Listed implements storewatch.Sink.
+func (s sink[T]) Listed(batch storewatch.Batch[T]) {
+	s.topic.control.post(s.ctx, func(now time.Time) bool { return s.topic.take(now, batch, true) })
+}
+
+// Changed implements storewatch.Sink.
+func (s sink[T]) Changed(batch storewatch.Batch[T]) {
+	s.topic.control.post(s.ctx, func(now time.Time) bool { return s.topic.take(now, batch, false) })
+}
+
+// Failed implements storewatch.Sink.
+func (s sink[T]) Failed(err error) {
+	s.topic.control.post(s.ctx, func(time.Time) bool { s.topic.control.storeFailed(s.topic.name, err); return false })
+}
+
+// Answered implements storewatch.Sink.
+func (s sink[T]) Answered(revision int64) {
+	s.topic.control.post(s.ctx, func(now time.Time) bool {
+		s.topic.revision = max(s.topic.revision, revision)
+		s.topic.verifiedAt = now
+		s.topic.control.storeAnswered(now, s.topic.name)
+		return false
+	})
+}
--- /dev/null
+++ b/pkg/feed/hub.go
@@ -0,0 +1,164 @@
+package feed
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
+)
+
+const (
+	// beatEvery is the interval of updates to a subscriber while nothing
+	// changes.
+	beatEvery = 300 * time.Millisecond
+	// queueLength is the number of updates that wait for a slow subscriber. One
+	// that is slower is cut off and begins again.
+	queueLength = 64
+	// writeTimeout bounds the writing of one update.
+	writeTimeout = time.Second
+	// helloTimeout bounds the wait for a subscriber's first message.
+	helloTimeout = time.Second
+	// frameLimit bounds an update: a configuration of up to 1 MB and the
+	// entries of all replicas.
+	frameLimit = wire.MaxTrafficFrame
+)
+
+// Status is what a hub tells of the freshness of its VM's knowledge.
+type Status struct {
+	// Following tells that the VM follows the store itself, Away that the
+	// store does not answer it.
+	Following, Away bool
+	// VerifiedAt is when the store last confirmed the urgent topics.
+	VerifiedAt time.Time
+}
+
+// Source is the VM behind a hub.
+type Source interface {
+	Status() Status
+	// Join calls join with all that is known, between two changes: every
+	// later change reaches the hub's Publish after it. It reports false when
+	// ctx has ended.
+	Join(ctx context.Context, join func(all []wire.FeedTopic)) bool
+}
+
+// Hub serves subscribers.
+type Hub struct {
+	source Source
+	log    logrus.FieldLogger
+
+	mu   sync.Mutex
+	subs map[*subscriber]bool
+}
+
+type subscriber struct {
+	updates chan []wire.FeedTopic
+	// slow is closed when the subscriber has lost an update.
+	slow chan struct{}
+	once sync.Once
+}
+
+// NewHub returns a hub without subscribers.
+func NewHub(source Source, log logrus.FieldLogger) *Hub {
+	return &Hub{source: source, log: log, subs: map[*subscriber]bool{}}
+}
+
+// Publish passes a change on. It never blocks.
+func (h *Hub) Publish(topic wire.FeedTopic) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for s := range h.subs {
+		select {
+		case s.updates <- []wire.FeedTopic{topic}:
+		default:
+			s.once.Do(func() { close(s.slow) })
+		}
+	}
+}
+
+// Subscribers returns the number of subscribers.
+func (h *Hub) Subscribers() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.subs)
+}
+
+// Serve accepts subscribers until ctx ends.
+func (h *Hub) Serve(ctx context.Context, l net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() }) // ends Accept
+	defer stop()
+	var running sync.WaitGroup
+	defer running.Wait()
+	for {
+		c, err := l.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return errs.Refuse(errs.PeerUnreachable, "accepting subscribers: %v", err)
+		}
+		running.Go(func() { h.serve(ctx, c) })
+	}
+}
+
+// serve feeds one subscriber until either side ends.
+func (h *Hub) serve(ctx context.Context, c net.Conn) {
+	defer c.Close()
+	_ = c.SetReadDeadline(time.Now().Add(helloTimeout)) // a closed socket fails in the read
+	_, m, err := wire.NewReader(c, frameLimit).Next()
+	hello, ok := m.(*wire.FeedSubscribe)
+	if err != nil || !ok {
+		h.log.WithField("error", err).Warn("subscriber refused")
+		return
+	}
+	status := h.source.Status()
+	if !status.Following || (status.Away && !hello.Any) {
+		return
+	}
+	s := &subscriber{updates: make(chan []wire.FeedTopic, queueLength), slow: make(chan struct{})}
+	joined := h.source.Join(ctx, func(all []wire.FeedTopic) {
+		s.updates <- all
+		h.mu.Lock()
+		h.subs[s] = true
+		h.mu.Unlock()
+	})
+	if !joined {
+		return
+	}
+	h.log.WithField("vm", hello.VM).Info("subscriber joined")
+	err = h.send(ctx, c, s)
+	h.mu.Lock()
+	delete(h.subs, s)
+	h.mu.Unlock()
+	h.log.WithFields(logrus.Fields{"vm": hello.VM, "error": err}).Info("subscriber left")
+}
+
+// send writes updates, and beats while there are none.
+func (h *Hub) send(ctx context.Context, c net.Conn, s *subscriber) error {
+	beat := time.NewTicker(beatEvery)
+	defer beat.Stop()
+	for {
+		var topics []wire.FeedTopic
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.slow:
+			return errs.Refuse(errs.QueueFull, "the subscriber is too slow")
+		case topics = <-s.updates:
+		case <-beat.C:
+		}
+		status := h.source.Status()
+		if !status.Following {
+			return nil
+		}
+		update := &wire.FeedUpdate{Away: status.Away, Verified: time.Since(status.VerifiedAt), Topics: topics}
+		_ = c.SetWriteDeadline(time.Now().Add(writeTimeout)) // a closed socket fails in the write
+		if err := wire.Write(c, 0, update, frameLimit); err != nil {
+			return err
+		}
+	}
+}
--- a/pkg/routes/routes.go
+++ b/pkg/routes/routes.go
@@ -4,10 +4,13 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 )
 
@@ -140,3 +143,30 @@
 	}
 	return r.Services[len(r.Services)-1].Service
 }
+
+// encodedTable is the form of a Table between VMs.
+type encodedTable struct {
+	Version  uint64
+	Limits   Limits
+	Routes   []*Route
+	Services map[string]*Service
+}
+
+// EncodeMsgpack implements msgpack.CustomEncoder.
+func (t *Table) EncodeMsgpack(e *msgpack.Encoder) error {
+	return e.Encode(&encodedTable{Version: t.Version, Limits: t.Limits, Routes: t.Routes, Services: t.Services})
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (t *Table) DecodeMsgpack(d *msgpack.Decoder) error {
+	var in encodedTable
+	if err := d.Decode(&in); err != nil {
+		return err
+	}
+	made, err := NewTable(in.Version, in.Limits, in.Routes, slices.Collect(maps.Values(in.Services)))
+	if err != nil {
+		return err
+	}
+	*t = *made
+	return nil
+}
--- a/pkg/storewatch/storewatch.go
+++ b/pkg/storewatch/storewatch.go
@@ -51,17 +51,22 @@
 	Listed(Batch[T])
 	// Changed gets the objects that changed.
 	Changed(Batch[T])
-	// Failed gets the error of a call, Answered that a call succeeded.
+	// Failed gets the error of a call.
+	// Answered gets the revision up to which all changes were passed on.
 	Failed(error)
-	Answered()
+	Answered(revision int64)
 }
 
 // Follow passes all objects and then every change to the sink until ctx ends.
-// No watch call waits longer than longest: a store that loses its history may
+// Where all changes up to a revision are known, it begins with the changes
+// after it; 0 stands for no knowledge. No watch call waits longer than longest: a store that loses its history may
 // leave a waiting call without the changes before, and only the next call
 // tells.
-func Follow[T any](ctx context.Context, source Source[T], longest time.Duration, sink Sink[T]) {
+func Follow[T any](ctx context.Context, source Source[T], after int64, longest time.Duration, sink Sink[T]) {
 	f := follower[T]{source: source, sink: sink, longest: longest, pause: minPause}
+	if after > 0 {
+		f.watch(ctx, after)
+	}
 	for ctx.Err() == nil {
 		after, ok := f.list(ctx)
 		if ok {
@@ -84,8 +89,8 @@
 		f.failed(ctx, err)
 		return 0, false
 	}
-	f.answered()
 	f.sink.Listed(batch)
+	f.answered(batch.Revision)
 	return batch.Revision, true
 }
 
@@ -100,19 +105,21 @@
 		case err != nil:
 			f.failed(ctx, err)
 		default:
-			f.answered()
 			after = max(after, batch.Revision)
 			if len(batch.Items) > 0 {
 				f.sink.Changed(batch)
+			}
+			f.answered(after)
+			if len(batch.Items) > 0 {
 				wait.Sleep(ctx, batchPause)
 			}
 		}
 	}
 }
 
-func (f *follower[T]) answered() {
+func (f *follower[T]) answered(revision int64) {
 	f.pause = minPause
-	f.sink.Answered()
+	f.sink.Answered(revision)
 }
 
 // failed reports err and waits. Pauses are drawn at random, so that VMs do not
--- a/pkg/storewatch/storewatch_test.go
+++ b/pkg/storewatch/storewatch_test.go
@@ -47,7 +47,7 @@
 	r.lines = append(r.lines, fmt.Sprint("changed ", b.Revision))
 }
 func (r *recorder) Failed(err error) { r.lines = append(r.lines, string(errs.As(err).Code)) }
-func (r *recorder) Answered()        {}
+func (r *recorder) Answered(int64)   {}
 
 func batch(revision int64, names ...string) func() (Batch[string], error) {
 	b := Batch[string]{Revision: revision}
@@ -71,7 +71,7 @@
 			batch(12, "c"), fails(errs.PlatformWatchGap), batch(20), batch(21, "d"),
 		}}
 		seen := &recorder{}
-		Follow(ctx, source, 2*time.Second, seen)
+		Follow(ctx, source, 0, 2*time.Second, seen)
 		assert.DeepEqual(t, source.calls, []string{
 			"list", "list", "watch 5", "watch 7", "watch 9", "watch 9", "watch 12", "list", "watch 20", "watch 21",
 		})
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -55,6 +55,8 @@
 	KindStreamEnd:      func() Message { return new(StreamEnd) },
 	KindProbe:          func() Message { return new(Probe) },
 	KindProbeReply:     func() Message { return new(ProbeReply) },
+	KindFeedSubscribe:  func() Message { return new(FeedSubscribe) },
+	KindFeedUpdate:     func() Message { return new(FeedUpdate) },
 }
 
 // appender is an io.Writer that appends to a slice.
--- a/pkg/wire/messages.go
+++ b/pkg/wire/messages.go
@@ -37,9 +37,11 @@
 	KindStreamEnd
 	KindProbe
 	KindProbeReply
+	KindFeedSubscribe
+	KindFeedUpdate
 
 	// lastKind is the highest kind in use.
-	lastKind = KindProbeReply
+	lastKind = KindFeedUpdate
 )
 
 // Message is implemented by every message of the protocol.
