Keep connections past the deadline of a request, let one follower try a lost store

Cause 2: a connection was closed when its request ended just as another waited for it (found by the test of the limit, which then waited for ever). Cause 3: while the store is away each VM tried with four followers at once. Change: the deadline is cleared (test fails before); a connection counts as used until it is kept (test with a waiter); a gate lets one follower try with a short call.

--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -10,6 +10,7 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/feed"
 	"github.com/nutmeghitch/nutmeghitch/pkg/forward"
+	"github.com/nutmeghitch/nutmeghitch/pkg/storewatch"
 	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
 )
 
@@ -29,6 +30,7 @@
 	log       logrus.FieldLogger
 	events    chan func(now time.Time) (changed bool)
 	hub       *feed.Hub
+	gate      *storewatch.Gate
 	topics    []anyTopic
 	// away holds the topics whose last call failed.
 	away map[string]bool
@@ -43,6 +45,7 @@
 		state: s, forwarder: f, prober: p, readiness: r, log: log,
 		events: make(chan func(time.Time) bool, queueLength),
 		away:   map[string]bool{},
+		gate:   storewatch.NewGate(),
 	}
 	c.hub = feed.NewHub(c, log.WithField("part", "feed"))
 	c.topics = c.newTopics(store)
--- a/pkg/exchange/pool.go
+++ b/pkg/exchange/pool.go
@@ -191,11 +191,16 @@
 func (p *Pool) put(c *conn, reuse bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	// The connection still counts as used here, so a waiter that gets the turn
+	// finds it among the idle ones.
+	keep := reuse && !p.closed && p.used+len(p.idle) <= p.limit
 	p.release()
-	if !reuse || p.closed || p.used+len(p.idle) >= p.limit {
+	if !keep {
 		c.discard()
 		return
 	}
+	// The deadline of this exchange must not fail the check before the next.
+	_ = c.SetDeadline(time.Time{}) // a closed socket fails in that check
 	c.lastUse = time.Now()
 	p.idle = append(p.idle, c)
 }
--- a/pkg/storewatch/storewatch.go
+++ b/pkg/storewatch/storewatch.go
@@ -15,6 +15,9 @@
 	// batchPause is the pause between watch calls, so that changes that come
 	// together cost one call.
 	batchPause = 150 * time.Millisecond
+	// probeWait bounds the wait of a watch call that tries whether the store is
+	// back: the other followers wait for it.
+	probeWait = 50 * time.Millisecond
 	// minPause and maxPause bound the pause after a failed call. The longest
 	// keeps a VM within a second of the store's return.
 	minPause = 100 * time.Millisecond
@@ -62,8 +65,8 @@
 // after it; 0 stands for no knowledge. No watch call waits longer than longest: a store that loses its history may
 // leave a waiting call without the changes before, and only the next call
 // tells.
-func Follow[T any](ctx context.Context, source Source[T], after int64, longest time.Duration, sink Sink[T]) {
-	f := follower[T]{source: source, sink: sink, longest: longest, pause: minPause}
+func Follow[T any](ctx context.Context, source Source[T], gate *Gate, after int64, longest time.Duration, sink Sink[T]) {
+	f := follower[T]{source: source, gate: gate, sink: sink, longest: longest, pause: minPause}
 	if after > 0 {
 		f.watch(ctx, after)
 	}
@@ -77,6 +80,7 @@
 
 type follower[T any] struct {
 	source  Source[T]
+	gate    *Gate
 	sink    Sink[T]
 	longest time.Duration
 	pause   time.Duration
@@ -84,7 +88,11 @@
 
 // list reports whether it could list the objects.
 func (f *follower[T]) list(ctx context.Context) (int64, bool) {
-	batch, err := f.source.List(ctx)
+	var batch Batch[T]
+	err := f.call(ctx, func(bool) (err error) {
+		batch, err = f.source.List(ctx)
+		return err
+	})
 	if err != nil {
 		f.failed(ctx, err)
 		return 0, false
@@ -97,7 +105,15 @@
 // watch returns when the history is gone or ctx ends.
 func (f *follower[T]) watch(ctx context.Context, after int64) {
 	for ctx.Err() == nil {
-		batch, err := f.source.Watch(ctx, after, f.longest)
+		var batch Batch[T]
+		err := f.call(ctx, func(probe bool) (err error) {
+			longest := f.longest
+			if probe {
+				longest = min(longest, probeWait)
+			}
+			batch, err = f.source.Watch(ctx, after, longest)
+			return err
+		})
 		switch {
 		case errs.Is(err, errs.PlatformWatchGap):
 			f.sink.Failed(err)
@@ -117,6 +133,19 @@
 	}
 }
 
+// call makes one call when the gate lets it.
+func (f *follower[T]) call(ctx context.Context, do func(probe bool) error) error {
+	probe, ok := f.gate.enter(ctx)
+	if !ok {
+		f.gate.leave(probe, probe, true)
+		return errs.Refuse(errs.Canceled, "stopped")
+	}
+	err := do(probe)
+	failed := err != nil && !errs.Is(err, errs.PlatformWatchGap)
+	f.gate.leave(probe, failed && ctx.Err() == nil, ctx.Err() != nil)
+	return err
+}
+
 func (f *follower[T]) answered(revision int64) {
 	f.pause = minPause
 	f.sink.Answered(revision)
