Start from the seeds and register only when the store lacks the entry

Cause: every VM that starts listed all objects and wrote its entry twice. Change: a starting VM asks its seeds once, subscribes if it can, and writes its entry only if no other VM shows it.

--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -7,16 +7,21 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/nutmeghitch/nutmeghitch/pkg/discovery"
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/feed"
 	"github.com/nutmeghitch/nutmeghitch/pkg/forward"
 	"github.com/nutmeghitch/nutmeghitch/pkg/storewatch"
+	"github.com/nutmeghitch/nutmeghitch/pkg/wait"
 	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
 )
 
 const (
 	// queueLength is the number of events that wait for the control goroutine.
 	queueLength = 1024
+	// registerAfter is how long a VM that starts waits for the entries of all
+	// VMs before it writes its own; most find it there and save the call.
+	registerAfter = 400 * time.Millisecond
 	// tickEvery is the interval of checks that depend on time alone.
 	tickEvery = 100 * time.Millisecond
 )
@@ -193,6 +198,27 @@
 	}
 }
 
+// registered reports whether the store has the entry of a VM, once the VMs
+// are known or the wait for them was long enough.
+func (c *control) registered(ctx context.Context, vm discovery.VM) bool {
+	for deadline := time.Now().Add(registerAfter); time.Now().Before(deadline); {
+		entry := make(chan bool, 1)
+		c.post(ctx, func(time.Time) bool {
+			entry <- c.state.vms[vm.Name] == vm
+			return false
+		})
+		select {
+		case same := <-entry:
+			if same || !wait.Sleep(ctx, tickEvery) {
+				return same
+			}
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return false
+}
+
 // takeFeed takes in what another VM passes on.
 func (c *control) takeFeed(now time.Time, topics []wire.FeedTopic) bool {
 	changed := false
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -159,11 +159,14 @@
 }
 
 // register stores the entry of this VM, by which the others divide what
-// replicas bear.
+// replicas bear, unless the store has it already.
 func (s *controlService) register(ctx context.Context) {
 	vm := s.self()
 	log := s.config.Log.WithField("part", "control")
 	storewatch.Retry(ctx, func() error {
+		if s.control.registered(ctx, vm) {
+			return nil
+		}
 		err := s.config.Store.RegisterVM(ctx, vm)
 		if err != nil {
 			log.WithField("error", err).Warn("registration failed")
--- a/pkg/edge/supply.go
+++ b/pkg/edge/supply.go
@@ -20,10 +20,9 @@
 	firstFollow = 1500 * time.Millisecond
 	// followAgain is the time between attempts of a VM that follows the store
 	// in place of others to subscribe again.
-	followAgain = 3 * time.Second
-	// bootstrapAfter is how long a VM that knows nothing waits for the store
-	// before it asks other VMs; bootstrapEvery the pause between rounds.
-	bootstrapAfter = 700 * time.Millisecond
+	followAgain = 1500 * time.Millisecond
+	// bootstrapEvery is the pause between rounds of a VM that knows nothing and
+	// asks other VMs, because the store may be away just when it starts.
 	bootstrapEvery = 500 * time.Millisecond
 )
 
@@ -37,29 +36,38 @@
 	log     logrus.FieldLogger
 }
 
-// run keeps the control goroutine supplied until ctx ends. Following the store
-// goes on until a subscription has begun, and begins again at once when it ends.
+// run keeps the control goroutine supplied until ctx ends. A VM that starts
+// first asks its seeds, which saves it the lists of all objects.
 func (s *supply) run(ctx context.Context) {
+	s.askSeeds(ctx)
+	fed := s.subscribe(ctx)
 	for pause := firstFollow; ctx.Err() == nil; pause = followAgain {
-		followCtx, stop := context.WithCancel(ctx)
-		var following sync.WaitGroup
-		s.setFollowing(ctx, true)
-		for _, t := range s.control.topics {
-			following.Go(func() { t.follow(followCtx) })
-		}
-		var fed *feed.Subscription
-		for fed == nil && wait.Sleep(ctx, pause) {
-			fed = s.subscribe(ctx)
-			pause = followAgain
-		}
-		stop()
-		following.Wait()
 		for fed != nil {
 			s.setFollowing(ctx, false)
 			s.consume(ctx, fed)
 			fed = s.subscribe(ctx)
 		}
+		fed = s.follow(ctx, pause)
+	}
+}
+
+// follow follows the store until a subscription has begun. While there is none
+// it looks for one after each pause.
+func (s *supply) follow(ctx context.Context, pause time.Duration) *feed.Subscription {
+	followCtx, stop := context.WithCancel(ctx)
+	var following sync.WaitGroup
+	defer following.Wait()
+	defer stop()
+	s.setFollowing(ctx, true)
+	for _, t := range s.control.topics {
+		following.Go(func() { t.follow(followCtx) })
+	}
+	for wait.Sleep(ctx, pause) {
+		if fed := s.subscribe(ctx); fed != nil {
+			return fed
+		}
 	}
+	return nil
 }
 
 func (s *supply) setFollowing(ctx context.Context, following bool) {
@@ -111,25 +119,32 @@
 	}
 }
 
-// bootstrap asks the seeds for what they know while this VM knows nothing: the
-// store may be away just when it starts.
+// bootstrap asks the seeds again and again while this VM knows nothing.
 func (s *supply) bootstrap(ctx context.Context) {
-	for pause := bootstrapAfter; wait.Sleep(ctx, pause); pause = bootstrapEvery {
+	for wait.Sleep(ctx, bootstrapEvery) {
 		select {
 		case <-s.control.readiness.first:
 			return
 		default:
+			s.askSeeds(ctx)
 		}
-		for _, addr := range s.seeds {
-			fed, all, err := feed.Subscribe(ctx, s.dial, addr, wire.FeedSubscribe{VM: s.self.Name, Any: true})
-			if err != nil {
-				s.log.WithFields(logrus.Fields{"addr": addr, "error": err}).Info("seed has nothing")
-				continue
-			}
-			fed.Close()
-			s.log.WithField("addr", addr).Info("started from what a seed knows")
-			s.control.post(ctx, func(now time.Time) bool { return s.control.takeFeed(now, all) })
-			break
+	}
+}
+
+// askSeeds takes in what the first seed that answers knows.
+func (s *supply) askSeeds(ctx context.Context) {
+	for _, addr := range s.seeds {
+		if addr == s.self.PeerAddr {
+			continue
 		}
+		fed, all, err := feed.Subscribe(ctx, s.dial, addr, wire.FeedSubscribe{VM: s.self.Name, Any: true})
+		if err != nil {
+			s.log.WithFields(logrus.Fields{"addr": addr, "error": err}).Info("seed has nothing")
+			continue
+		}
+		fed.Close()
+		s.log.WithField("addr", addr).Info("asked a seed")
+		s.control.post(ctx, func(now time.Time) bool { return s.control.takeFeed(now, all) })
+		return
 	}
 }
--- a/pkg/feed/hub.go
+++ b/pkg/feed/hub.go
@@ -116,7 +116,7 @@
 		return
 	}
 	status := h.source.Status()
-	if !status.Following || (status.Away && !hello.Any) {
+	if !hello.Any && (!status.Following || status.Away) {
 		return
 	}
 	s := &subscriber{updates: make(chan []wire.FeedTopic, queueLength), slow: make(chan struct{})}
@@ -152,8 +152,8 @@
 		case <-beat.C:
 		}
 		status := h.source.Status()
-		if !status.Following {
-			return nil
+		if !status.Following && topics == nil {
+			return nil // the first update is for a VM that asks once
 		}
 		update := &wire.FeedUpdate{Away: status.Away, Verified: time.Since(status.VerifiedAt), Topics: topics}
 		_ = c.SetWriteDeadline(time.Now().Add(writeTimeout)) // a closed socket fails in the write
--- a/pkg/wire/feed.go
+++ b/pkg/wire/feed.go
@@ -6,8 +6,8 @@
 type FeedSubscribe struct {
 	// VM is the name of the subscriber.
 	VM string `msgpack:"vm"`
-	// Any accepts a VM that has lost the store itself. It is for a VM that
-	// knows nothing yet.
+	// Any accepts a VM that does not follow the store, or has lost it. It is for
+	// a VM that knows nothing yet and asks once.
 	Any bool `msgpack:"any"`
 }
 
