--- /dev/null
+++ b/pkg/edge/edge_test.go
@@ -0,0 +1,201 @@
+package edge
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/discovery"
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/forward"
+	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
+	"github.com/nutmeghitch/nutmeghitch/pkg/storewatch"
+)
+
+var start = time.Unix(1000, 0)
+
+// testStore has no objects; its topics are driven by the tests.
+type testStore struct{ Store }
+
+func (testStore) Configs() storewatch.Source[*routes.Table]      { return nil }
+func (testStore) Replicas() storewatch.Source[discovery.Replica] { return nil }
+func (testStore) TakenOut() storewatch.Source[string]            { return nil }
+func (testStore) VMs() storewatch.Source[discovery.VM]           { return nil }
+
+func newTestControl(t *testing.T) *control {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := newState(Settings{
+		VM: "vm1", Domain: "d1",
+		Bounds: Bounds{RetryRatio: 0.2, RetrySlack: 50, ColdOverage: 1.5, ColdSlack: 5},
+	}, log, (&net.Dialer{}).DialContext)
+	p := newProber(forward.Headers{}, log)
+	p.start(t.Context(), func(*forward.Upstream, time.Duration) {})
+	f := forward.New(forward.Headers{}, p, log, tally.NoopScope, tally.DefaultBuckets)
+	return newControl(s, f, p, newReadiness(), testStore{}, log)
+}
+
+func configTopic(c *control) *topic[*routes.Table] { return c.topics[0].(*topic[*routes.Table]) }
+func replicaTopic(c *control) *topic[discovery.Replica] {
+	return c.topics[1].(*topic[discovery.Replica])
+}
+func takenOutTopic(c *control) *topic[string] { return c.topics[2].(*topic[string]) }
+func vmTopic(c *control) *topic[discovery.VM] { return c.topics[3].(*topic[discovery.VM]) }
+
+func testTable(t *testing.T, version uint64) *routes.Table {
+	t.Helper()
+	table, err := routes.NewTable(version, routes.Limits{BodyBytes: 10},
+		[]*routes.Route{{Name: "r", Host: "h", Prefix: "/", Services: []routes.Weighted{{Service: "s", Weight: 1}}}},
+		[]*routes.Service{{Name: "s", MaxConns: 30, WarmupPerSecond: 10}})
+	assert.NilError(t, err)
+	return table
+}
+
+func config(table *routes.Table, revision int64) storewatch.Batch[*routes.Table] {
+	return storewatch.Batch[*routes.Table]{Revision: revision, Items: []storewatch.Item[*routes.Table]{{Name: "main", Revision: revision, Value: table}}}
+}
+
+func entry(id string, revision int64) storewatch.Item[discovery.Replica] {
+	return storewatch.Item[discovery.Replica]{Name: id, Revision: revision, Value: discovery.Replica{
+		ID: id, Service: "s", Addr: id + ":1", Domain: "d1", Slots: 2, Born: 1,
+	}}
+}
+
+func replicas(revision int64, items ...storewatch.Item[discovery.Replica]) storewatch.Batch[discovery.Replica] {
+	return storewatch.Batch[discovery.Replica]{Revision: revision, Items: items}
+}
+
+func usable(c *control) int {
+	return len(c.state.view(start).Groups["s"].Upstreams)
+}
+
+// Guards against a configuration that goes back: from a stale list, an older
+// feed, or an event that comes twice.
+func TestConfigurationOnlyMovesForward(t *testing.T) {
+	c := newTestControl(t)
+	configs := configTopic(c)
+	assert.Assert(t, configs.take(start, config(testTable(t, 5), 50), true))
+	assert.Assert(t, !configs.take(start, config(testTable(t, 4), 60), false))
+	assert.Assert(t, !configs.take(start, config(testTable(t, 9), 40), true))
+	assert.Equal(t, c.state.table.Version, uint64(5))
+	assert.Assert(t, configs.take(start, config(testTable(t, 6), 61), false))
+	assert.Equal(t, c.state.table.Version, uint64(6))
+}
+
+// Guards against a feed that lags behind and takes back what this VM knows
+// from the store.
+func TestOlderFeedChangesNothing(t *testing.T) {
+	c := newTestControl(t)
+	configTopic(c).take(start, config(testTable(t, 1), 1), true)
+	known := replicaTopic(c)
+	known.take(start, replicas(10, entry("a", 3), entry("b", 9)), true)
+	known.take(start, replicas(20, storewatch.Item[discovery.Replica]{Name: "a", Revision: 20, Deleted: true}), false)
+	assert.Equal(t, usable(c), 1)
+
+	other := newTestControl(t)
+	replicaTopic(other).take(start, replicas(5, entry("a", 3)), true)
+	lagging, err := replicaTopic(other).snapshot(start)
+	assert.NilError(t, err)
+	assert.Assert(t, !known.takeFeed(start, lagging))
+	assert.Equal(t, usable(c), 1)
+	newer := replicas(21, entry("c", 21))
+	assert.Assert(t, known.take(start, newer, false))
+	assert.Equal(t, usable(c), 2)
+}
+
+// Guards against a subscriber that ends up with other knowledge than its
+// sender, whatever the kind of the objects.
+func TestSnapshotCarriesAllTopics(t *testing.T) {
+	from, to := newTestControl(t), newTestControl(t)
+	configTopic(from).take(start, config(testTable(t, 7), 7), true)
+	replicaTopic(from).take(start, replicas(8, entry("a", 3), entry("b", 8)), true)
+	takenOutTopic(from).take(start, storewatch.Batch[string]{Revision: 9, Items: []storewatch.Item[string]{{Name: "d9", Revision: 9, Value: "d9"}}}, true)
+	vm := discovery.VM{Name: "vm2", PeerAddr: "x", Domain: "d2"}
+	vmTopic(from).take(start, storewatch.Batch[discovery.VM]{Revision: 10, Items: []storewatch.Item[discovery.VM]{{Name: "vm2", Revision: 10, Value: vm}}}, true)
+	for i, sender := range from.topics {
+		snapshot, err := sender.snapshot(start)
+		assert.NilError(t, err)
+		assert.Assert(t, to.topics[i].takeFeed(start, snapshot), sender.title())
+	}
+	assert.Equal(t, to.state.table.Version, uint64(7))
+	assert.Assert(t, to.state.table.Match("h", "/x") != nil, "the routes of a configuration that was passed on")
+	assert.Equal(t, to.state.table.Services["s"].MaxConns, 30)
+	assert.Equal(t, usable(to), 2)
+	assert.DeepEqual(t, to.state.registry.TakenOut(), []string{"d9"})
+	assert.Equal(t, to.state.vms["vm2"], vm)
+	assert.Assert(t, to.state.ready())
+}
+
+// Guards against a VM that counts as ready before it knows any replica.
+func TestReadyNeedsConfigurationAndReplicas(t *testing.T) {
+	c := newTestControl(t)
+	configTopic(c).take(start, config(testTable(t, 1), 1), true)
+	assert.Assert(t, !c.state.ready())
+	replicaTopic(c).take(start, replicas(1), true)
+	assert.Assert(t, c.state.ready())
+}
+
+// Guards against replicas that are lost because the store was away, and against
+// a store that counts as back while calls for one kind still fail.
+func TestReplicasSurviveTheStoresAbsence(t *testing.T) {
+	c := newTestControl(t)
+	configTopic(c).take(start, config(testTable(t, 1), 1), true)
+	known := replicaTopic(c)
+	known.take(start, replicas(5, entry("a", 3)), true)
+	down := errs.Refuse(errs.PlatformDown, "down")
+	c.storeFailed(topicReplicas, down)
+	c.storeFailed(topicConfig, down)
+	c.storeAnswered(start, topicConfig)
+	known.take(start, replicas(9), true)
+	assert.Equal(t, usable(c), 1)
+	c.storeAnswered(start.Add(time.Second), topicReplicas)
+	assert.Assert(t, !c.state.registry.Tick(start.Add(2*time.Second)))
+	assert.Assert(t, c.state.registry.Tick(start.Add(time.Second+discovery.RejoinGrace)))
+	assert.Equal(t, usable(c), 0)
+}
+
+// Guards against replicas of a failure domain that came back being used before
+// they have said whether they are cold.
+func TestReturnedDomainIsProbedFirst(t *testing.T) {
+	c := newTestControl(t)
+	configTopic(c).take(start, config(testTable(t, 1), 1), true)
+	replicaTopic(c).take(start, replicas(5, entry("a", 3)), true)
+	assert.Assert(t, c.takeOut("d1", true, 6))
+	c.publish(start)
+	assert.Equal(t, usable(c), 0)
+	assert.Assert(t, c.takeOut("d1", false, 7))
+	c.publish(start)
+	view := c.state.view(start)
+	assert.Equal(t, len(view.Groups["s"].Upstreams), 1)
+	assert.Assert(t, view.Groups["s"].Upstreams[0].Tracker.Down())
+}
+
+// Guards against limits that all VMs together exceed.
+func TestSharedLimitsAreDivided(t *testing.T) {
+	for _, vms := range []int{1, 4, 5, 30} {
+		assert.Assert(t, vms*connLimit(69, vms) <= 69, "%d VMs", vms)
+	}
+	assert.Equal(t, connLimit(31, 60), 1)
+}
+
+// Guards against a restarted replica that inherits connections and measurements
+// of the process before.
+func TestRestartUnderTheSameIDStartsAnew(t *testing.T) {
+	c := newTestControl(t)
+	configTopic(c).take(start, config(testTable(t, 1), 1), true)
+	replicaTopic(c).take(start, replicas(5, entry("a", 3)), true)
+	before := c.state.view(start).Groups["s"].Upstreams[0]
+	again := entry("a", 6)
+	again.Value.Born, again.Value.WarmupLeft = 2, time.Second
+	replicaTopic(c).take(start, replicas(6, again), false)
+	after := c.state.view(start).Groups["s"].Upstreams[0]
+	assert.Assert(t, before != after)
+	assert.Assert(t, after.Tracker.IsCold(start))
+}
