Refuse requests that crash each replica that runs them

Cause: such a request comes again at any VM, and each VM alone would let it run three times. Ruled out: counting replicas lost (a failure domain that goes loses many at once with innocent requests) and time-outs of a probe (cut links look the same). Change: requests that a replica broke off count when a probe right after finds that nothing listens there; attempts, not replicas, are counted by the existing ledger; reports are objects in the store and reach all VMs by watch and feed; after three attempts the request is refused with 503, a suspect is neither hedged nor retried. One VM removes old reports.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -199,3 +199,12 @@
 	PeerAddr string
 	Domain   string
 }
+
+// Crash is the report of one attempt of a request that was under way when a
+// replica crashed.
+type Crash struct {
+	Fingerprint uint64
+	Attempt     string
+	// At is the time of the report, by the clock of its VM.
+	At time.Time
+}
--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -11,6 +11,7 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/feed"
 	"github.com/nutmeghitch/nutmeghitch/pkg/forward"
+	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
 	"github.com/nutmeghitch/nutmeghitch/pkg/storewatch"
 	"github.com/nutmeghitch/nutmeghitch/pkg/wait"
 	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
@@ -32,11 +33,13 @@
 	forwarder *forward.Forwarder
 	prober    *prober
 	readiness *readiness
-	log       logrus.FieldLogger
-	events    chan func(now time.Time) (changed bool)
-	hub       *feed.Hub
-	gate      *storewatch.Gate
-	topics    []anyTopic
+	// ledger holds the requests that may crash replicas.
+	ledger *poison.Ledger
+	log    logrus.FieldLogger
+	events chan func(now time.Time) (changed bool)
+	hub    *feed.Hub
+	gate   *storewatch.Gate
+	topics []anyTopic
 	// away holds the topics whose last call failed.
 	away map[string]bool
 	// following tells that this VM follows the store itself.
@@ -45,9 +48,9 @@
 	status atomic.Pointer[feed.Status]
 }
 
-func newControl(s *state, f *forward.Forwarder, p *prober, r *readiness, store Store, log logrus.FieldLogger) *control {
+func newControl(s *state, f *forward.Forwarder, p *prober, r *readiness, ledger *poison.Ledger, store Store, log logrus.FieldLogger) *control {
 	c := &control{
-		state: s, forwarder: f, prober: p, readiness: r, log: log,
+		state: s, forwarder: f, prober: p, readiness: r, ledger: ledger, log: log,
 		events: make(chan func(time.Time) bool, queueLength),
 		away:   map[string]bool{},
 		gate:   storewatch.NewGate(),
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -14,6 +14,7 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/kernel"
 	"github.com/nutmeghitch/nutmeghitch/pkg/metrics"
 	"github.com/nutmeghitch/nutmeghitch/pkg/netconn"
+	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
 	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
 	"github.com/nutmeghitch/nutmeghitch/pkg/storewatch"
 )
@@ -42,6 +43,9 @@
 	TakenOut() storewatch.Source[string]
 	VMs() storewatch.Source[discovery.VM]
 	RegisterVM(ctx context.Context, vm discovery.VM) error
+	Crashes() storewatch.Source[discovery.Crash]
+	ReportCrash(ctx context.Context, name string, crash discovery.Crash) error
+	ForgetCrash(ctx context.Context, name string) error
 }
 
 // Config describes one VM.
@@ -111,19 +115,23 @@
 	control   *control
 	forwarder *forward.Forwarder
 	prober    *prober
+	crashes   *crashReporter
 }
 
 func newControlService(c Config, ready *readiness) *controlService {
 	probeLog := c.Log.WithField("part", "probe")
 	p := newProber(c.Headers, probeLog)
-	f := forward.New(c.Headers, p, c.Log.WithField("part", "forward"), c.Metrics.Scope, metrics.LatencyBuckets)
+	ledger := poison.NewLedger(poison.Config{Limit: crashLimit, BlockFor: crashTerm, SuspectFor: crashTerm})
+	f := forward.New(c.Headers, p, ledger, c.Log.WithField("part", "forward"), c.Metrics.Scope, metrics.LatencyBuckets)
 	dialer := netconn.Dialer(dialTimeout, upstreamSilence)
 	s := newState(c.Settings, c.Log.WithField("part", "control"), dialer.DialContext)
-	return &controlService{config: c, forwarder: f, prober: p, control: newControl(s, f, p, ready, c.Store, c.Log.WithField("part", "control"))}
+	return &controlService{config: c, forwarder: f, prober: p, control: newControl(s, f, p, ready, ledger, c.Store, c.Log.WithField("part", "control"))}
 }
 
 // Start implements kernel.Starter.
 func (s *controlService) Start(_ context.Context, scope *kernel.Scope) error {
+	s.crashes = newCrashReporter(s.config.Settings.VM, s.control, s.config.Store, s.config.Log.WithField("part", "crash"))
+	s.prober.crashed = s.crashes.report
 	s.prober.start(scope.Context(), func(u *forward.Upstream, left time.Duration) {
 		s.control.post(scope.Context(), func(now time.Time) bool { return s.control.becameCold(now, u, left) })
 	})
@@ -132,6 +140,7 @@
 		return err
 	}
 	scope.Go(func(ctx context.Context) error { s.register(ctx); return nil })
+	scope.Go(func(ctx context.Context) error { s.crashes.run(ctx); return nil })
 	return nil
 }
 
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -14,6 +14,7 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/discovery"
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/forward"
+	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
 	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
 	"github.com/nutmeghitch/nutmeghitch/pkg/storewatch"
 )
@@ -26,6 +27,7 @@
 func (testStore) Configs() storewatch.Source[*routes.Table]      { return nil }
 func (testStore) Replicas() storewatch.Source[discovery.Replica] { return nil }
 func (testStore) TakenOut() storewatch.Source[string]            { return nil }
+func (testStore) Crashes() storewatch.Source[discovery.Crash]    { return nil }
 func (testStore) VMs() storewatch.Source[discovery.VM]           { return nil }
 
 func newTestControl(t *testing.T) *control {
@@ -38,8 +40,9 @@
 	}, log, (&net.Dialer{}).DialContext)
 	p := newProber(forward.Headers{}, log)
 	p.start(t.Context(), func(*forward.Upstream, time.Duration) {})
-	f := forward.New(forward.Headers{}, p, log, tally.NoopScope, tally.DefaultBuckets)
-	return newControl(s, f, p, newReadiness(), testStore{}, log)
+	ledger := poison.NewLedger(poison.Config{Limit: crashLimit})
+	f := forward.New(forward.Headers{}, p, ledger, log, tally.NoopScope, tally.DefaultBuckets)
+	return newControl(s, f, p, newReadiness(), ledger, testStore{}, log)
 }
 
 func configTopic(c *control) *topic[*routes.Table] { return c.topics[0].(*topic[*routes.Table]) }
@@ -119,11 +122,15 @@
 	takenOutTopic(from).take(start, storewatch.Batch[string]{Revision: 9, Items: []storewatch.Item[string]{{Name: "d9", Revision: 9, Value: "d9"}}}, true)
 	vm := discovery.VM{Name: "vm2", PeerAddr: "x", Domain: "d2"}
 	vmTopic(from).take(start, storewatch.Batch[discovery.VM]{Revision: 10, Items: []storewatch.Item[discovery.VM]{{Name: "vm2", Revision: 10, Value: vm}}}, true)
+	crash := discovery.Crash{Fingerprint: 7, Attempt: "a", At: start}
+	from.topics[4].(*topic[discovery.Crash]).take(start, storewatch.Batch[discovery.Crash]{Revision: 11, Items: []storewatch.Item[discovery.Crash]{{Name: "c", Revision: 11, Value: crash}}}, true)
 	for i, sender := range from.topics {
 		snapshot, err := sender.snapshot(start)
 		assert.NilError(t, err)
-		assert.Assert(t, to.topics[i].takeFeed(start, snapshot), sender.title())
+		// A report of a crash changes no view.
+		assert.Equal(t, to.topics[i].takeFeed(start, snapshot), sender.title() != topicCrashes, sender.title())
 	}
+	assert.Equal(t, to.ledger.Check(start, 7), poison.Suspect)
 	assert.Equal(t, to.state.table.Version, uint64(7))
 	assert.Assert(t, to.state.table.Match("h", "/x") != nil, "the routes of a configuration that was passed on")
 	assert.Equal(t, to.state.table.Services["s"].MaxConns, 30)
@@ -199,3 +206,23 @@
 	assert.Assert(t, before != after)
 	assert.Assert(t, after.Tracker.IsCold(start))
 }
+
+// Guards against a request that crashes replicas at one VM after the other:
+// reports of the others count, each attempt once, and old ones do not.
+func TestCrashReportsOfOtherVMsCount(t *testing.T) {
+	c := newTestControl(t)
+	crashes := c.topics[4].(*topic[discovery.Crash])
+	report := func(revision int64, attempt string, at time.Time) {
+		crash := discovery.Crash{Fingerprint: 7, Attempt: attempt, At: at}
+		item := storewatch.Item[discovery.Crash]{Name: crashName(crash), Revision: revision, Value: crash}
+		crashes.take(start, storewatch.Batch[discovery.Crash]{Revision: revision, Items: []storewatch.Item[discovery.Crash]{item}}, false)
+	}
+	report(1, "a", start)
+	report(2, "a", start)
+	report(3, "b", start)
+	report(4, "old", start.Add(-2*crashTerm))
+	assert.Equal(t, c.ledger.Check(start, 7), poison.Suspect)
+	c.noteCrash(start, discovery.Crash{Fingerprint: 7, Attempt: "c", At: start})
+	assert.Equal(t, c.ledger.Check(start, 7), poison.Blocked)
+	assert.Equal(t, len(c.oldCrashes(start)), 1)
+}
--- a/pkg/edge/prober.go
+++ b/pkg/edge/prober.go
@@ -26,6 +26,8 @@
 	// probeGap is the least time between two probes of a replica that breaks
 	// requests off but answers its probes.
 	probeGap = 500 * time.Millisecond
+	// maxSuspects bounds the requests kept for one replica.
+	maxSuspects = 8
 	// defaultHealthPath is asked while the configuration names none.
 	defaultHealthPath = "/healthz"
 )
@@ -37,19 +39,23 @@
 	headers forward.Headers
 	log     logrus.FieldLogger
 	// ctx ends all probes; cold passes on how long a replica stays cold.
-	ctx  context.Context
-	cold func(u *forward.Upstream, left time.Duration)
+	// crashed gets the requests that were under way when a replica crashed.
+	ctx     context.Context
+	cold    func(u *forward.Upstream, left time.Duration)
+	crashed func(u *forward.Upstream, suspects []forward.Suspect)
 
 	mu      sync.Mutex
 	view    *forward.View
 	probing map[*forward.Upstream]bool
 	lastOK  map[*forward.Upstream]time.Time
+	// broken holds the requests that were broken off since the last probe.
+	broken map[*forward.Upstream][]forward.Suspect
 }
 
 func newProber(headers forward.Headers, log logrus.FieldLogger) *prober {
 	return &prober{
 		headers: headers, log: log,
-		probing: map[*forward.Upstream]bool{}, lastOK: map[*forward.Upstream]time.Time{},
+		probing: map[*forward.Upstream]bool{}, lastOK: map[*forward.Upstream]time.Time{}, broken: map[*forward.Upstream][]forward.Suspect{},
 	}
 }
 
@@ -68,6 +74,11 @@
 			delete(p.lastOK, u)
 		}
 	}
+	for u := range p.broken {
+		if !inView(view, u) {
+			delete(p.broken, u)
+		}
+	}
 }
 
 func inView(view *forward.View, u *forward.Upstream) bool {
@@ -94,8 +105,11 @@
 
 // Broken implements forward.Observer. The replica may have crashed and may be
 // cold when it is back, so it is asked at once.
-func (p *prober) Broken(u *forward.Upstream, _ *errs.Refusal) {
+func (p *prober) Broken(u *forward.Upstream, _ *errs.Refusal, suspect forward.Suspect) {
 	p.mu.Lock()
+	if len(p.broken[u]) < maxSuspects {
+		p.broken[u] = append(p.broken[u], suspect)
+	}
 	recent := time.Since(p.lastOK[u]) < probeGap
 	p.mu.Unlock()
 	if !recent {
@@ -123,6 +137,7 @@
 	}()
 	for wait.Sleep(p.ctx, pause) && p.wanted(u) {
 		refusal := p.probe(u)
+		p.settle(u, refusal)
 		if refusal == nil {
 			p.mu.Lock()
 			p.lastOK[u] = time.Now()
@@ -139,6 +154,18 @@
 	}
 }
 
+// settle decides whether the requests that a replica broke off coincided with
+// its crash: then nothing listens at its address any more.
+func (p *prober) settle(u *forward.Upstream, refusal *errs.Refusal) {
+	p.mu.Lock()
+	suspects := p.broken[u]
+	delete(p.broken, u)
+	p.mu.Unlock()
+	if len(suspects) > 0 && refusal != nil && refusal.Refused {
+		p.crashed(u, suspects)
+	}
+}
+
 // conclusive reports whether a failed probe shows that the replica cannot be
 // reached. A busy replica lets a probe wait, and all connections to it may be
 // in use.
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -43,12 +43,14 @@
 
 // state is what this VM believes. One goroutine owns it.
 type state struct {
-	settings  Settings
-	log       logrus.FieldLogger
-	dial      exchange.DialFunc
-	registry  *discovery.Registry
-	table     *routes.Table
-	vms       map[string]discovery.VM
+	settings Settings
+	log      logrus.FieldLogger
+	dial     exchange.DialFunc
+	registry *discovery.Registry
+	table    *routes.Table
+	vms      map[string]discovery.VM
+	// crashes holds the reports in the store by their names.
+	crashes   map[string]discovery.Crash
 	upstreams map[key]*forward.Upstream
 	budgets   map[string]*hedge.Policy
 	delays    map[string]*hedge.Policy
@@ -65,6 +67,7 @@
 		settings: s, log: log, dial: dial,
 		registry:  discovery.NewRegistry(),
 		vms:       map[string]discovery.VM{},
+		crashes:   map[string]discovery.Crash{},
 		upstreams: map[key]*forward.Upstream{},
 		budgets:   map[string]*hedge.Policy{},
 		delays:    map[string]*hedge.Policy{},
--- a/pkg/edge/supply.go
+++ b/pkg/edge/supply.go
@@ -59,13 +59,21 @@
 	defer following.Wait()
 	defer stop()
 	s.setFollowing(ctx, true)
-	for _, t := range s.control.topics {
-		following.Go(func() { t.follow(followCtx) })
+	start := func(background bool) {
+		for _, t := range s.control.topics {
+			if t.inBackground() == background {
+				following.Go(func() { t.follow(followCtx) })
+			}
+		}
 	}
-	for wait.Sleep(ctx, pause) {
+	start(false)
+	for first := true; wait.Sleep(ctx, pause); first = false {
 		if fed := s.subscribe(ctx); fed != nil {
 			return fed
 		}
+		if first {
+			start(true)
+		}
 	}
 	return nil
 }
--- a/pkg/edge/topic.go
+++ b/pkg/edge/topic.go
@@ -22,6 +22,9 @@
 	longest time.Duration
 	// urgent topics have changes that must be in force within 3 s.
 	urgent bool
+	// background topics are followed only by VMs that go on following; others
+	// get them from a feed in time.
+	background bool
 	// revision is that of the store up to which all changes are known; 0 means
 	// that the objects were never listed.
 	revision int64
@@ -44,12 +47,15 @@
 	// verified returns when the topic was last confirmed and whether its
 	// changes are urgent.
 	verified() (time.Time, bool)
+	inBackground() bool
 }
 
 func (t *topic[T]) title() string { return t.name }
 
 func (t *topic[T]) verified() (time.Time, bool) { return t.verifiedAt, t.urgent }
 
+func (t *topic[T]) inBackground() bool { return t.background }
+
 // follow keeps the topic in step with the store until ctx ends. It begins
 // where the topic is.
 func (t *topic[T]) follow(ctx context.Context) {
--- a/pkg/edge/topics.go
+++ b/pkg/edge/topics.go
@@ -16,12 +16,13 @@
 	topicReplicas = "replicas"
 	topicTakenOut = "domains taken out"
 	topicVMs      = "VMs"
+	topicCrashes  = "crashes"
 )
 
 const (
 	// strictWatch bounds the wait of one watch call for configuration and
 	// replicas, whose changes must be in force within 3 s; looseWatch that for
-	// failure domains, which have 5 s; vmWatch that for VMs, whose number only
+	// failure domains, which have 5 s, and reports of crashes; vmWatch that for VMs, whose number only
 	// divides budgets.
 	strictWatch = 2 * time.Second
 	looseWatch  = 3500 * time.Millisecond
@@ -47,10 +48,15 @@
 			name: topicVMs, control: c, source: store.VMs(), longest: vmWatch,
 			apply: c.applyVM, absent: c.absentVMs, current: c.currentVMs,
 		},
+		&topic[discovery.Crash]{
+			name: topicCrashes, control: c, source: store.Crashes(), longest: looseWatch, background: true,
+			apply: c.applyCrash, absent: keepAbsent, current: c.currentCrashes,
+		},
 	}
 }
 
-// keepAbsent ignores what a list lacks: the configuration is never removed.
+// keepAbsent ignores what a list lacks: the configuration is never removed, and
+// reports of crashes end by their terms.
 func keepAbsent(time.Time, map[string]bool) bool { return false }
 
 func (c *control) applyConfig(_ time.Time, item storewatch.Item[*routes.Table]) bool {
--- a/pkg/errs/errs.go
+++ b/pkg/errs/errs.go
@@ -88,6 +88,8 @@
 	RunState   RunState
 	Detail     string
 	RetryAfter time.Duration
+	// Refused tells that nothing listened at the address of an upstream.
+	Refused bool
 }
 
 // Error implements error.
--- a/pkg/exchange/pool.go
+++ b/pkg/exchange/pool.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 )
 
@@ -182,7 +184,9 @@
 		if ctx.Err() != nil {
 			return nil, errs.Refuse(errs.Canceled, "dialing %s: %v", p.addr, err)
 		}
-		return nil, errs.Refuse(errs.UpstreamLost, "dialing %s: %v", p.addr, err)
+		refusal := errs.Refuse(errs.UpstreamLost, "dialing %s: %v", p.addr, err)
+		refusal.Refused = errors.Is(err, syscall.ECONNREFUSED)
+		return nil, refusal
 	}
 	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer), keep: defaultIdle}, nil
 }
--- a/pkg/feed/choose.go
+++ b/pkg/feed/choose.go
@@ -42,6 +42,14 @@
 	return names
 }
 
+// First returns the name of the VM that does what one VM has to do for all.
+func First(vms map[string]discovery.VM) string {
+	if len(vms) == 0 {
+		return ""
+	}
+	return ranked(vms)[0]
+}
+
 // Candidates returns the VMs that self may subscribe to, the best first: those
 // of its own failure domain, and then in an order of its own, so that
 // subscribers are spread. A VM subscribes only to VMs before it in the ranking,
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
 	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
 )
 
@@ -40,14 +41,22 @@
 	// Unreachable gets a replica that no connection could be opened to, or
 	// that is not the one expected at its address.
 	Unreachable(u *Upstream, why *errs.Refusal)
-	// Broken gets a replica that broke off a request.
-	Broken(u *Upstream, why *errs.Refusal)
+	// Broken gets a replica that broke off a request, and the request.
+	Broken(u *Upstream, why *errs.Refusal, suspect Suspect)
+}
+
+// Suspect is one attempt of a request that may crash the replicas that run it.
+type Suspect struct {
+	// Fingerprint is the same for all attempts of the request, Attempt differs.
+	Fingerprint uint64
+	Attempt     string
 }
 
 // Forwarder serves callers. It may be used by many goroutines.
 type Forwarder struct {
 	headers  Headers
 	observer Observer
+	ledger   *poison.Ledger
 	log      logrus.FieldLogger
 	view     atomic.Pointer[View]
 	stopping atomic.Bool
@@ -65,10 +74,10 @@
 }
 
 // New returns a forwarder that knows no configuration yet.
-func New(headers Headers, observer Observer, log logrus.FieldLogger, scope tally.Scope, buckets tally.Buckets) *Forwarder {
+func New(headers Headers, observer Observer, ledger *poison.Ledger, log logrus.FieldLogger, scope tally.Scope, buckets tally.Buckets) *Forwarder {
 	scope = scope.SubScope("forward")
 	return &Forwarder{
-		headers: headers, observer: observer, log: log,
+		headers: headers, observer: observer, ledger: ledger, log: log,
 		metrics: forwardMetrics{
 			answers: map[bool]tally.Counter{
 				true:  scope.Tagged(map[string]string{"outcome": "whole"}).Counter("answers"),
@@ -113,6 +122,10 @@
 		return
 	}
 	q := f.newQuery(r, id, body, view, route, start)
+	if q.verdict = f.ledger.Check(start, q.suspect.Fingerprint); q.verdict == poison.Blocked {
+		f.refuse(w, id, route, start, errs.Refuse(errs.Poisoned, "replicas crashed when they ran this request"))
+		return
+	}
 	answer, refusal := q.run(r.Context())
 	if refusal != nil {
 		f.logQuery(q, refusal)
@@ -120,6 +133,7 @@
 		return
 	}
 	f.logQuery(q, nil)
+	f.ledger.Succeeded(time.Now(), q.suspect.Fingerprint)
 	f.metrics.latency.RecordDuration(time.Since(start))
 	answer.write(w)
 }
@@ -157,6 +171,10 @@
 // run, so a request that may have run never gets it.
 func status(refusal *errs.Refusal) int {
 	code := refusal.HTTPStatus()
+	if refusal.Code == errs.Poisoned {
+		// A refusal with a status of 4xx would say that the request is wrong.
+		return http.StatusServiceUnavailable
+	}
 	if refusal.RunState == errs.MayHaveRun && (code == http.StatusServiceUnavailable || code == http.StatusTooManyRequests) {
 		return http.StatusBadGateway
 	}
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -231,3 +231,30 @@
 	assert.Equal(t, status, http.StatusRequestEntityTooLarge)
 	assert.Equal(t, len(s.arrivals()), 0)
 }
+
+// Guards against a request that crashes replica after replica when its caller
+// sends it again: it is refused after three attempts, and others are not.
+func TestRequestThatCrashesReplicasIsRefused(t *testing.T) {
+	s := newSite(t, plain(true))
+	g := s.group("s", 100)
+	for _, id := range []string{"r1", "r2", "r3"} {
+		s.replica(g, id, func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/p/bad" {
+				breaks(w, r)
+				return
+			}
+			serves("x", "fine")(w, r)
+		})
+	}
+	for i := range 3 {
+		status, _, _ := s.ask("GET", "/p/bad", "bad"+strconv.Itoa(i), "")
+		assert.Equal(t, status, http.StatusBadGateway)
+	}
+	before := len(s.arrivals())
+	assert.Assert(t, before <= 4, "a suspect is not sent again: %v", s.arrivals())
+	status, _, _ := s.ask("GET", "/p/bad", "bad3", "")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Equal(t, len(s.arrivals()), before)
+	status, _, _ = s.ask("GET", "/p/good", "good", "")
+	assert.Equal(t, status, http.StatusOK)
+}
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -20,6 +20,7 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/exchange"
 	"github.com/nutmeghitch/nutmeghitch/pkg/hedge"
+	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
 	"github.com/nutmeghitch/nutmeghitch/pkg/replica"
 	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
 )
@@ -36,6 +37,7 @@
 	table     *routes.Table
 	view      *View
 	entry     *httptest.Server
+	ledger    *poison.Ledger
 
 	mu          sync.Mutex
 	seen        []string // "replica id" for each arrival
@@ -52,20 +54,21 @@
 	s.unreachable = append(s.unreachable, u.Member.ID)
 }
 
-func (s *site) Broken(u *Upstream, _ *errs.Refusal) {
+func (s *site) Broken(u *Upstream, _ *errs.Refusal, suspect Suspect) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.broken = append(s.broken, u.Member.ID)
+	s.ledger.Lost(time.Now(), "", suspect.Attempt, []uint64{suspect.Fingerprint})
 }
 
 func newSite(t *testing.T, all ...*routes.Route) *site {
 	t.Helper()
 	table, err := routes.NewTable(7, routes.Limits{BodyBytes: 1000}, all, nil)
 	assert.NilError(t, err)
-	s := &site{t: t, table: table, view: &View{Table: table, Groups: map[string]*Group{}, Delays: map[string]*hedge.Policy{}}}
+	s := &site{t: t, table: table, ledger: poison.NewLedger(poison.Config{Limit: 3}), view: &View{Table: table, Groups: map[string]*Group{}, Delays: map[string]*hedge.Policy{}}}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	s.forwarder = New(testHeaders, s, log, tally.NoopScope, tally.DefaultBuckets)
+	s.forwarder = New(testHeaders, s, s.ledger, log, tally.NoopScope, tally.DefaultBuckets)
 	s.entry = httptest.NewServer(s.forwarder)
 	t.Cleanup(s.entry.Close)
 	return s
--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -11,6 +12,8 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/exchange"
 	"github.com/nutmeghitch/nutmeghitch/pkg/hedge"
+	"github.com/nutmeghitch/nutmeghitch/pkg/model"
+	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
 	"github.com/nutmeghitch/nutmeghitch/pkg/replica"
 	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
 )
@@ -50,6 +53,8 @@
 	start    time.Time
 	deadline time.Time
 	delay    *hedge.Policy
+	suspect  Suspect
+	verdict  poison.Verdict
 	shards   []*shard
 	results  chan result
 	// ctx bounds the sends; it ends some time after the answer, so that those
@@ -95,6 +100,7 @@
 		deadline: start.Add(allowed(r.Header.Get(f.headers.Deadline), route)),
 		delay:    view.Delays[route.Name],
 	}
+	q.suspect = Suspect{Fingerprint: fingerprint(r, body), Attempt: id}
 	q.head = f.requestHead(r)
 	services := route.Shards
 	if !route.FanOut() {
@@ -107,6 +113,16 @@
 	return q
 }
 
+// fingerprint returns what all attempts of a request have in common: the
+// caller's address, method, target and body.
+func fingerprint(r *http.Request, body []byte) uint64 {
+	caller, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		caller = r.RemoteAddr
+	}
+	return poison.Fingerprint(model.ServiceID(r.Host+" "+caller), r.Method+" "+r.RequestURI, body)
+}
+
 // allowed returns the time a request may take: the caller's, but not more than
 // the route's.
 func allowed(stated string, route *routes.Route) time.Duration {
@@ -245,8 +261,8 @@
 
 // hedge asks the shards without an answer at a second replica.
 func (q *query) hedge() {
-	if !q.route.Idempotent {
-		return
+	if !q.route.Idempotent || q.verdict == poison.Suspect {
+		return // a request that may crash replicas is not spread further
 	}
 	now := time.Now()
 	for _, s := range q.shards {
@@ -311,7 +327,7 @@
 	}
 	reply, refusal := u.Pool.Do(q.ctx, call)
 	now := time.Now()
-	q.f.observe(u, now, start, reply, refusal)
+	q.f.observe(u, now, start, reply, refusal, q.suspect)
 	q.results <- result{shard: s, upstream: u, start: start, reply: reply, refusal: refusal}
 }
 
@@ -345,7 +361,7 @@
 }
 
 // observe takes in what a send shows of its replica.
-func (f *Forwarder) observe(u *Upstream, now, start time.Time, reply exchange.Reply, refusal *errs.Refusal) {
+func (f *Forwarder) observe(u *Upstream, now, start time.Time, reply exchange.Reply, refusal *errs.Refusal, suspect Suspect) {
 	switch {
 	case refusal == nil && f.notRun(reply):
 		u.Tracker.End(now, start, replica.Shed)
@@ -364,7 +380,7 @@
 		f.observer.Unreachable(u, refusal)
 	default:
 		u.Tracker.End(now, start, replica.Failed)
-		f.observer.Broken(u, refusal)
+		f.observer.Broken(u, refusal, suspect)
 	}
 }
 
@@ -390,7 +406,7 @@
 	case r.refusal != nil:
 		s.ran = true
 		s.refusal = r.refusal
-		if q.route.Idempotent {
+		if q.route.Idempotent && q.verdict != poison.Suspect {
 			q.retry(now, s, true)
 		}
 	default:
