Soak the real programs on loopback under random faults

Checked while it runs: whole answers, parts and coverage of one set of shards, at most once, true refusals, the right service, planned stops that cut nothing, recovery.

--- /dev/null
+++ b/cmd/nutmeghitch-soak/main.go
@@ -0,0 +1,116 @@
+// Command nutmeghitch-soak runs VMs of the tier as processes on loopback,
+// injects faults from outside them, and checks the tier's promises.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/soak"
+)
+
+// Exit codes.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+func run(args []string, stdout, stderr io.Writer) int {
+	code := exitUsage
+	cmd := &cli.Command{
+		Name:        "nutmeghitch-soak",
+		Usage:       "run VMs of the tier under random faults and check its promises",
+		UsageText:   "nutmeghitch-soak --edge PROGRAM [--seed N] [--seeds N] [--minutes N] [--keep DIR]\n\nExample: nutmeghitch-soak --edge out/nutmeghitch-edge --seeds 50",
+		Description: "The plan of each seed is printed. The program ends only processes that it started.\nExit codes: 0 done, 1 a promise was broken or a run failed, 2 wrong usage.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "edge", Usage: "`PROGRAM` of a VM, nutmeghitch-edge", Required: true},
+			&cli.Uint64Flag{Name: "seed", Usage: "first seed `N`; 0 draws one"},
+			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "number of seeds `N`"},
+			&cli.IntFlag{Name: "minutes", Usage: "go on with further seeds for `N` minutes"},
+			&cli.IntFlag{Name: "vms", Value: 4, Usage: "number of VMs `N`"},
+			&cli.IntFlag{Name: "faults", Value: 16, Usage: "number of faults `N` of each seed"},
+			&cli.StringFlag{Name: "keep", Usage: "keep settings and logs in `DIR`"},
+		},
+		HideHelpCommand: true,
+		Writer:          stdout,
+		ErrWriter:       stderr,
+		ExitErrHandler:  func(context.Context, *cli.Command, error) {},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			code = seeds(ctx, c, stdout, stderr)
+			return nil
+		},
+	}
+	for _, a := range args {
+		if a == "--help" || a == "-h" {
+			code = exitDone
+		}
+	}
+	if err := cmd.Run(context.Background(), append([]string{"nutmeghitch-soak"}, args...)); err != nil {
+		return exitUsage
+	}
+	return code
+}
+
+// seeds runs the seeds one after the other.
+func seeds(ctx context.Context, c *cli.Command, stdout, stderr io.Writer) int {
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	seed := c.Uint64("seed")
+	if seed == 0 {
+		seed = uint64(rand.Uint32())
+	}
+	until := time.Now().Add(time.Duration(c.Int("minutes")) * time.Minute)
+	code := exitDone
+	for i := 0; (i < c.Int("seeds") || time.Now().Before(until)) && ctx.Err() == nil; i++ {
+		if !one(ctx, c, seed+uint64(i), stdout, stderr) {
+			code = exitFailed
+		}
+	}
+	return code
+}
+
+// one runs one seed and reports whether every promise was kept.
+func one(ctx context.Context, c *cli.Command, seed uint64, stdout, stderr io.Writer) bool {
+	dir, err := directory(c.String("keep"), seed)
+	if err != nil {
+		fmt.Fprintf(stderr, "nutmeghitch-soak: %v\n", err)
+		return false
+	}
+	if c.String("keep") == "" {
+		defer os.RemoveAll(dir)
+	}
+	result, err := soak.Run(ctx, soak.Config{
+		Binary: c.String("edge"), Dir: dir, Seed: seed, VMs: c.Int("vms"), Callers: 6,
+		Faults: c.Int("faults"), Gap: 600 * time.Millisecond, Out: stdout,
+	})
+	if err != nil {
+		fmt.Fprintf(stderr, "nutmeghitch-soak: seed %d: %v\n", seed, err)
+		return false
+	}
+	for _, line := range result.Broken {
+		fmt.Fprintf(stdout, "seed %d BROKEN %s\n", seed, line)
+	}
+	fmt.Fprintf(stdout, "seed %d: %d asked, %d served, %d promises broken\n", seed, result.Asked, result.Served, len(result.Broken))
+	return len(result.Broken) == 0
+}
+
+// directory returns the folder for settings and logs of a seed.
+func directory(keep string, seed uint64) (string, error) {
+	if keep == "" {
+		return os.MkdirTemp("", "nutmeghitch-soak-")
+	}
+	dir := filepath.Join(keep, fmt.Sprint("seed-", seed))
+	return dir, os.MkdirAll(dir, 0o700)
+}
--- /dev/null
+++ b/pkg/soak/process.go
@@ -0,0 +1,108 @@
+package soak
+
+import (
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/nutmeghitch/nutmeghitch/platform/standin"
+)
+
+// vm is one VM of the tier as a process.
+type vm struct {
+	standin.VM
+	binary, dir string
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// exited is closed when the process has ended.
+	exited chan struct{}
+	// calm is the last time of a fault other than a planned stop.
+	disturbed time.Time
+	// stopping is the time of the last SIGTERM.
+	stopping time.Time
+}
+
+// freeAddr returns a loopback address with a port that is free now.
+func freeAddr() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// start starts the process; its log is appended to a file.
+func (v *vm) start() error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	path := filepath.Join(v.dir, v.Name+".yaml")
+	if err := standin.WriteSettings(path, v.VM); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(v.dir, v.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	v.cmd = exec.Command(v.binary, "--settings", path)
+	v.cmd.Stdout, v.cmd.Stderr = log, log
+	if err := v.cmd.Start(); err != nil {
+		return err
+	}
+	v.exited = make(chan struct{})
+	go func(cmd *exec.Cmd, exited chan struct{}) {
+		_ = cmd.Wait() // how a process ends that was killed tells nothing
+		close(exited)
+	}(v.cmd, v.exited)
+	return nil
+}
+
+// signal sends a signal to the process. Only a planned stop leaves the
+// promises of open connections in force.
+func (v *vm) signal(s syscall.Signal) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	switch s {
+	case syscall.SIGTERM:
+		v.stopping = time.Now()
+	case syscall.SIGHUP:
+	default:
+		v.disturbed = time.Now()
+	}
+	_ = v.cmd.Process.Signal(s) // a process that has ended needs none
+}
+
+// disturb notes a fault on the VM's links.
+func (v *vm) disturb() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.disturbed = time.Now()
+}
+
+func (v *vm) disturbedSince(t time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.disturbed.After(t)
+}
+
+// wait waits for the end of the process and kills it after a time.
+func (v *vm) wait(longest time.Duration) (killed bool) {
+	v.mu.Lock()
+	exited, process := v.exited, v.cmd.Process
+	v.mu.Unlock()
+	select {
+	case <-exited:
+		return false
+	case <-time.After(longest):
+	}
+	_ = process.Signal(syscall.SIGCONT) // a stopped process cannot end
+	_ = process.Kill()
+	<-exited
+	return true
+}
--- /dev/null
+++ b/pkg/soak/proxy.go
@@ -0,0 +1,139 @@
+// Package soak runs real processes of the tier on loopback, injects faults
+// from outside them, and checks what callers and replicas see.
+package soak
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// link is how a proxy treats bytes.
+type link string
+
+const (
+	linkWell link = "well"
+	// linkSlow delays each chunk.
+	linkSlow link = "slow"
+	// linkSilent stops passing bytes in both directions, linkOneWay those from
+	// the server to the client.
+	linkSilent link = "silent"
+	linkOneWay link = "one way"
+)
+
+// linkDelay is the delay of a slow link.
+const linkDelay = 40 * time.Millisecond
+
+// proxy passes bytes between clients and one server, and spoils them on demand.
+type proxy struct {
+	listener net.Listener
+	target   string
+
+	mu      sync.Mutex
+	state   link
+	changed chan struct{}
+	conns   map[net.Conn]bool
+}
+
+func newProxy(target string) (*proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{listener: l, target: target, state: linkWell, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+	go p.accept()
+	return p, nil
+}
+
+func (p *proxy) addr() string { return p.listener.Addr().String() }
+
+func (p *proxy) set(state link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state = state
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// reset breaks all open connections.
+func (p *proxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // without it the close would be orderly
+		}
+		_ = c.Close()
+	}
+}
+
+func (p *proxy) close() {
+	_ = p.listener.Close() // ends accept
+	p.reset()
+}
+
+func (p *proxy) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.pass(c)
+	}
+}
+
+func (p *proxy) pass(client net.Conn) {
+	server, err := net.DialTimeout("tcp", p.target, time.Second)
+	if err != nil {
+		_ = client.Close()
+		return
+	}
+	p.mu.Lock()
+	p.conns[client], p.conns[server] = true, true
+	p.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(server, client, false) })
+	both.Go(func() { p.copy(client, server, true) })
+	both.Wait()
+	p.mu.Lock()
+	delete(p.conns, client)
+	delete(p.conns, server)
+	p.mu.Unlock()
+}
+
+// copy passes bytes until either side ends, and then ends both.
+func (p *proxy) copy(to, from net.Conn, answers bool) {
+	defer to.Close()
+	defer from.Close()
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			p.wait(answers)
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// wait holds bytes back as the state of the link demands.
+func (p *proxy) wait(answers bool) {
+	for {
+		p.mu.Lock()
+		state, changed := p.state, p.changed
+		p.mu.Unlock()
+		switch {
+		case state == linkSlow:
+			time.Sleep(linkDelay)
+			return
+		case state == linkSilent, state == linkOneWay && answers:
+			<-changed
+		default:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/pkg/soak/soak.go
@@ -0,0 +1,197 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/nutmeghitch/nutmeghitch/platform/standin"
+)
+
+const (
+	// siteHost is the host of all routes, singleService serves single requests.
+	siteHost      = "h.example"
+	singleService = "single"
+	// minCoverage is that of the fan-out route.
+	minCoverage = 0.5
+	// replicaWork is the time of one request at a replica.
+	replicaWork = 3 * time.Millisecond
+	// readyTimeout bounds the start of the tier and its recovery after the
+	// faults; it only ends runs that hang, on a busy machine too.
+	readyTimeout = 60 * time.Second
+	// recoverAnswers are needed after the faults.
+	recoverAnswers = 20
+)
+
+// Config describes a run.
+type Config struct {
+	// Binary is the program of a VM, Dir takes settings and logs.
+	Binary, Dir string
+	Seed        uint64
+	VMs         int
+	Callers     int
+	// Faults is the number of faults in the plan, Gap the time between them.
+	Faults int
+	Gap    time.Duration
+	Out    io.Writer
+}
+
+// Result is what a run showed.
+type Result struct {
+	Asked, Served int
+	// Broken holds a line for each broken promise.
+	Broken []string
+}
+
+// site is everything of one run.
+type site struct {
+	config   Config
+	random   *rand.Rand
+	store    *standin.Store
+	server   *http.Server
+	runs     *standin.Runs
+	vms      []*vm
+	stores   []*proxy // one before the store for each VM
+	replicas []*standin.Replica
+	links    []*proxy // one before each replica
+	checker  *checker
+	version  int
+	set      int
+	next     int
+}
+
+// shardSets are the sets that the fan-out route alternates between.
+var shardSets = [][]string{{"a0", "a1", "a2", "a3"}, {"b0", "b1", "b2"}}
+
+// Run starts a site, plays a plan drawn from the seed, and checks the promises.
+// The error tells that the run itself failed.
+func Run(ctx context.Context, c Config) (Result, error) {
+	s := &site{config: c, random: rand.New(rand.NewPCG(c.Seed, 7)), store: standin.NewStore(), runs: standin.NewRuns(), version: 1}
+	s.checker = &checker{runs: s.runs, sets: shardSets}
+	defer s.close()
+	if err := s.build(); err != nil {
+		return Result{}, err
+	}
+	callCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	var callers sync.WaitGroup
+	for i := range c.Callers {
+		random := rand.New(rand.NewPCG(c.Seed, uint64(100+i)))
+		callers.Go(func() { s.checker.call(callCtx, i, s.vms, random) })
+	}
+	if !s.await(ctx, recoverAnswers) {
+		return Result{}, errNotStarted
+	}
+	s.play(ctx)
+	if !s.await(ctx, recoverAnswers) {
+		s.checker.breach("no %d answers within %s after the faults had ended", recoverAnswers, readyTimeout)
+	}
+	stop()
+	callers.Wait()
+	s.checker.finish()
+	return Result{Asked: len(s.checker.all), Served: s.checker.served, Broken: s.checker.broken}, nil
+}
+
+// await waits for so many more answers.
+func (s *site) await(ctx context.Context, more int) bool {
+	want := s.checker.count() + more
+	for deadline := time.Now().Add(readyTimeout); time.Now().Before(deadline) && ctx.Err() == nil; {
+		if s.checker.count() >= want {
+			return true
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return false
+}
+
+func (s *site) build() error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	s.server = &http.Server{Handler: s.store, ReadHeaderTimeout: time.Minute}
+	go func() { _ = s.server.Serve(l) }() // ends with close
+	for _, service := range append([]string{singleService, singleService}, append(shardSets[0], shardSets[1]...)...) {
+		for range 2 {
+			if err := s.addReplica(service); err != nil {
+				return err
+			}
+		}
+	}
+	s.configure()
+	var seeds []string
+	for i := range s.config.VMs {
+		v := &vm{binary: s.config.Binary, dir: s.config.Dir}
+		p, err := newProxy(l.Addr().String())
+		if err != nil {
+			return err
+		}
+		s.stores = append(s.stores, p)
+		v.Name, v.Domain, v.Store, v.Seeds = fmt.Sprint("vm", i), fmt.Sprint("d", i%3), p.addr(), seeds
+		for _, addr := range []*string{&v.Callers, &v.Ready, &v.Peers} {
+			if *addr, err = freeAddr(); err != nil {
+				return err
+			}
+		}
+		if len(seeds) < 3 {
+			seeds = append(seeds, v.Peers)
+		}
+		if err := v.start(); err != nil {
+			return err
+		}
+		s.vms = append(s.vms, v)
+	}
+	return nil
+}
+
+// addReplica starts a replica behind a proxy and registers it.
+func (s *site) addReplica(service string) error {
+	s.next++
+	r, err := standin.StartReplica(fmt.Sprintf("r%d", s.next), service, fmt.Sprint("d", s.next%3), replicaWork, s.runs)
+	if err != nil {
+		return err
+	}
+	p, err := newProxy(r.Addr())
+	if err != nil {
+		r.Close()
+		return err
+	}
+	r.Advertised = p.addr()
+	r.Register(s.store, false)
+	s.replicas, s.links = append(s.replicas, r), append(s.links, p)
+	return nil
+}
+
+// configure writes the next configuration.
+func (s *site) configure() {
+	s.version++
+	routes := []standin.Route{
+		{Name: "read", Host: siteHost, Prefix: "/read/", Idempotent: true, Service: singleService},
+		{Name: "book", Host: siteHost, Prefix: "/book/", Service: singleService},
+		{Name: "all", Host: siteHost, Prefix: "/all/", Idempotent: true, Shards: shardSets[s.set], MinCoverage: minCoverage},
+	}
+	standin.PutConfig(s.store, s.version, routes, append([]string{singleService}, append(shardSets[0], shardSets[1]...)...))
+}
+
+func (s *site) close() {
+	for _, v := range s.vms {
+		if v.cmd != nil && v.cmd.Process != nil {
+			_ = v.cmd.Process.Kill() // ends also a stopped process
+			v.wait(readyTimeout)
+		}
+	}
+	for _, p := range append(s.stores, s.links...) {
+		p.close()
+	}
+	for _, r := range s.replicas {
+		r.Close()
+	}
+	if s.server != nil {
+		_ = s.server.Close() // nothing uses the store any more
+	}
+}
