Probe replicas that stay silent

Cause: a kept connection over a cut link hung until its request was given up, and nothing told that the replica could not be reached; it took 1 to 2 s until enough dials had failed. Change: a send without an answer for 220 ms has its replica probed over a new connection.

--- a/pkg/edge/prober.go
+++ b/pkg/edge/prober.go
@@ -117,6 +117,18 @@
 	}
 }
 
+// Silent implements forward.Observer. The probe opens a connection of its own
+// if it can, which fails where the link is cut.
+func (p *prober) Silent(u *forward.Upstream) {
+	p.mu.Lock()
+	recent := time.Since(p.lastOK[u]) < probeGap
+	p.mu.Unlock()
+	if !recent {
+		u.Pool.DropIdle()
+		p.begin(u, 0)
+	}
+}
+
 // begin starts probing a replica unless that is under way.
 func (p *prober) begin(u *forward.Upstream, after time.Duration) {
 	p.mu.Lock()
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -41,6 +41,8 @@
 	// Unreachable gets a replica that no connection could be opened to, or
 	// that is not the one expected at its address.
 	Unreachable(u *Upstream, why *errs.Refusal)
+	// Silent gets a replica that gave no answer for long.
+	Silent(u *Upstream)
 	// Broken gets a replica that broke off a request, and the request.
 	Broken(u *Upstream, why *errs.Refusal, suspect Suspect)
 }
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -54,6 +54,8 @@
 	s.unreachable = append(s.unreachable, u.Member.ID)
 }
 
+func (s *site) Silent(*Upstream) {}
+
 func (s *site) Broken(u *Upstream, _ *errs.Refusal, suspect Suspect) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -37,6 +37,9 @@
 	// freshConnection bounds the age of a kept connection for requests that
 	// may not be repeated: a replica may forget an idle one without notice.
 	freshConnection = time.Second
+	// silentAfter is the time without an answer after which a replica is probed:
+	// its link may be cut. Pauses of replicas are shorter.
+	silentAfter = 220 * time.Millisecond
 	// minLeft is the least time for which a request is worth sending.
 	minLeft = 2 * time.Millisecond
 )
@@ -375,6 +378,9 @@
 		u.Tracker.End(now, start, replica.Served)
 	case refusal.Code == errs.Canceled || refusal.Code == errs.DeadlineExceeded || refusal.Code == errs.QueueFull:
 		u.Tracker.End(now, start, replica.Abandoned)
+		if refusal.RunState == errs.MayHaveRun && now.Sub(start) > silentAfter {
+			f.observer.Silent(u)
+		}
 	case refusal.RunState == errs.DidNotRun:
 		u.Tracker.End(now, start, replica.Failed)
 		f.observer.Unreachable(u, refusal)
