Bring the pages in line, drop settings that nothing uses

Cause: the pages did not tell of the VM on the users' platform, and some settings were decoded and never read.

--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -110,7 +110,7 @@
 // misses one that a caller can report.
 func TestOperatorsTableOfRefusals(t *testing.T) {
 	known, listed := codes(t), map[errs.Code]bool{}
-	for _, row := range tableRows(t, read(t, "operations.md"), "| code | run state |") {
+	for _, row := range tableRows(t, read(t, "OPERATIONS.md"), "| code | run state |") {
 		for _, m := range quoted.FindAllStringSubmatch(row[0], -1) {
 			code := errs.Code(m[1])
 			assert.Assert(t, slices.Contains(known, code), "%s does not exist", code)
@@ -118,7 +118,7 @@
 		}
 	}
 	for _, code := range known {
-		assert.Assert(t, listed[code] || slices.Contains(notForCallers, code), "%s is missing in operations.md", code)
+		assert.Assert(t, listed[code] || slices.Contains(notForCallers, code), "%s is missing in OPERATIONS.md", code)
 	}
 }
 
--- a/pkg/e2e/metrics_test.go
+++ b/pkg/e2e/metrics_test.go
@@ -26,7 +26,7 @@
 
 // documented returns the names of the table of metrics.
 func documented(t *testing.T) []string {
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	assert.NilError(t, err)
 	_, table, found := strings.Cut(string(page), "\n## Metrics\n")
 	assert.Assert(t, found)
@@ -69,6 +69,6 @@
 		s.await(w+" in /metrics", func() bool { return strings.Contains(a.scrape(), w) })
 	}
 	for _, m := range regexp.MustCompile(`# TYPE nutmeghitch_([a-z_]+) `).FindAllStringSubmatch(a.scrape(), -1) {
-		assert.Check(t, known[m[1]], "%s is not in docs/operations.md", m[1])
+		assert.Check(t, known[m[1]], "%s is not in docs/OPERATIONS.md", m[1])
 	}
 }
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -22,28 +22,19 @@
 	Seeds []string
 
 	Cores       int
-	CPUShare    float64
 	MemoryBytes int64
-	Files       int
-	// Heartbeat is the interval at which replicas write their entries.
-	Heartbeat time.Duration
-	Bounds    Bounds
+	Bounds      Bounds
 }
 
 // Bounds are the operators' bounds that hold over all VMs.
 type Bounds struct {
-	// Drain is the time in which a leaving replica must get no more requests.
-	Drain time.Duration
 	// StopGrace is the time between the request to stop and the kill.
 	StopGrace time.Duration
-	// Contact is the time after which a VM without disturbance must keep all
-	// bounds again.
-	Contact time.Duration
 	// RetryRatio and RetrySlack bound the sends beyond the first of each
-	// request: a share of the requests plus a number in each RetryWindow.
-	RetryRatio  float64
-	RetrySlack  float64
-	RetryWindow time.Duration
+	// request: a share of the requests plus a number in a window of seconds.
+	// A bucket that holds the slack and gains the share keeps any window.
+	RetryRatio float64
+	RetrySlack float64
 	// ColdOverage times the rate that a cold replica bears plus ColdSlack
 	// bounds the requests in any second.
 	ColdOverage, ColdSlack float64
--- a/pkg/routes/routes.go
+++ b/pkg/routes/routes.go
@@ -56,8 +56,6 @@
 	// MaxConns is the number of connections that one replica accepts from all
 	// VMs together.
 	MaxConns int
-	// Warmup is the time a replica stays cold after a start.
-	Warmup time.Duration
 	// WarmupPerSecond is the request rate that a cold replica bears.
 	WarmupPerSecond float64
 }
