Ask left-out shards when others fail, weigh failures by the target

Cause 2: a failure was weighed with 400 ms whatever the target, so the one sound replica of a shard got all requests until it answered too late. Ruled out: more sends beyond the first (the budget was spent). Change: a left-out shard is asked when the coverage needs it (test fails before); a replica that always fails ranks behind one that takes the target longer.

--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -258,3 +258,19 @@
 	status, _, _ = s.ask("GET", "/p/good", "good", "")
 	assert.Equal(t, status, http.StatusOK)
 }
+
+// Guards against a query that fails because a shard was left out and another
+// one failed: the one that was left out can still make up the coverage.
+func TestLeftOutShardIsAskedWhenAnotherFails(t *testing.T) {
+	s := newSite(t, fanOut(0.6, "a", "b", "c"))
+	now := time.Now()
+	s.replica(s.group("a", 0), "a1", serves("ra", record("1")))
+	late := s.replica(s.group("b", 0), "b1", serves("rb", record("2")))
+	late.Tracker.Begin(now.Add(-3 * time.Second))
+	late.Tracker.End(now, now.Add(-3*time.Second), 0)
+	s.replica(s.group("c", 0), "c1", sheds)
+	status, header, body := s.ask("GET", "/a/", "1", "")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, header.Get("Missing"), "1")
+	assert.Equal(t, body, record("2")+record("1"))
+}
--- a/pkg/forward/plan.go
+++ b/pkg/forward/plan.go
@@ -104,3 +104,30 @@
 		s.group.Budget.Primary(1)
 	}
 }
+
+// unskip asks the shards that were left out after all, when others have failed
+// and the coverage cannot be reached without them.
+func (q *query) unskip(now time.Time) {
+	if q.skipped == 0 {
+		return
+	}
+	possible := 0
+	for _, s := range q.shards {
+		if s.done || s.running > 0 {
+			possible++
+		}
+	}
+	for _, s := range q.shards {
+		if possible >= least(q.route) {
+			return
+		}
+		if s.skipped {
+			s.skipped = false
+			q.skipped--
+			q.countPrimary(s)
+			if q.launch(now, s) {
+				possible++
+			}
+		}
+	}
+}
--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -200,6 +200,7 @@
 	defer cutoff.Stop()
 	late := false
 	for {
+		q.unskip(time.Now())
 		if a, refusal, over := q.settled(late); over {
 			return a, refusal
 		}
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -19,8 +19,10 @@
 	// failureHalfLife halves the rate of a replica that is not used.
 	failureWeight   = 0.25
 	failureHalfLife = 2 * time.Second
-	// failureCost is added to the expected time of a replica that always fails.
-	failureCost = 400 * time.Millisecond
+	// failureCost times the usual latency is added to the rank of a replica that
+	// always fails. It is about the target of a request: a replica that fails
+	// half of its requests is better than one that answers too late.
+	failureCost = 5.0
 	// stallAfter times the usual latency without any answer makes a replica
 	// count as paused for as long as it stays silent.
 	stallAfter = 2.0
@@ -223,7 +225,7 @@
 	}
 	expected := t.expected(now, usual)
 	expected += time.Duration(busyWeight * float64(expected) * float64(t.inFlight) / float64(t.Slots))
-	expected += time.Duration(t.failureRate(now) * float64(failureCost))
+	expected += time.Duration(t.failureRate(now) * failureCost * float64(usual))
 	if now.Before(t.shedUntil) {
 		expected += shedPause
 	}
