Prefer replicas of the own failure domain more

Cause: bytes between failure domains are the largest price that a choice can change. Change: a replica elsewhere ranks at twice its expected time plus 6 ms (before: 1.5 times plus 4 ms).

--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -28,8 +28,8 @@
 	stallAfter = 2.0
 	// remoteFactor and remoteCost make a replica of the own failure domain
 	// preferred until it is clearly slower: bytes between domains cost.
-	remoteFactor = 1.5
-	remoteCost   = 4 * time.Millisecond
+	remoteFactor = 2.0
+	remoteCost   = 6 * time.Millisecond
 	// busyWeight prefers replicas with free slots: other VMs use them as well.
 	busyWeight = 0.5
 	// shedPause keeps requests away from a replica that has just refused one
