Use 95% of the retry ratio

Ruled out: a larger share of the fixed slack, which restarted VMs begin with anew. Change: ratioShare 0.85 to 0.95; it is a share of each VM's own requests.

--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -25,8 +25,9 @@
 	// a VM that restarts begins with a full share again.
 	retryShare = 0.6
 	// ratioShare is the part of the retry ratio that is used, because callers'
-	// requests and sends fall into different windows.
-	ratioShare = 0.85
+	// requests and sends fall into different windows. It is of each VM's own
+	// requests, so the sum holds without knowledge of the others.
+	ratioShare = 0.95
 	// coldMargin prolongs a cold time for the way of the entry that told it.
 	coldMargin = 300 * time.Millisecond
 	// hedgeQuantileBudget makes second sends start behind the slowest 8%.
