--- a/cmd/nutmeghitch-edge/main.go
+++ b/cmd/nutmeghitch-edge/main.go
@@ -14,19 +14,13 @@
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
+	"github.com/nutmeghitch/nutmeghitch/pkg/command"
 	"github.com/nutmeghitch/nutmeghitch/pkg/edge"
 	"github.com/nutmeghitch/nutmeghitch/pkg/logging"
 	"github.com/nutmeghitch/nutmeghitch/pkg/metrics"
 	"github.com/nutmeghitch/nutmeghitch/platform"
 )
 
-// Exit codes.
-const (
-	exitDone   = 0
-	exitFailed = 1
-	exitUsage  = 2
-)
-
 const (
 	// flushTimeout bounds the time to write the last log lines.
 	flushTimeout = 200 * time.Millisecond
@@ -38,7 +32,6 @@
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
 func run(args []string, stdout, stderr io.Writer) int {
-	code := exitUsage
 	cmd := &cli.Command{
 		Name:        "nutmeghitch-edge",
 		Usage:       "run one VM of the query tier on the users' platform",
@@ -48,24 +41,10 @@
 			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`; without it the platform's environment names one"},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 		},
-		HideHelpCommand: true,
-		Writer:          stdout,
-		ErrWriter:       stderr,
-		ExitErrHandler:  func(context.Context, *cli.Command, error) {},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			code = serve(ctx, c.String("settings"), c.Bool("check"), stdout, stderr)
-			return nil
-		},
 	}
-	for _, a := range args {
-		if a == "--help" || a == "-h" {
-			code = exitDone
-		}
-	}
-	if err := cmd.Run(context.Background(), append([]string{"nutmeghitch-edge"}, args...)); err != nil {
-		return exitUsage
-	}
-	return code
+	return command.Run(cmd, args, stdout, stderr, func(ctx context.Context, c *cli.Command) int {
+		return serve(ctx, c.String("settings"), c.Bool("check"), stdout, stderr)
+	})
 }
 
 // serve runs the VM until a signal asks it to stop.
@@ -73,11 +52,11 @@
 	settings, path, err := load(file)
 	if err != nil {
 		fmt.Fprintf(stderr, "nutmeghitch-edge: %v\n", err)
-		return exitUsage
+		return command.Usage
 	}
 	if checkOnly {
 		fmt.Fprintf(stderr, "nutmeghitch-edge: settings of VM %s are correct\n", settings.VM)
-		return exitDone
+		return command.Done
 	}
 	log, async := logging.New(stdout, logrus.InfoLevel, logging.DefaultCapacity)
 	m := metrics.New(map[string]string{"vm": settings.VM}, func(err error) { log.WithField("error", err).Warn("metric refused") })
@@ -95,9 +74,9 @@
 	defer cancel()
 	_ = async.Close(flush) // lines that cannot be written have nowhere to go
 	if err != nil {
-		return exitFailed
+		return command.Failed
 	}
-	return exitDone
+	return command.Done
 }
 
 func load(file string) (edge.Settings, string, error) {
--- a/cmd/nutmeghitch-soak/main.go
+++ b/cmd/nutmeghitch-soak/main.go
@@ -15,20 +15,13 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/nutmeghitch/nutmeghitch/pkg/command"
 	"github.com/nutmeghitch/nutmeghitch/pkg/soak"
 )
 
-// Exit codes.
-const (
-	exitDone   = 0
-	exitFailed = 1
-	exitUsage  = 2
-)
-
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
 func run(args []string, stdout, stderr io.Writer) int {
-	code := exitUsage
 	cmd := &cli.Command{
 		Name:        "nutmeghitch-soak",
 		Usage:       "run VMs of the tier under random faults and check its promises",
@@ -43,24 +36,10 @@
 			&cli.IntFlag{Name: "faults", Value: 16, Usage: "number of faults `N` of each seed"},
 			&cli.StringFlag{Name: "keep", Usage: "keep settings and logs in `DIR`"},
 		},
-		HideHelpCommand: true,
-		Writer:          stdout,
-		ErrWriter:       stderr,
-		ExitErrHandler:  func(context.Context, *cli.Command, error) {},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			code = seeds(ctx, c, stdout, stderr)
-			return nil
-		},
-	}
-	for _, a := range args {
-		if a == "--help" || a == "-h" {
-			code = exitDone
-		}
-	}
-	if err := cmd.Run(context.Background(), append([]string{"nutmeghitch-soak"}, args...)); err != nil {
-		return exitUsage
 	}
-	return code
+	return command.Run(cmd, args, stdout, stderr, func(ctx context.Context, c *cli.Command) int {
+		return seeds(ctx, c, stdout, stderr)
+	})
 }
 
 // seeds runs the seeds one after the other.
@@ -72,10 +51,10 @@
 		seed = uint64(rand.Uint32())
 	}
 	until := time.Now().Add(time.Duration(c.Int("minutes")) * time.Minute)
-	code := exitDone
+	code := command.Done
 	for i := 0; (i < c.Int("seeds") || time.Now().Before(until)) && ctx.Err() == nil; i++ {
 		if !one(ctx, c, seed+uint64(i), stdout, stderr) {
-			code = exitFailed
+			code = command.Failed
 		}
 	}
 	return code
--- a/cmd/nutmeghitchd/main.go
+++ b/cmd/nutmeghitchd/main.go
@@ -12,18 +12,12 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/nutmeghitch/nutmeghitch/pkg/command"
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/node"
 	"github.com/nutmeghitch/nutmeghitch/pkg/settings"
 )
 
-// Exit codes.
-const (
-	exitDone   = 0
-	exitFailed = 1
-	exitUsage  = 2
-)
-
 // flushTimeout bounds the time to write the last log lines.
 const flushTimeout = 2 * time.Second
 
@@ -32,7 +26,6 @@
 }
 
 func run(args []string, stdout, stderr io.Writer) int {
-	code := exitUsage
 	cmd := &cli.Command{
 		Name:        "nutmeghitchd",
 		Usage:       "run one VM of the query tier",
@@ -42,29 +35,10 @@
 			&cli.StringFlag{Name: "settings", Usage: "settings `FILE` of this VM, JSON with comments", Required: true},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 		},
-		HideHelpCommand: true,
-		Writer:          stderr,
-		ErrWriter:       stderr,
-		ExitErrHandler:  func(context.Context, *cli.Command, error) {},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			if c.NArg() > 0 {
-				fmt.Fprintf(stderr, "nutmeghitchd: unexpected argument %q\n", c.Args().First())
-				return nil
-			}
-			code = serve(ctx, c.String("settings"), c.Bool("check"), stderr)
-			return nil
-		},
-	}
-	for _, a := range args {
-		if a == "--help" || a == "-h" {
-			// Help that was asked for is data; help after wrong usage is a message.
-			code, cmd.Writer = exitDone, stdout
-		}
-	}
-	if err := cmd.Run(context.Background(), append([]string{"nutmeghitchd"}, args...)); err != nil {
-		return exitUsage
 	}
-	return code
+	return command.Run(cmd, args, stdout, stderr, func(ctx context.Context, c *cli.Command) int {
+		return serve(ctx, c.String("settings"), c.Bool("check"), stderr)
+	})
 }
 
 // serve runs the VM until a signal asks it to stop.
@@ -72,20 +46,20 @@
 	s, err := settings.LoadFile(file)
 	if err != nil {
 		fmt.Fprintf(stderr, "nutmeghitchd: %v\n", err)
-		return exitUsage
+		return command.Usage
 	}
 	if checkOnly {
 		fmt.Fprintf(stderr, "nutmeghitchd: settings of VM %s are correct\n", s.VM)
-		return exitDone
+		return command.Done
 	}
 	n, resources, err := node.Open(s, stderr)
 	if err != nil {
 		fmt.Fprintf(stderr, "nutmeghitchd: %v\n", err)
 		if errs.Is(err, errs.AddressInUse) {
 			// A later start can succeed with the same settings.
-			return exitFailed
+			return command.Failed
 		}
-		return exitUsage
+		return command.Usage
 	}
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -96,7 +70,7 @@
 	_ = resources.Log.Close(flush)
 	if err != nil {
 		fmt.Fprintf(stderr, "nutmeghitchd: %v\n", err)
-		return exitFailed
+		return command.Failed
 	}
-	return exitDone
+	return command.Done
 }
--- a/cmd/nutmeghitchd/main_test.go
+++ b/cmd/nutmeghitchd/main_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 
+	"github.com/nutmeghitch/nutmeghitch/pkg/command"
 	"gotest.tools/v3/assert"
 )
 
@@ -20,11 +21,11 @@
 		t.Setenv(name, "0123456789abcdef")
 	}
 	for args, want := range map[string]int{
-		"--help":                             exitDone,
-		"":                                   exitUsage,
-		"--settings missing.jsonc":           exitUsage,
-		"--settings " + example + " --check": exitDone,
-		"--settings " + example + " extra":   exitUsage,
+		"--help":                             command.Done,
+		"":                                   command.Usage,
+		"--settings missing.jsonc":           command.Usage,
+		"--settings " + example + " --check": command.Done,
+		"--settings " + example + " extra":   command.Usage,
 	} {
 		var stdout, stderr bytes.Buffer
 		assert.Equal(t, run(strings.Fields(args), &stdout, &stderr), want, "%s: %s", args, stderr.String())
@@ -39,8 +40,8 @@
 	text := strings.ReplaceAll(string(data), "127.0.0.1:20001", taken.Addr().String())
 	assert.NilError(t, os.WriteFile(busy, []byte(text), 0o600))
 	var stderr bytes.Buffer
-	assert.Equal(t, run([]string{"--settings", busy}, io.Discard, &stderr), exitFailed)
+	assert.Equal(t, run([]string{"--settings", busy}, io.Discard, &stderr), command.Failed)
 	assert.Equal(t, stderr.String(), "nutmeghitchd: address_in_use (did_not_run): listen.callers.addr: "+taken.Addr().String()+" is used by another process\n")
 	t.Setenv("NUTMEGHITCH_PEER_SECRET", "short")
-	assert.Equal(t, run([]string{"--settings", example, "--check"}, &bytes.Buffer{}, &bytes.Buffer{}), exitUsage)
+	assert.Equal(t, run([]string{"--settings", example, "--check"}, &bytes.Buffer{}, &bytes.Buffer{}), command.Usage)
 }
--- /dev/null
+++ b/pkg/forward/outcome.go
@@ -0,0 +1,80 @@
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
+)
+
+// take takes in the outcome of one send.
+func (q *query) take(r result) {
+	s := r.shard
+	s.running--
+	now := time.Now()
+	switch {
+	case r.refusal == nil && q.f.notRun(r.reply):
+		s.runs--
+		s.refusal = errs.Refuse(errs.UpstreamShed, "%s refused with status %d", r.upstream.Member.ID, r.reply.Status)
+		q.retry(now, s, true)
+	case r.refusal != nil && r.refusal.RunState == errs.DidNotRun:
+		s.runs--
+		s.refusal = r.refusal
+		q.retry(now, s, false)
+	case r.refusal != nil:
+		s.ran = true
+		s.refusal = r.refusal
+		if q.route.Idempotent && q.verdict != poison.Suspect {
+			q.retry(now, s, true)
+		}
+	default:
+		s.ran = true
+		q.takeReply(now, s, r)
+	}
+}
+
+// takeReply takes in an answer of a replica that ran the request.
+func (q *query) takeReply(now time.Time, s *shard, r result) {
+	reply := r.reply
+	good := reply.Status >= 200 && reply.Status < 300
+	switch {
+	case good && (reply.Header.Get(q.f.headers.Receipt) == "" || reply.Header.Get("Content-Encoding") != ""):
+		s.refusal = errs.Ambiguous(errs.ResponseMismatch, "%s answered without a receipt", r.upstream.Member.ID)
+		if q.route.Idempotent {
+			q.retry(now, s, true)
+		}
+	case good || (reply.Status < http.StatusInternalServerError && !q.route.FanOut()):
+		s.done, s.reply = true, &reply
+		if q.delay != nil {
+			q.delay.Observe(now.Sub(r.start))
+		}
+	default:
+		s.failed = &reply
+		if q.route.Idempotent {
+			q.retry(now, s, true)
+		}
+	}
+}
+
+// retry sends the request of a shard again, if that is allowed and no other
+// send of it runs. arrived tells that the failed send reached a replica, so
+// that the next one counts against the budget.
+func (q *query) retry(now time.Time, s *shard, arrived bool) {
+	if s.done || s.running > 0 || s.runs >= q.route.Attempts {
+		return
+	}
+	if arrived {
+		s.arrivals++
+	}
+	sent := false
+	if s.arrivals > 0 {
+		sent = q.launchExtra(now, s, extra)
+	} else {
+		sent = q.launch(now, s)
+	}
+	if sent {
+		q.retries++
+		q.f.metrics.retries.Inc(1)
+	}
+}
