--- /dev/null
+++ b/pkg/discovery/model_test.go
@@ -0,0 +1,127 @@
+package discovery
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// oracle is what a registry should believe, kept as a plain list of what
+// happened to each replica.
+type oracle struct {
+	entries map[string]oracleEntry
+	away    bool
+	backAt  time.Time
+}
+
+type oracleEntry struct {
+	entry    Replica
+	revision int64
+	missing  bool
+}
+
+func (o *oracle) recovering(now time.Time) bool {
+	return o.away || !o.backAt.IsZero() && now.Sub(o.backAt) < RejoinGrace
+}
+
+func (o *oracle) put(entry Replica, revision int64) {
+	if old, ok := o.entries[entry.ID]; ok && (revision < old.revision || entry.Born < old.entry.Born) {
+		return
+	}
+	for id, e := range o.entries {
+		if id != entry.ID && e.entry.Addr == entry.Addr && e.revision < revision {
+			delete(o.entries, id)
+		}
+	}
+	o.entries[entry.ID] = oracleEntry{entry: entry, revision: revision}
+}
+
+func (o *oracle) remove(now time.Time, id string, revision int64) {
+	e, ok := o.entries[id]
+	switch {
+	case !ok || revision > 0 && revision < e.revision:
+	case o.recovering(now):
+		e.missing = true
+		o.entries[id] = e
+	default:
+		delete(o.entries, id)
+	}
+}
+
+func (o *oracle) tick(now time.Time) {
+	for id, e := range o.entries {
+		if e.missing && !o.recovering(now) {
+			delete(o.entries, id)
+		}
+	}
+}
+
+func (o *oracle) usable() []string {
+	out := []string{}
+	for id, e := range o.entries {
+		if !e.entry.Draining {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Guards against a registry that, after any order of entries, removals, lists
+// and absences of the store, uses a replica that has left or loses a live one.
+func TestModelRegistryAgreesWithOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r, o := NewRegistry(), &oracle{entries: map[string]oracleEntry{}}
+		now, revision := start, int64(1)
+		id := func() string { return fmt.Sprint("r", rapid.IntRange(0, 4).Draw(t, "id")) }
+		t.Repeat(map[string]func(*rapid.T){
+			"put": func(t *rapid.T) {
+				revision++
+				e := entry(id(), fmt.Sprint("a", rapid.IntRange(0, 5).Draw(t, "addr")))
+				e.Draining = rapid.Bool().Draw(t, "draining")
+				e.Born = rapid.Int64Range(1, 3).Draw(t, "born")
+				at := revision - rapid.Int64Range(0, min(2, revision-1)).Draw(t, "late")
+				r.Put(now, e, at)
+				o.put(e, at)
+			},
+			"remove": func(t *rapid.T) {
+				revision++
+				name, at := id(), rapid.SampledFrom([]int64{0, 1, revision}).Draw(t, "at")
+				r.Remove(now, name, at)
+				o.remove(now, name, at)
+			},
+			"list": func(t *rapid.T) {
+				listed := map[string]bool{id(): true, id(): true}
+				r.Retain(now, listed)
+				for name := range o.entries {
+					if !listed[name] {
+						o.remove(now, name, 0)
+					}
+				}
+			},
+			"lost": func(*rapid.T) { r.StoreLost(); o.away = true },
+			"back": func(*rapid.T) {
+				r.StoreBack(now)
+				if o.away {
+					o.away, o.backAt = false, now
+				}
+			},
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 2500).Draw(t, "ms")) * time.Millisecond)
+				r.Tick(now)
+				o.tick(now)
+			},
+			"": func(t *rapid.T) {
+				got := []string{}
+				for _, m := range r.View().Services["s"] {
+					got = append(got, m.ID)
+				}
+				assert.DeepEqual(t, got, o.usable())
+			},
+		})
+	})
+}
