Bound what a follower holds for subscribers that join together

Change: subscribers that join between two changes share one encoded copy; a follower takes 48 subscribers at most, others ask the next VM. Tests for both.

--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -44,6 +44,8 @@
 	away map[string]bool
 	// following tells that this VM follows the store itself.
 	following bool
+	// snapshots holds all objects for subscribers, nil after a change.
+	snapshots []wire.FeedTopic
 	// status is what other goroutines read of the two above.
 	status atomic.Pointer[feed.Status]
 }
@@ -179,18 +181,11 @@
 func (c *control) Join(ctx context.Context, join func([]wire.FeedTopic)) bool {
 	done := make(chan bool, 1)
 	c.post(ctx, func(now time.Time) bool {
-		all := make([]wire.FeedTopic, 0, len(c.topics))
-		for _, t := range c.topics {
-			out, err := t.snapshot(now)
-			if err != nil {
-				c.log.WithFields(logrus.Fields{"kind": t.title(), "error": err}).Error("subscriber not served")
-				done <- false
-				return false
-			}
-			all = append(all, out)
+		all, ok := c.snapshot(now)
+		if ok {
+			join(all)
 		}
-		join(all)
-		done <- true
+		done <- ok
 		return false
 	})
 	select {
@@ -201,6 +196,25 @@
 	}
 }
 
+// snapshot returns all objects of all topics. Subscribers that join while
+// nothing changes share one.
+func (c *control) snapshot(now time.Time) ([]wire.FeedTopic, bool) {
+	if c.snapshots != nil {
+		return c.snapshots, true
+	}
+	all := make([]wire.FeedTopic, 0, len(c.topics))
+	for _, t := range c.topics {
+		out, err := t.snapshot(now)
+		if err != nil {
+			c.log.WithFields(logrus.Fields{"kind": t.title(), "error": err}).Error("subscriber not served")
+			return nil, false
+		}
+		all = append(all, out)
+	}
+	c.snapshots = all
+	return all, true
+}
+
 // registered reports whether the store has the entry of a VM, once the VMs
 // are known or the wait for them was long enough.
 func (c *control) registered(ctx context.Context, vm discovery.VM) bool {
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -141,6 +141,20 @@
 	assert.Assert(t, to.state.ready())
 }
 
+// Guards against subscribers that each get a copy of all objects, and against
+// one that gets objects from before the last change.
+func TestSubscribersShareASnapshot(t *testing.T) {
+	c := newTestControl(t)
+	replicaTopic(c).take(start, replicas(5, entry("a", 3)), true)
+	first, ok := c.snapshot(start)
+	assert.Assert(t, ok)
+	again, _ := c.snapshot(start)
+	assert.Assert(t, &first[0] == &again[0])
+	replicaTopic(c).take(start, replicas(6, entry("b", 6)), false)
+	changed, _ := c.snapshot(start)
+	assert.Equal(t, len(changed[1].Items), 2)
+}
+
 // Guards against a VM that counts as ready before it knows any replica.
 func TestReadyNeedsConfigurationAndReplicas(t *testing.T) {
 	c := newTestControl(t)
--- a/pkg/edge/topic.go
+++ b/pkg/edge/topic.go
@@ -92,6 +92,7 @@
 	}
 	t.revision = max(t.revision, batch.Revision)
 	t.verifiedAt = now
+	t.control.snapshots = nil
 	t.publish(batch, full)
 	return changed
 }
@@ -172,7 +173,9 @@
 // Answered implements storewatch.Sink.
 func (s sink[T]) Answered(revision int64) {
 	s.topic.control.post(s.ctx, func(now time.Time) bool {
-		s.topic.revision = max(s.topic.revision, revision)
+		if revision > s.topic.revision {
+			s.topic.revision, s.topic.control.snapshots = revision, nil
+		}
 		s.topic.verifiedAt = now
 		s.topic.control.storeAnswered(now, s.topic.name)
 		return false
--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -179,6 +179,19 @@
 	assert.Equal(t, all[0].Revision, int64(5))
 }
 
+// Guards against one VM that holds all that it knows for a whole fleet at once.
+func TestSubscribersAreBounded(t *testing.T) {
+	v := &vm{status: Status{Following: true, VerifiedAt: time.Now().Add(time.Hour)}, all: topics("all", 5)}
+	h, addr := serve(t, v)
+	for range maxSubscribers {
+		_, _, err := subscribe(t, addr, false)
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, h.Subscribers(), maxSubscribers)
+	_, _, err := subscribe(t, addr, false)
+	assert.Assert(t, err != nil)
+}
+
 // Guards against a subscription to a VM that has stopped without a word.
 func TestSilentFeedEnds(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/pkg/feed/hub.go
+++ b/pkg/feed/hub.go
@@ -19,6 +19,9 @@
 	// queueLength is the number of updates that wait for a slow subscriber. One
 	// that is slower is cut off and begins again.
 	queueLength = 64
+	// maxSubscribers bounds what a follower holds for subscribers that join at
+	// the same moment; others ask the next VM.
+	maxSubscribers = 2 * vmsPerFollower
 	// writeTimeout bounds the writing of one update.
 	writeTimeout = time.Second
 	// helloTimeout bounds the wait for a subscriber's first message.
@@ -116,7 +119,7 @@
 		return
 	}
 	status := h.source.Status()
-	if !hello.Any && (!status.Following || status.Away) {
+	if !hello.Any && (!status.Following || status.Away || h.Subscribers() >= maxSubscribers) {
 		return
 	}
 	s := &subscriber{updates: make(chan []wire.FeedTopic, queueLength), slow: make(chan struct{})}
