Take ports for the soak's VMs that the system does not hand out

Cause: showed 792 breaches. vm1 had ended at its start with address_in_use: freeAddr gives its port back before the VM listens, and a proxy of the soak got it; the store's stand-in then answered vm1's callers with 200. Ruled out: the tier (no VM logged these requests). Change: ports below those of the system, a run whose VMs do not start fails as a run, the seed is a regression case, a test of the ports. Conclusion: a fault of the soak, mended.

--- a/pkg/soak/plan.go
+++ b/pkg/soak/plan.go
@@ -12,8 +12,9 @@
 	"github.com/nutmeghitch/nutmeghitch/platform/standin"
 )
 
-// errNotStarted tells that no answer came before the first fault.
-var errNotStarted = errs.Refuse(errs.NotReady, "the tier gave no answers before the first fault")
+// errNotStarted tells that a VM ended, or that no answer came, before the first
+// fault.
+var errNotStarted = errs.Refuse(errs.NotReady, "a VM did not start, or the tier gave no answers before the first fault")
 
 const (
 	// faultMin and faultMax bound how long a fault lasts; the longer ones
@@ -89,9 +90,7 @@
 	if killed {
 		v.disturb()
 	}
-	select {
-	case <-v.exited:
-	default:
+	if !v.ended() {
 		return
 	}
 	if err := v.start(); err != nil {
--- a/pkg/soak/process.go
+++ b/pkg/soak/process.go
@@ -1,10 +1,12 @@
 package soak
 
 import (
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -27,14 +29,26 @@
 	stopping time.Time
 }
 
+// firstPort and ports bound the ports of VMs. They lie below those that the
+// system hands out by itself, so that neither a proxy nor an outgoing
+// connection takes the port of a VM before it starts, or while it restarts.
+const (
+	firstPort = 20000
+	ports     = 10000
+	portTries = 100
+)
+
 // freeAddr returns a loopback address with a port that is free now.
 func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var err error
+	for range portTries {
+		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(ports)))
+		var l net.Listener
+		if l, err = net.Listen("tcp", addr); err == nil {
+			return addr, l.Close()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", err
 }
 
 // start starts the process; its log is appended to a file.
@@ -63,6 +77,18 @@
 	return nil
 }
 
+// ended reports whether the process has ended.
+func (v *vm) ended() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	select {
+	case <-v.exited:
+		return true
+	default:
+		return false
+	}
+}
+
 // signal sends a signal to the process. Only a planned stop leaves the
 // promises of open connections in force.
 func (v *vm) signal(s syscall.Signal) {
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -89,7 +90,7 @@
 		random := rand.New(rand.NewPCG(c.Seed, uint64(100+i)))
 		callers.Go(func() { s.checker.call(callCtx, i, s.vms, random) })
 	}
-	if !s.await(ctx, recoverAnswers) {
+	if !s.await(ctx, recoverAnswers) || slices.ContainsFunc(s.vms, (*vm).ended) {
 		return Result{}, errNotStarted
 	}
 	play(s, ctx)
--- a/pkg/soak/soak_test.go
+++ b/pkg/soak/soak_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"testing"
@@ -13,7 +15,9 @@
 )
 
 // regressions are the seeds that once broke a promise, each with its cause.
-var regressions = map[uint64]string{}
+var regressions = map[uint64]string{
+	1983753421: "the soak's own fault: a proxy got the port of a VM that had not started yet",
+}
 
 var binary = sync.OnceValues(func() (string, error) {
 	dir, err := filepath.Abs(filepath.Join("..", ".."))
@@ -102,3 +106,17 @@
 	c.checkAnswer(a, answerHeader("a0.four, a2.four", "2"), mergeOf("four", "a0", "a2"))
 	assert.Equal(t, len(c.broken), 6, "%v", c.broken)
 }
+
+// Guards against a VM whose port a proxy or an outgoing connection takes: its
+// callers would then reach something else.
+func TestPortsOfVMsAreNotHandedOut(t *testing.T) {
+	for range 50 {
+		addr, err := freeAddr()
+		assert.NilError(t, err)
+		_, port, err := net.SplitHostPort(addr)
+		assert.NilError(t, err)
+		n, err := strconv.Atoi(port)
+		assert.NilError(t, err)
+		assert.Assert(t, n >= firstPort && n < firstPort+ports, addr)
+	}
+}
