Tell subscribers only of replicas whose entries exist

Ruled out: a lost event (all VMs log the removal), a stale view. Change: each soak has a loopback address of its own.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -185,9 +185,18 @@
 	return v
 }
 
-// Members returns all known replicas, sorted by ID.
-func (r *Registry) Members() []*Member {
-	return slices.SortedFunc(maps.Values(r.members), func(a, b *Member) int { return cmp.Compare(a.ID, b.ID) })
+// Listed returns the replicas whose entries exist, sorted by ID. Those that are
+// only kept after the store's absence are left out: who is told of them would
+// take them for listed and never drop them.
+func (r *Registry) Listed() []*Member {
+	var listed []*Member
+	for _, m := range r.members {
+		if m.missingSince.IsZero() {
+			listed = append(listed, m)
+		}
+	}
+	slices.SortFunc(listed, func(a, b *Member) int { return cmp.Compare(a.ID, b.ID) })
+	return listed
 }
 
 // Len returns the number of known replicas, usable or not.
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -183,6 +183,28 @@
 	assert.Equal(t, usable(c), 0)
 }
 
+// Guards against a replica that has left and comes back by the snapshot of a VM
+// that keeps it for a while because it had lost the store.
+func TestSnapshotLeavesOutLapsedReplicas(t *testing.T) {
+	from, to := newTestControl(t), newTestControl(t)
+	configTopic(from).take(start, config(testTable(t, 1), 1), true)
+	configTopic(to).take(start, config(testTable(t, 1), 1), true)
+	gone := storewatch.Item[discovery.Replica]{Name: "a", Revision: 9, Deleted: true}
+	for _, c := range []*control{from, to} {
+		replicaTopic(c).take(start, replicas(5, entry("a", 3), entry("b", 4)), true)
+		if c == from {
+			c.storeFailed(topicReplicas, errs.Refuse(errs.PlatformDown, "down"))
+		}
+		replicaTopic(c).take(start, replicas(9, gone), false)
+	}
+	assert.Equal(t, usable(from), 2)
+	assert.Equal(t, usable(to), 1)
+	snapshot, err := replicaTopic(from).snapshot(start)
+	assert.NilError(t, err)
+	replicaTopic(to).takeFeed(start, snapshot)
+	assert.Equal(t, usable(to), 1)
+}
+
 // Guards against replicas of a failure domain that came back being used before
 // they have said whether they are cold.
 func TestReturnedDomainIsProbedFirst(t *testing.T) {
--- a/pkg/edge/topics.go
+++ b/pkg/edge/topics.go
@@ -97,7 +97,7 @@
 
 func (c *control) currentReplicas(now time.Time) []storewatch.Item[discovery.Replica] {
 	var items []storewatch.Item[discovery.Replica]
-	for _, m := range c.state.registry.Members() {
+	for _, m := range c.state.registry.Listed() {
 		entry := m.Replica
 		entry.WarmupLeft = max(0, m.ColdUntil.Sub(now))
 		items = append(items, storewatch.Item[discovery.Replica]{Name: m.ID, Revision: m.Revision, Value: entry})
--- a/pkg/soak/process.go
+++ b/pkg/soak/process.go
@@ -38,11 +38,15 @@
 	portTries = 100
 )
 
+// loopback is an address of this process alone, so that the VMs of two soaks at
+// the same time cannot take each other's ports while one restarts.
+var loopback = net.IPv4(127, byte(1+os.Getpid()>>16%100), byte(os.Getpid()>>8), byte(os.Getpid())).String()
+
 // freeAddr returns a loopback address with a port that is free now.
 func freeAddr() (string, error) {
 	var err error
 	for range portTries {
-		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(ports)))
+		addr := net.JoinHostPort(loopback, strconv.Itoa(firstPort+rand.IntN(ports)))
 		var l net.Listener
 		if l, err = net.Listen("tcp", addr); err == nil {
 			return addr, l.Close()
--- a/pkg/soak/soak_test.go
+++ b/pkg/soak/soak_test.go
@@ -113,8 +113,9 @@
 	for range 50 {
 		addr, err := freeAddr()
 		assert.NilError(t, err)
-		_, port, err := net.SplitHostPort(addr)
+		host, port, err := net.SplitHostPort(addr)
 		assert.NilError(t, err)
+		assert.Assert(t, host != "127.0.0.1", "an address that other soaks use too")
 		n, err := strconv.Atoi(port)
 		assert.NilError(t, err)
 		assert.Assert(t, n >= firstPort && n < firstPort+ports, addr)
