Remove an unused method and a wrapper, mark replicas down in one place

Cause: found while reading the whole change: Tracker.InFlight had no caller, asMaxBytes only passed errors.As on, the line "replica down" was built twice, and a comment named a field that does not exist. Change: removed or joined. Behaviour and log lines stay.

--- a/pkg/edge/prober.go
+++ b/pkg/edge/prober.go
@@ -96,13 +96,21 @@
 
 // Unreachable implements forward.Observer.
 func (p *prober) Unreachable(u *forward.Upstream, why *errs.Refusal) {
-	if u.Tracker.SetDown(true) {
-		p.log.WithFields(logrus.Fields{"replica": u.Member.ID, "service": u.Member.Service, "why": why.Error()}).Info("replica down")
+	if p.setDown(u, why) {
 		u.Pool.DropIdle()
 	}
 	p.begin(u, minProbePause)
 }
 
+// setDown marks a replica as unreachable. It reports whether it was not before.
+func (p *prober) setDown(u *forward.Upstream, why *errs.Refusal) bool {
+	changed := u.Tracker.SetDown(true)
+	if changed {
+		p.log.WithFields(logrus.Fields{"replica": u.Member.ID, "service": u.Member.Service, "why": why.Error()}).Info("replica down")
+	}
+	return changed
+}
+
 // Broken implements forward.Observer. The replica may have crashed and may be
 // cold when it is back, so it is asked at once.
 func (p *prober) Broken(u *forward.Upstream, _ *errs.Refusal, suspect forward.Suspect) {
@@ -159,8 +167,8 @@
 			}
 			return
 		}
-		if conclusive(refusal) && u.Tracker.SetDown(true) {
-			p.log.WithFields(logrus.Fields{"replica": u.Member.ID, "service": u.Member.Service, "why": refusal.Error()}).Info("replica down")
+		if conclusive(refusal) {
+			p.setDown(u, refusal)
 		}
 		pause = min(max(minProbePause, pause*3/2), maxProbePause)
 	}
--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
@@ -180,5 +179,3 @@
 	_, err := io.ReadFull(r, body)
 	return body, err
 }
-
-func asMaxBytes(err error, target **http.MaxBytesError) bool { return errors.As(err, target) }
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
@@ -207,7 +208,7 @@
 		return body, nil
 	}
 	var tooLarge *http.MaxBytesError
-	if asMaxBytes(err, &tooLarge) {
+	if errors.As(err, &tooLarge) {
 		return nil, errs.Refuse(errs.TooLarge, "body exceeds %d bytes", limit)
 	}
 	return nil, errs.Refuse(errs.Canceled, "reading the body: %v", err)
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -153,13 +153,6 @@
 	return t.down
 }
 
-// InFlight returns the number of requests without an answer.
-func (t *Tracker) InFlight() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.inFlight
-}
-
 // Cold limits the requests to rate a second until the given time.
 func (t *Tracker) Cold(until time.Time, rate int) {
 	t.mu.Lock()
--- a/pkg/soak/process.go
+++ b/pkg/soak/process.go
@@ -23,7 +23,7 @@
 	cmd *exec.Cmd
 	// exited is closed when the process has ended.
 	exited chan struct{}
-	// calm is the last time of a fault other than a planned stop.
+	// disturbed is the time of the last fault other than a planned stop.
 	disturbed time.Time
 	// stopping is the time of the last SIGTERM.
 	stopping time.Time
