Admit fan-out queries by the slots of their weakest shard

Cause: the forwarder sent every query, whatever was in flight.

Change: the gateway's admission queue becomes package admit and serves the forwarder as well. A VM has in flight its share of three queries for each slot of the weakest shard that the coverage needs, and a margin for chance; the next wait up to a fifth of the target and are then refused as not run. The retry budget counts all of the callers' requests, sent on or not.

--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -81,16 +81,30 @@
 		}
 	}
 	for id, l := range services {
-		s, ok := c.services[id]
-		if !ok {
-			s = &service{}
-			c.services[id] = s
-		}
-		s.removed = false
-		s.limits = l
-		for _, ln := range s.lanes {
-			ln.queue.SetLimit(l.Queue)
-		}
+		c.setLimits(id, l)
+	}
+}
+
+// SetLimits changes the limits of one service, which is added if it is new,
+// and returns the requests to start now.
+func (c *Controller) SetLimits(now time.Time, id model.ServiceID, l Limits) []uint64 {
+	if s, ok := c.services[id]; ok && !s.removed && s.limits == l {
+		return nil
+	}
+	c.setLimits(id, l)
+	return c.fill(now)
+}
+
+func (c *Controller) setLimits(id model.ServiceID, l Limits) {
+	s, ok := c.services[id]
+	if !ok {
+		s = &service{}
+		c.services[id] = s
+	}
+	s.removed = false
+	s.limits = l
+	for _, ln := range s.lanes {
+		ln.queue.SetLimit(l.Queue)
 	}
 }
 
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -105,7 +105,7 @@
 		return nil
 	}
 	vms := s.vmNames()
-	v := &forward.View{Table: s.table, Groups: map[string]*forward.Group{}, Delays: map[string]*hedge.Policy{}}
+	v := &forward.View{Table: s.table, Groups: map[string]*forward.Group{}, Delays: map[string]*hedge.Policy{}, VMs: len(vms)}
 	current := map[key]bool{}
 	members := s.registry.View().Services
 	for name, service := range s.table.Services {
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -13,7 +13,10 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/nutmeghitch/nutmeghitch/pkg/admission"
+	"github.com/nutmeghitch/nutmeghitch/pkg/admit"
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/model"
 	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
 	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
 )
@@ -60,8 +63,10 @@
 	headers  Headers
 	observer Observer
 	ledger   *poison.Ledger
-	log      logrus.FieldLogger
-	view     atomic.Pointer[View]
+	// gate bounds the fan-out queries in flight.
+	gate *admit.Gate
+	log  logrus.FieldLogger
+	view atomic.Pointer[View]
 	// leaving tells that callers should connect to another VM.
 	leaving atomic.Bool
 	metrics forwardMetrics
@@ -81,7 +86,7 @@
 func New(headers Headers, observer Observer, ledger *poison.Ledger, log logrus.FieldLogger, scope tally.Scope, buckets tally.Buckets) *Forwarder {
 	scope = scope.SubScope("forward")
 	return &Forwarder{
-		headers: headers, observer: observer, ledger: ledger, log: log,
+		headers: headers, observer: observer, ledger: ledger, gate: admit.New(), log: log,
 		metrics: forwardMetrics{
 			answers: map[bool]tally.Counter{
 				true:  scope.Tagged(map[string]string{"outcome": "whole"}).Counter("answers"),
@@ -98,7 +103,16 @@
 }
 
 // SetView makes all later requests use v.
-func (f *Forwarder) SetView(v *View) { f.view.Store(v) }
+func (f *Forwarder) SetView(v *View) {
+	limits := map[model.ServiceID]admission.Limits{}
+	for _, r := range v.Table.Routes {
+		if r.FanOut() {
+			limits[model.ServiceID(r.ShardSet())] = v.limits(r)
+		}
+	}
+	f.gate.Configure(limits)
+	f.view.Store(v)
+}
 
 // SetLeaving makes every answer ask its caller to close the connection, or not.
 func (f *Forwarder) SetLeaving(leaving bool) { f.leaving.Store(leaving) }
@@ -133,7 +147,14 @@
 		f.refuse(w, id, route, start, errs.Refuse(errs.Poisoned, "replicas crashed when they ran this request"))
 		return
 	}
+	q.countPrimary()
+	release, refusal := q.admit(r.Context())
+	if refusal != nil {
+		f.refuse(w, id, route, start, refusal)
+		return
+	}
 	answer, refusal := q.run(r.Context())
+	release()
 	if refusal != nil {
 		f.logQuery(q, refusal)
 		f.writeRefusal(w, id, refusal)
--- a/pkg/forward/plan.go
+++ b/pkg/forward/plan.go
@@ -52,7 +52,6 @@
 // would only delay the queries behind this one.
 func (q *query) plan(now time.Time) *errs.Refusal {
 	if !q.route.FanOut() {
-		q.countPrimary(q.shards[0])
 		return nil
 	}
 	expected := make([]time.Duration, len(q.shards))
@@ -71,11 +70,6 @@
 		return errs.Refuse(errs.NoReplica, "%d of %d shards have a replica, %s", usable, len(q.shards), q.lastFailure()).WithRetryAfter(noReplicaRetry)
 	}
 	q.skip(expected, usable-least(q.route))
-	for _, s := range q.shards {
-		if !s.skipped {
-			q.countPrimary(s)
-		}
-	}
 	return nil
 }
 
@@ -99,9 +93,13 @@
 	}
 }
 
-func (q *query) countPrimary(s *shard) {
-	if s.group != nil {
-		s.group.Budget.Primary(1)
+// countPrimary adds to the budget of each service that the request is for. The
+// budget is a share of the callers' requests, whether they are sent on or not.
+func (q *query) countPrimary() {
+	for _, s := range q.shards {
+		if s.group != nil {
+			s.group.Budget.Primary(1)
+		}
 	}
 }
 
@@ -124,7 +122,6 @@
 		if s.skipped {
 			s.skipped = false
 			q.skipped--
-			q.countPrimary(s)
 			if q.launch(now, s) {
 				possible++
 			}
--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -58,6 +58,7 @@
 	start    time.Time
 	deadline time.Time
 	delay    *hedge.Policy
+	caller   string
 	suspect  Suspect
 	verdict  poison.Verdict
 	shards   []*shard
@@ -104,8 +105,9 @@
 		f: f, id: id, method: r.Method, body: body, view: view, route: route, start: start,
 		deadline: start.Add(allowed(r.Header.Get(f.headers.Deadline), route)),
 		delay:    view.Delays[route.Name],
+		caller:   callerOf(r.RemoteAddr),
 	}
-	q.suspect = Suspect{Fingerprint: fingerprint(r, body), Attempt: id}
+	q.suspect = Suspect{Fingerprint: fingerprint(r, q.caller, body), Attempt: id}
 	q.head = f.requestHead(r)
 	services := route.Shards
 	if !route.FanOut() {
@@ -120,12 +122,17 @@
 
 // fingerprint returns what all attempts of a request have in common: the
 // caller's address, method, target and body.
-func fingerprint(r *http.Request, body []byte) uint64 {
-	caller, _, err := net.SplitHostPort(r.RemoteAddr)
+func fingerprint(r *http.Request, caller string, body []byte) uint64 {
+	return poison.Fingerprint(model.ServiceID(r.Host+" "+caller), r.Method+" "+r.RequestURI, body)
+}
+
+// callerOf returns the address of a caller without its port.
+func callerOf(remote string) string {
+	host, _, err := net.SplitHostPort(remote)
 	if err != nil {
-		caller = r.RemoteAddr
+		return remote
 	}
-	return poison.Fingerprint(model.ServiceID(r.Host+" "+caller), r.Method+" "+r.RequestURI, body)
+	return host
 }
 
 // allowed returns the time a request may take: the caller's, but not more than
--- a/pkg/forward/view.go
+++ b/pkg/forward/view.go
@@ -31,6 +31,8 @@
 	Groups map[string]*Group
 	// Delays hold the usual latencies of each route, by its name.
 	Delays map[string]*hedge.Policy
+	// VMs is the number of VMs that share the replicas, this one among them.
+	VMs int
 }
 
 // pick returns the replica that is expected to answer first, among those that
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -131,7 +131,7 @@
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(500*time.Microsecond, 2, 16)
 
 // Run drives queue expiry until ctx ends.
-func (g *Gateway) Run(ctx context.Context) error { return g.admission.run(ctx) }
+func (g *Gateway) Run(ctx context.Context) error { return g.admission.gate.Run(ctx) }
 
 // Sends returns the sub-requests that this VM has sent since its start.
 func (g *Gateway) Sends() Sends {
