Keep a scarce retry budget for queries that can succeed

Ruled out: more budget, it is the operators'.

Change: a shard that the coverage can do without is not asked again while its budget is scarce, unless another one fails for good. A query whose replicas would mostly refuse it is refused before it is sent, with the time to come back; it adds to the budget, and the next one finds more of it.

One new test failed under load: it counted arrivals of the request before, which may still be on their way; it now looks for the refused request itself.

--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -81,12 +81,12 @@
 	for _, s := range q.shards {
 		switch {
 		case s.done:
-		case s.skipped:
-			return s.service + ": left out, would answer too late"
 		case s.refusal != nil:
 			return s.service + ": " + s.refusal.Error()
 		case s.failed != nil:
 			return s.service + ": status " + strconv.Itoa(s.failed.Status)
+		case s.skipped:
+			return s.service + ": left out, would answer too late"
 		case s.running == 0:
 			return s.service + ": no replica can take requests now"
 		}
--- a/pkg/forward/outcome.go
+++ b/pkg/forward/outcome.go
@@ -67,6 +67,38 @@
 	if arrived {
 		s.arrivals++
 	}
+	if q.dispensable(s) {
+		s.skipped = true
+		q.skipped++
+		return
+	}
+	q.resend(now, s)
+}
+
+// dispensable reports whether the coverage can do without a shard whose budget
+// is nearly spent. What is left then goes to shards that queries cannot do
+// without.
+func (q *query) dispensable(s *shard) bool {
+	if !q.route.FanOut() || s.group == nil || s.arrivals == 0 || !s.group.Budget.Scarce() {
+		return false
+	}
+	return q.possible() >= least(q.route)
+}
+
+// possible returns the number of shards that are in or under way.
+func (q *query) possible() int {
+	n := 0
+	for _, s := range q.shards {
+		if s.done || s.running > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// resend sends the request of a shard again; a send that reaches a replica
+// after another one is taken from the budget.
+func (q *query) resend(now time.Time, s *shard) bool {
 	sent := false
 	if s.arrivals > 0 {
 		sent = q.launchExtra(now, s, extra)
@@ -77,4 +109,5 @@
 		q.retries++
 		q.f.metrics.retries.Inc(1)
 	}
+	return sent
 }
--- a/pkg/forward/overload_test.go
+++ b/pkg/forward/overload_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 
@@ -67,3 +68,47 @@
 	s.view.VMs = 4
 	assert.Equal(t, s.view.limits(route).Concurrency, 4) // 3*2/4 + 2*sqrt(3*2/4)
 }
+
+// Guards against a budget that is spent on queries which fail all the same:
+// while the replicas of most shards refuse requests and the budget is spent, a
+// query is refused before it is sent anywhere.
+func TestQueryWithoutAChanceIsRefusedBeforeItRuns(t *testing.T) {
+	s := newSite(t, fanOut(1, "a", "b", "c", "d"))
+	for _, name := range []string{"a", "b", "c"} {
+		s.replica(s.group(name, 0), name+"1", sheds)
+	}
+	s.replica(s.group("d", 0), "d1", serves("rd", record("1")))
+	status, id := http.StatusOK, ""
+	for i := 0; status != http.StatusServiceUnavailable && i < 20; i++ {
+		id = fmt.Sprint(i)
+		status, _, _ = s.ask("GET", "/a/", id, "")
+	}
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	for _, arrival := range s.arrivals() {
+		assert.Assert(t, !strings.HasSuffix(arrival, " "+id), arrival)
+	}
+}
+
+// Guards against a scarce budget that is spent on a shard which the coverage
+// can do without, and against one that is left out though it is needed.
+func TestScarceBudgetGoesToShardsThatAreNeeded(t *testing.T) {
+	for _, c := range []struct {
+		coverage float64
+		missing  string
+		arrivals int
+	}{{0.5, "1", 2}, {1, "0", 3}} {
+		s := newSite(t, fanOut(c.coverage, "a", "b"))
+		a := s.group("a", 10)
+		for !a.Budget.Scarce() {
+			assert.NilError(t, a.Budget.TryExtra(1))
+		}
+		s.replica(a, "a1", sheds)
+		second := s.replica(a, "a2", serves("ra", record("1")))
+		second.Tracker.Local = false // the first is preferred
+		s.replica(s.group("b", 0), "b1", serves("rb", record("2")))
+		status, header, _ := s.ask("GET", "/a/", "1", "")
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, header.Get("Missing"), c.missing)
+		assert.Equal(t, len(s.arrivals()), c.arrivals)
+	}
+}
--- a/pkg/forward/plan.go
+++ b/pkg/forward/plan.go
@@ -10,6 +10,10 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
 )
 
+// chanceMargin is the number of shards by which the expected coverage may fall
+// short: that of a single query differs from it by about as much.
+const chanceMargin = 1.0
+
 // least returns the number of shards without which there is no success.
 func least(r *routes.Route) int {
 	if !r.FanOut() {
@@ -47,7 +51,9 @@
 }
 
 // plan decides before the first send which shards are asked. Where too few have
-// a replica, the query is refused and has not run anywhere. Shards that would
+// a replica, or so many replicas refuse requests that the coverage is out of
+// reach, the query is refused and has not run anywhere; what it would have
+// taken from the budget goes to queries that can succeed. Shards that would
 // answer too late are left out, as far as the coverage allows: asking them
 // would only delay the queries behind this one.
 func (q *query) plan(now time.Time) *errs.Refusal {
@@ -55,7 +61,7 @@
 		return nil
 	}
 	expected := make([]time.Duration, len(q.shards))
-	usable := 0
+	usable, likely := 0, 0.0
 	for i, s := range q.shards {
 		if s.group == nil {
 			continue
@@ -63,16 +69,31 @@
 		if u := s.group.best(now, q.usual(), nil); u != nil {
 			usable++
 			expected[i], _ = u.Tracker.Expected(now, q.usual())
+			likely += answerChance(now, u, s.group)
 		}
 	}
 	if usable < least(q.route) {
 		q.missing = len(q.shards) - usable
 		return errs.Refuse(errs.NoReplica, "%d of %d shards have a replica, %s", usable, len(q.shards), q.lastFailure()).WithRetryAfter(noReplicaRetry)
 	}
+	if likely < float64(least(q.route))-chanceMargin {
+		q.missing = len(q.shards)
+		return errs.Refuse(errs.Overloaded, "%.1f of %d shards are likely to answer", likely, len(q.shards)).WithRetryAfter(overloadRetry)
+	}
 	q.skip(expected, usable-least(q.route))
 	return nil
 }
 
+// answerChance returns how likely a shard is to answer. While the budget lasts a
+// second replica replaces the first.
+func answerChance(now time.Time, first *Upstream, group *Group) float64 {
+	failure := first.Tracker.FailureRate(now)
+	if !group.Budget.Scarce() {
+		failure *= failure
+	}
+	return 1 - failure
+}
+
 // skip leaves out up to most shards that are expected to answer too late, the
 // slowest first.
 func (q *query) skip(expected []time.Duration, most int) {
@@ -109,12 +130,7 @@
 	if q.skipped == 0 {
 		return
 	}
-	possible := 0
-	for _, s := range q.shards {
-		if s.done || s.running > 0 {
-			possible++
-		}
-	}
+	possible := q.possible()
 	for _, s := range q.shards {
 		if possible >= least(q.route) {
 			return
@@ -122,9 +138,18 @@
 		if s.skipped {
 			s.skipped = false
 			q.skipped--
-			if q.launch(now, s) {
+			if q.ask(now, s) {
 				possible++
 			}
 		}
 	}
 }
+
+// ask sends the request of a shard that was left out: for the first time, or
+// again.
+func (q *query) ask(now time.Time, s *shard) bool {
+	if len(s.tried) > 0 {
+		return q.resend(now, s)
+	}
+	return q.launch(now, s)
+}
--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -81,7 +81,8 @@
 	// run, arrivals those that reached a replica.
 	running, runs, arrivals int
 	done                    bool
-	// skipped is set for a shard that is left out from the start.
+	// skipped is set for a shard that is left out, from the start or after a
+	// failure, as long as the coverage allows it.
 	skipped bool
 	reply   *exchange.Reply
 	// failed is the last replica's own failure, refusal the last other one.
--- a/pkg/hedge/hedge.go
+++ b/pkg/hedge/hedge.go
@@ -153,12 +153,18 @@
 // TrySpare is TryExtra for sends that are only a precaution. It leaves a part
 // of the budget to the replacement of sends that failed.
 func (p *Policy) TrySpare(n int) error {
-	if float64(p.tokens.Load()) < RetryReserve*float64(p.burst) {
+	if p.Scarce() {
 		return errs.Refuse(errs.BudgetSpent, "the rest of the extra-load budget is kept for retries")
 	}
 	return p.TryExtra(n)
 }
 
+// Scarce reports whether what is left of the budget is kept for the replacement
+// of sends that failed.
+func (p *Policy) Scarce() bool {
+	return float64(p.tokens.Load()) < RetryReserve*float64(p.burst)
+}
+
 // Charge takes n extra attempts from the budget even when it is spent, down to
 // a debt of one burst. It is for the first replacement of a send whose upstream
 // or owner was lost: coverage must not depend on the budget, but hedges and
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -129,6 +129,13 @@
 	t.failedAt = now
 }
 
+// FailureRate returns the share of recent requests that failed.
+func (t *Tracker) FailureRate(now time.Time) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.failureRate(now)
+}
+
 func (t *Tracker) failureRate(now time.Time) float64 {
 	if t.failures == 0 {
 		return 0
