Apply the limits of callers and changed settings while a VM runs

Cause: constants of 64 KB, 10 s and 60 s stood for the configuration's limits of heads, header time and idle time; a changed settings file was only logged; and the retry budget of a service was a new, full one for each number of VMs (and of at least 10 sends a VM, however many VMs shared 56).

Bounds and seeds of changed settings come into force, values that need a restart are named in the log, settings with faults change nothing, and a SIGHUP during the start no longer ends the process. A budget keeps its level when its size changes.

Tests: TestHeadBeyondTheLimitIsRefused, TestCallersConnectionsKeepTheLimits, TestChangedSettingsComeIntoForce, TestChangeOfTheVMsDoesNotFillTheBudget (the budget was full again before).

--- a/cmd/nutmeghitch-edge/main.go
+++ b/cmd/nutmeghitch-edge/main.go
@@ -49,6 +49,9 @@
 
 // serve runs the VM until a signal asks it to stop.
 func serve(ctx context.Context, file string, checkOnly bool, stdout, stderr io.Writer) int {
+	// A SIGHUP during the start must not end the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	settings, path, err := load(file)
 	if err != nil {
 		fmt.Fprintf(stderr, "nutmeghitch-edge: %v\n", err)
@@ -62,9 +65,8 @@
 	m := metrics.New(map[string]string{"vm": settings.VM}, func(err error) { log.WithField("error", err).Warn("metric refused") })
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	go reload(ctx, path, log)
 	err = edge.Run(ctx, edge.Config{
-		Settings: settings, Store: platform.NewClient(settings.StoreAddr),
+		Settings: settings, Reload: watchSettings(ctx, path, hangups, log), Store: platform.NewClient(settings.StoreAddr),
 		Headers: platform.Headers, ReadyPath: platform.ReadyPath, Log: log, Metrics: m,
 	})
 	if err != nil {
@@ -90,21 +92,19 @@
 	return settings, file, err
 }
 
-// reload logs changes of the settings. SIGHUP must not end the process; all
-// values that can change while it runs come from the store.
-func reload(ctx context.Context, path string, log logrus.FieldLogger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	go platform.WatchSettings(path, settingsInterval, ctx.Done(), func(s edge.Settings, err error) {
-		log.WithFields(logrus.Fields{"vm": s.VM, "error": err}).Info("settings file changed")
-	})
-	for {
+// watchSettings passes on changed settings until ctx ends. A value from now makes
+// it look at once. Settings with faults change nothing.
+func watchSettings(ctx context.Context, path string, now <-chan os.Signal, log logrus.FieldLogger) <-chan edge.Settings {
+	changes := make(chan edge.Settings)
+	go platform.WatchSettings(path, settingsInterval, now, ctx.Done(), func(s edge.Settings, err error) {
+		if err != nil {
+			log.WithFields(logrus.Fields{"path": path, "error": err}).Warn("settings not taken")
+			return
+		}
 		select {
+		case changes <- s:
 		case <-ctx.Done():
-			return
-		case <-hangups:
-			s, err := platform.LoadSettings(path)
-			log.WithFields(logrus.Fields{"vm": s.VM, "error": err}).Info("settings read again")
 		}
-	}
+	})
+	return changes
 }
--- /dev/null
+++ b/pkg/edge/callerconns_test.go
@@ -0,0 +1,54 @@
+package edge
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
+)
+
+// Guards against callers' connections that outstay the limits of the
+// configuration, against a limit that ends a request being served, and against
+// limits that hold for new connections only.
+func TestCallersConnectionsKeepTheLimits(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	c := newCallerConns(log)
+	limits := routes.Limits{HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+	open := func() (caller, served net.Conn) {
+		caller, served = net.Pipe()
+		t.Cleanup(func() { _ = caller.Close() })
+		c.track(served, http.StateNew)
+		return caller, served
+	}
+	closed := func(caller net.Conn) bool {
+		return caller.SetReadDeadline(time.Time{}) != nil
+	}
+	now := time.Now()
+	slow, _ := open()
+	busy, busyServed := open()
+	c.track(busyServed, http.StateActive)
+	kept, keptServed := open()
+	c.track(keptServed, http.StateActive)
+	c.track(keptServed, http.StateIdle)
+
+	c.sweep(now.Add(2*time.Second), limits)
+	assert.Assert(t, !closed(slow) && !closed(busy) && !closed(kept))
+	c.sweep(now.Add(4*time.Second), limits)
+	assert.Assert(t, closed(slow) && !closed(busy) && !closed(kept))
+	c.sweep(now.Add(time.Minute), routes.Limits{})
+	assert.Assert(t, !closed(kept), "no limit is known")
+	c.sweep(now.Add(14*time.Second), limits)
+	assert.Assert(t, !closed(busy) && !closed(kept))
+	limits.IdleTimeout = 10 * time.Second
+	c.sweep(now.Add(14*time.Second), limits)
+	assert.Assert(t, !closed(busy) && closed(kept))
+	c.track(busyServed, http.StateClosed)
+	assert.Equal(t, len(c.conns), 2)
+}
--- a/pkg/edge/callers.go
+++ b/pkg/edge/callers.go
@@ -12,6 +12,7 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/kernel"
 	"github.com/nutmeghitch/nutmeghitch/pkg/netconn"
+	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
 	"github.com/nutmeghitch/nutmeghitch/pkg/wait"
 )
 
@@ -19,13 +20,12 @@
 	// balancerNotice is the time in which the balancer has noticed that this
 	// VM is not ready any more: two misses a second apart, and their way.
 	balancerNotice = 2500 * time.Millisecond
-	// headerTimeout and idleTimeout bound a caller's connection. Callers reuse
-	// connections for a good part of the operators' limit, so an idle one is
-	// kept longer than that.
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 60 * time.Second
-	// maxHeaderBytes bounds the head of a request.
-	maxHeaderBytes = 64 << 10
+	// headerTimeout, idleTimeout and maxHeaderBytes bound a caller's connection
+	// while no configuration is known, and whatever it says: slow or large heads
+	// of many callers must not use up the VM.
+	headerTimeout  = 30 * time.Second
+	idleTimeout    = 5 * time.Minute
+	maxHeaderBytes = 256 << 10
 	// callerSilence ends connections to callers whose VM has gone.
 	callerSilence = 10 * time.Second
 )
@@ -41,8 +41,10 @@
 
 // Start implements kernel.Starter.
 func (s *callersService) Start(_ context.Context, scope *kernel.Scope) error {
+	conns := newCallerConns(s.log)
 	s.server = &http.Server{
 		Handler:           s.control.forwarder,
+		ConnState:         conns.track,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -50,10 +52,19 @@
 	if err := serve(scope, s.server, s.settings.Callers); err != nil {
 		return err
 	}
+	scope.Go(func(ctx context.Context) error { conns.run(ctx, s.limits); return nil })
 	s.log.WithFields(logrus.Fields{"vm": s.settings.VM, "domain": s.settings.Domain, "addr": s.settings.Callers}).Info("started")
 	return nil
 }
 
+// limits returns the limits of the configuration in force, none before the first.
+func (s *callersService) limits() routes.Limits {
+	if view := s.control.forwarder.View(); view != nil {
+		return view.Table.Limits
+	}
+	return routes.Limits{}
+}
+
 // Stop implements kernel.Stopper. The VM first counts as not ready while it
 // still serves, so that the balancer sends no new connections, and then
 // finishes the requests in flight.
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -51,8 +52,11 @@
 // Config describes one VM.
 type Config struct {
 	Settings Settings
-	Store    Store
-	Headers  forward.Headers
+	// Reload gets the settings anew when they have changed; nil if they never
+	// do.
+	Reload  <-chan Settings
+	Store   Store
+	Headers forward.Headers
 	// ReadyPath is the path that the balancer asks.
 	ReadyPath string
 	Log       *logrus.Logger
@@ -84,7 +88,7 @@
 		}
 	}
 	return k.Run(ctx, func() (context.Context, context.CancelFunc) {
-		return context.WithTimeout(context.Background(), stopGrace(c.Settings))
+		return context.WithTimeout(context.Background(), stopGrace(*control.settings.Load()))
 	})
 }
 
@@ -111,7 +115,9 @@
 
 // controlService follows the store and probes replicas.
 type controlService struct {
-	config    Config
+	config Config
+	// settings are those in force.
+	settings  atomic.Pointer[Settings]
 	control   *control
 	forwarder *forward.Forwarder
 	prober    *prober
@@ -125,7 +131,9 @@
 	f := forward.New(c.Headers, p, ledger, c.Log.WithField("part", "forward"), c.Metrics.Scope, metrics.LatencyBuckets)
 	dialer := netconn.Dialer(dialTimeout, upstreamSilence)
 	s := newState(c.Settings, c.Log.WithField("part", "control"), dialer.DialContext)
-	return &controlService{config: c, forwarder: f, prober: p, control: newControl(s, f, p, ready, ledger, c.Store, c.Log.WithField("part", "control"))}
+	control := &controlService{config: c, forwarder: f, prober: p, control: newControl(s, f, p, ready, ledger, c.Store, c.Log.WithField("part", "control"))}
+	control.settings.Store(&c.Settings)
+	return control
 }
 
 // Start implements kernel.Starter.
@@ -141,6 +149,7 @@
 	}
 	scope.Go(func(ctx context.Context) error { s.register(ctx); return nil })
 	scope.Go(func(ctx context.Context) error { s.crashes.run(ctx); return nil })
+	scope.Go(func(ctx context.Context) error { s.reload(ctx); return nil })
 	return nil
 }
 
@@ -149,7 +158,7 @@
 	set := s.config.Settings
 	log := s.config.Log.WithField("part", "feed")
 	dialer := netconn.Dialer(dialTimeout, peerSilence)
-	p := &supply{self: s.self(), seeds: set.Seeds, control: s.control, dial: dialer.DialContext, log: log}
+	p := &supply{self: s.self(), seeds: s.seeds, control: s.control, dial: dialer.DialContext, log: log}
 	if set.Peers != "" {
 		l, err := listen(set.Peers)
 		if err != nil {
@@ -164,6 +173,9 @@
 	return nil
 }
 
+// seeds returns the addresses of some VMs, by the settings in force.
+func (s *controlService) seeds() []string { return s.settings.Load().Seeds }
+
 func (s *controlService) self() discovery.VM {
 	set := s.config.Settings
 	return discovery.VM{Name: set.VM, PeerAddr: set.Peers, Domain: set.Domain}
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -76,6 +76,8 @@
 	return storewatch.Batch[discovery.Replica]{Revision: revision, Items: items}
 }
 
+func vmOf(name string) discovery.VM { return discovery.VM{Name: name, Domain: "d2"} }
+
 func usable(c *control) int {
 	return len(c.state.view(start).Groups["s"].Upstreams)
 }
--- /dev/null
+++ b/pkg/edge/reload.go
@@ -0,0 +1,61 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// reload puts settings in force that change while the VM runs, until ctx ends.
+func (s *controlService) reload(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case next := <-s.config.Reload:
+			limitProcess(next)
+			s.apply(ctx, next)
+		}
+	}
+}
+
+// apply puts the bounds and the seeds in force. Names and addresses hold for the
+// life of the process.
+func (s *controlService) apply(ctx context.Context, next Settings) {
+	before := s.settings.Load()
+	fields := logrus.Fields{"vm": next.VM, "bounds_changed": next.Bounds != before.Bounds, "seeds": len(next.Seeds)}
+	if fixed := next.fixedChanges(*before); len(fixed) > 0 {
+		fields["needs_restart"] = fixed
+	}
+	s.config.Log.WithField("part", "control").WithFields(fields).Info("settings in force")
+	next.fixedFrom(*before)
+	s.settings.Store(&next)
+	s.control.post(ctx, func(time.Time) bool {
+		s.control.state.apply(next)
+		return true
+	})
+}
+
+// fixedChanges names the values that differ and that only a restart changes.
+func (s Settings) fixedChanges(before Settings) []string {
+	var changed []string
+	note := func(differs bool, name string) {
+		if differs {
+			changed = append(changed, name)
+		}
+	}
+	note(s.VM != before.VM, "name of the VM")
+	note(s.Domain != before.Domain, "failure domain")
+	note(s.Callers != before.Callers, "address for callers")
+	note(s.Ready != before.Ready, "address for the balancer")
+	note(s.Peers != before.Peers, "address for other VMs")
+	note(s.StoreAddr != before.StoreAddr, "address of the store")
+	return changed
+}
+
+// fixedFrom keeps the values that only a restart changes.
+func (s *Settings) fixedFrom(before Settings) {
+	s.VM, s.Domain, s.StoreAddr = before.VM, before.Domain, before.StoreAddr
+	s.Callers, s.Ready, s.Peers = before.Callers, before.Ready, before.Peers
+}
--- /dev/null
+++ b/pkg/edge/reload_test.go
@@ -0,0 +1,65 @@
+package edge
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/forward"
+	"github.com/nutmeghitch/nutmeghitch/pkg/metrics"
+)
+
+// Guards against a retry budget that is full again after each change of the
+// number of VMs, and against one that many VMs together exceed.
+func TestChangeOfTheVMsDoesNotFillTheBudget(t *testing.T) {
+	c := newTestControl(t)
+	configTopic(c).take(start, config(testTable(t, 1), 1), true)
+	spend := func() (n int) {
+		budget := c.state.view(start).Groups["s"].Budget
+		for budget.TryExtra(1) == nil {
+			n++
+		}
+		return n
+	}
+	assert.Equal(t, spend(), 30) // 60% of 50, one VM
+	for _, name := range []string{"vm2", "vm3", "vm4"} {
+		c.state.vms[name] = vmOf(name)
+		assert.Equal(t, spend(), 0, name)
+	}
+	delete(c.state.vms, "vm4")
+	assert.Equal(t, spend(), 0)
+
+	large := newTestControl(t)
+	configTopic(large).take(start, config(testTable(t, 1), 1), true)
+	for i := range 60 {
+		name := string(rune('a'+i%26)) + string(rune('a'+i/26))
+		large.state.vms[name] = vmOf(name)
+	}
+	assert.Assert(t, large.state.view(start).Groups["s"].Budget.Burst() <= 1)
+}
+
+// Guards against settings that change while the VM runs and are not used, and
+// against names and addresses that change under a process that runs.
+func TestChangedSettingsComeIntoForce(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	first := Settings{VM: "vm1", Domain: "d1", Callers: "a", Seeds: []string{"x"}, Bounds: Bounds{RetryRatio: 0.2, RetrySlack: 50, StopGrace: 6 * time.Second}}
+	s := newControlService(Config{
+		Settings: first, Store: testStore{}, Log: log, Headers: forward.Headers{},
+		Metrics: metrics.New(nil, func(error) {}),
+	}, newReadiness())
+	next := first
+	next.Callers, next.Seeds = "b", []string{"y", "z"}
+	next.Bounds.RetrySlack, next.Bounds.StopGrace = 100, 9*time.Second
+	assert.DeepEqual(t, next.fixedChanges(first), []string{"address for callers"})
+	s.apply(t.Context(), next)
+	changed := (<-s.control.events)(start)
+	assert.Assert(t, changed)
+	assert.DeepEqual(t, s.control.state.settings.Bounds, next.Bounds)
+	assert.DeepEqual(t, s.seeds(), []string{"y", "z"})
+	assert.Equal(t, s.control.state.settings.Callers, "a")
+	assert.Equal(t, stopGrace(*s.settings.Load()), 9*time.Second-stopReserve)
+}
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"fmt"
 	"maps"
 	"math"
 	"slices"
@@ -76,6 +75,9 @@
 	}
 }
 
+// apply puts changed settings in force. Bounds hold from the next view on.
+func (s *state) apply(settings Settings) { s.settings = settings }
+
 // ready reports whether requests can be served.
 func (s *state) ready() bool { return s.table != nil && s.listed }
 
@@ -178,15 +180,16 @@
 // budget returns the budget for sends beyond the first at a service. Every VM
 // adds a share of its own requests; the fixed part is divided among the VMs.
 func (s *state) budget(service string, vms int) *hedge.Policy {
-	name := fmt.Sprintf("%s/%d", service, vms)
-	b, ok := s.budgets[name]
+	config := hedge.Config{
+		Groups: 1, TargetQuantile: hedgeTarget,
+		ExtraLoad: ratioShare * s.settings.Bounds.RetryRatio,
+		Burst:     max(1, int(retryShare*s.settings.Bounds.RetrySlack/float64(max(1, vms)))),
+	}
+	b, ok := s.budgets[service]
 	if !ok {
-		b = hedge.NewPolicy(hedge.Config{
-			Groups: 1, TargetQuantile: hedgeTarget,
-			ExtraLoad: ratioShare * s.settings.Bounds.RetryRatio,
-			Burst:     int(retryShare * s.settings.Bounds.RetrySlack / float64(max(1, vms))),
-		})
-		s.budgets[name] = b
+		b = hedge.NewPolicy(config)
+		s.budgets[service] = b
 	}
+	b.Resize(config)
 	return b
 }
--- a/pkg/edge/supply.go
+++ b/pkg/edge/supply.go
@@ -29,8 +29,9 @@
 // supply decides where this VM learns of changes: from the store, or from
 // another VM that follows the store.
 type supply struct {
-	self    discovery.VM
-	seeds   []string
+	self discovery.VM
+	// seeds returns the addresses of some VMs.
+	seeds   func() []string
 	control *control
 	dial    feed.DialFunc
 	log     logrus.FieldLogger
@@ -138,7 +139,7 @@
 
 // askSeeds takes in what the first seed that answers knows.
 func (s *supply) askSeeds(ctx context.Context) {
-	for _, addr := range s.seeds {
+	for _, addr := range s.seeds() {
 		if addr == s.self.PeerAddr {
 			continue
 		}
--- a/pkg/errs/errs.go
+++ b/pkg/errs/errs.go
@@ -20,6 +20,7 @@
 	UnknownService     Code = "unknown_service"
 	UnknownOperation   Code = "unknown_operation"
 	TooLarge           Code = "too_large"
+	HeaderTooLarge     Code = "header_too_large"
 	Unauthorized       Code = "unauthorized"
 	KeyRequired        Code = "key_required"
 	KeyReused          Code = "key_reused"
@@ -144,6 +145,8 @@
 		return http.StatusNotFound
 	case TooLarge:
 		return http.StatusRequestEntityTooLarge
+	case HeaderTooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge
 	case KeyReused, Poisoned:
 		return http.StatusUnprocessableEntity
 	case OutcomeUnknown:
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -137,6 +137,10 @@
 		f.refuse(w, id, nil, start, errs.Refuse(errs.UnknownService, "no route for host %q path %q in version %d", r.Host, r.URL.Path, view.Table.Version))
 		return
 	}
+	if n, limit := headBytes(r), view.Table.Limits.HeaderBytes; limit > 0 && n > limit {
+		f.refuse(w, id, route, start, errs.Refuse(errs.HeaderTooLarge, "head of %d bytes exceeds %d", n, limit))
+		return
+	}
 	body, refusal := readBody(w, r, view.Table.Limits)
 	if refusal != nil {
 		f.refuse(w, id, route, start, refusal)
@@ -212,6 +216,19 @@
 	return code
 }
 
+// headBytes returns the length of a request's head, with a colon, a space and a
+// line end for each field.
+func headBytes(r *http.Request) int {
+	const fieldSeparators = len(": \r\n")
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("Host") + len(r.Host) + 2*fieldSeparators
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + fieldSeparators
+		}
+	}
+	return n
+}
+
 // readBody returns the whole body of a request, nil if it has none.
 func readBody(w http.ResponseWriter, r *http.Request, limits routes.Limits) ([]byte, *errs.Refusal) {
 	if r.Body == nil || r.Body == http.NoBody || (r.ContentLength == 0 && len(r.TransferEncoding) == 0) {
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -274,3 +274,17 @@
 	assert.Equal(t, header.Get("Missing"), "1")
 	assert.Equal(t, body, record("2")+record("1"))
 }
+
+// Guards against a head beyond the operators' limit that is passed on, and
+// against one within it that is refused.
+func TestHeadBeyondTheLimitIsRefused(t *testing.T) {
+	s := newSite(t, plain(true))
+	s.table.Limits.HeaderBytes = 500
+	s.replica(s.group("s", 0), "r1", serves("r", "fine"))
+	status, _, _ := s.ask("GET", "/p/short", "1", "")
+	assert.Equal(t, status, http.StatusOK)
+	status, header, _ := s.ask("GET", "/p/"+strings.Repeat("x", 500), "2", "")
+	assert.Equal(t, status, http.StatusRequestHeaderFieldsTooLarge)
+	assert.Equal(t, header.Get("Retry-After"), "")
+	assert.DeepEqual(t, s.arrivals(), []string{"r1 1"})
+}
--- a/pkg/hedge/hedge.go
+++ b/pkg/hedge/hedge.go
@@ -58,8 +58,8 @@
 // be used by many goroutines.
 type Policy struct {
 	quantile float64
-	burst    int64
-	deposit  int64
+	burst    atomic.Int64
+	deposit  atomic.Int64
 	tokens   atomic.Int64
 	delay    atomic.Int64
 
@@ -69,18 +69,38 @@
 
 // NewPolicy returns a policy with a full budget and no latencies.
 func NewPolicy(c Config) *Policy {
-	p := &Policy{
-		quantile: Quantile(c),
-		burst:    int64(burst(c)) * tokenUnit,
-		deposit:  int64(math.Round(math.Max(0, c.ExtraLoad) * tokenUnit)),
-	}
-	if p.deposit > 0 {
-		p.tokens.Store(p.burst)
+	p := &Policy{quantile: Quantile(c)}
+	p.burst.Store(int64(burst(c)) * tokenUnit)
+	p.deposit.Store(deposit(c))
+	if deposit(c) > 0 {
+		p.tokens.Store(p.burst.Load())
 	}
 	p.delay.Store(int64(NeverHedge))
 	return p
 }
 
+// Resize changes the budget to that of another configuration. What was left of
+// it stays in proportion, so that a change does not fill a budget that is spent.
+func (p *Policy) Resize(c Config) {
+	p.deposit.Store(deposit(c))
+	next := int64(burst(c)) * tokenUnit
+	before := p.burst.Swap(next)
+	if before == next {
+		return
+	}
+	for {
+		have := p.tokens.Load()
+		kept := int64(float64(have) * float64(next) / float64(before))
+		if p.tokens.CompareAndSwap(have, kept) {
+			return
+		}
+	}
+}
+
+func deposit(c Config) int64 {
+	return int64(math.Round(math.Max(0, c.ExtraLoad) * tokenUnit))
+}
+
 func burst(c Config) int {
 	if c.Burst > 0 {
 		return c.Burst
@@ -103,7 +123,7 @@
 // Burst returns the number of extra attempts that a full budget allows at
 // once. Over any period extra attempts are at most Burst plus the budget's
 // share of the primary sends.
-func (p *Policy) Burst() int { return int(p.burst / tokenUnit) }
+func (p *Policy) Burst() int { return int(p.burst.Load() / tokenUnit) }
 
 // Observe takes in the time one group needed for its first answer.
 func (p *Policy) Observe(latency time.Duration) {
@@ -126,10 +146,10 @@
 
 // Primary reports n primary sends.
 func (p *Policy) Primary(n int) {
-	add := int64(max(0, n)) * p.deposit
+	add := int64(max(0, n)) * p.deposit.Load()
 	for {
 		have := p.tokens.Load()
-		if p.tokens.CompareAndSwap(have, min(p.burst, have+add)) {
+		if p.tokens.CompareAndSwap(have, min(p.burst.Load(), have+add)) {
 			return
 		}
 	}
@@ -162,7 +182,7 @@
 // Scarce reports whether what is left of the budget is kept for the replacement
 // of sends that failed.
 func (p *Policy) Scarce() bool {
-	return float64(p.tokens.Load()) < RetryReserve*float64(p.burst)
+	return float64(p.tokens.Load()) < RetryReserve*float64(p.burst.Load())
 }
 
 // Charge takes n extra attempts from the budget even when it is spent, down to
@@ -173,7 +193,7 @@
 	take := int64(max(0, n)) * tokenUnit
 	for {
 		have := p.tokens.Load()
-		if p.tokens.CompareAndSwap(have, max(have-take, -p.burst)) {
+		if p.tokens.CompareAndSwap(have, max(have-take, -p.burst.Load())) {
 			return
 		}
 	}
