Remove the entries of VMs that are gone for good

Cause: a VM registers in the store and nothing there expires by itself. Each replaced VM left its entry, and every entry lowers the shares of the others in connections, retries and queries; and what one VM does for all (the removal of old crash reports) nobody did once the first VM of the ranking was gone.

Change: the first VM that can be reached tries once a minute to reach the others and removes the entry of one that was out of reach for ten minutes; a round in which it reaches nobody does not count. A VM whose own entry goes registers again.

Conclusion: shares follow the VMs that exist.

--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -40,6 +40,10 @@
 	hub    *feed.Hub
 	gate   *storewatch.Gate
 	topics []anyTopic
+	// actsForAll tells that this VM does what one VM has to do for all.
+	actsForAll atomic.Bool
+	// unlisted gets a value when the entry of this VM has been removed.
+	unlisted chan struct{}
 	// away holds the topics whose last call failed.
 	away map[string]bool
 	// following tells that this VM follows the store itself.
@@ -55,7 +59,7 @@
 		state: s, forwarder: f, prober: p, readiness: r, ledger: ledger, log: log,
 		events: make(chan func(time.Time) bool, queueLength),
 		away:   map[string]bool{},
-		gate:   storewatch.NewGate(),
+		gate:   storewatch.NewGate(), unlisted: make(chan struct{}, 1),
 	}
 	c.hub = feed.NewHub(c, log.WithField("part", "feed"))
 	c.topics = c.newTopics(store)
--- a/pkg/edge/crash.go
+++ b/pkg/edge/crash.go
@@ -8,7 +8,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/discovery"
-	"github.com/nutmeghitch/nutmeghitch/pkg/feed"
 	"github.com/nutmeghitch/nutmeghitch/pkg/forward"
 	"github.com/nutmeghitch/nutmeghitch/pkg/storewatch"
 	"github.com/nutmeghitch/nutmeghitch/pkg/wait"
@@ -34,15 +33,14 @@
 // replica crashed, so that a request that crashes each replica that runs it is
 // stopped whichever VM it comes to.
 type crashReporter struct {
-	vm      string
 	control *control
 	store   Store
 	log     logrus.FieldLogger
 	queue   chan discovery.Crash
 }
 
-func newCrashReporter(vm string, c *control, store Store, log logrus.FieldLogger) *crashReporter {
-	return &crashReporter{vm: vm, control: c, store: store, log: log, queue: make(chan discovery.Crash, crashQueue)}
+func newCrashReporter(c *control, store Store, log logrus.FieldLogger) *crashReporter {
+	return &crashReporter{control: c, store: store, log: log, queue: make(chan discovery.Crash, crashQueue)}
 }
 
 // report takes in the requests that a crashed replica broke off. It never
@@ -103,13 +101,12 @@
 
 // prune removes reports beyond their term. One VM does it for all.
 func (r *crashReporter) prune(ctx context.Context) {
+	if !r.control.actsForAll.Load() {
+		return
+	}
 	old := make(chan []string, 1)
 	r.control.post(ctx, func(now time.Time) bool {
-		var names []string
-		if feed.First(r.control.state.vms) == r.vm {
-			names = r.control.oldCrashes(now)
-		}
-		old <- names
+		old <- r.control.oldCrashes(now)
 		return false
 	})
 	select {
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -44,6 +44,7 @@
 	TakenOut() storewatch.Source[string]
 	VMs() storewatch.Source[discovery.VM]
 	RegisterVM(ctx context.Context, vm discovery.VM) error
+	ForgetVM(ctx context.Context, name string) error
 	Crashes() storewatch.Source[discovery.Crash]
 	ReportCrash(ctx context.Context, name string, crash discovery.Crash) error
 	ForgetCrash(ctx context.Context, name string) error
@@ -138,7 +139,7 @@
 
 // Start implements kernel.Starter.
 func (s *controlService) Start(_ context.Context, scope *kernel.Scope) error {
-	s.crashes = newCrashReporter(s.config.Settings.VM, s.control, s.config.Store, s.config.Log.WithField("part", "crash"))
+	s.crashes = newCrashReporter(s.control, s.config.Store, s.config.Log.WithField("part", "crash"))
 	s.prober.crashed = s.crashes.report
 	s.prober.start(scope.Context(), func(u *forward.Upstream, left time.Duration) {
 		s.control.post(scope.Context(), func(now time.Time) bool { return s.control.becameCold(now, u, left) })
@@ -170,6 +171,8 @@
 	scope.Go(func(ctx context.Context) error { p.run(ctx); return nil })
 	scope.Go(func(ctx context.Context) error { p.bootstrap(ctx); return nil })
 	scope.Go(func(ctx context.Context) error { i.run(ctx); return nil })
+	d := &departed{self: s.self(), control: s.control, supply: p, store: s.config.Store, dial: dialer.DialContext, log: log, since: map[discovery.VM]time.Time{}}
+	scope.Go(func(ctx context.Context) error { d.run(ctx); return nil })
 	return nil
 }
 
@@ -182,20 +185,28 @@
 }
 
 // register stores the entry of this VM, by which the others divide what
-// replicas bear, unless the store has it already.
+// replicas bear, unless the store has it already, and again whenever it has
+// been removed.
 func (s *controlService) register(ctx context.Context) {
 	vm := s.self()
 	log := s.config.Log.WithField("part", "control")
-	storewatch.Retry(ctx, func() error {
-		if s.control.registered(ctx, vm) {
-			return nil
-		}
-		err := s.config.Store.RegisterVM(ctx, vm)
-		if err != nil {
-			log.WithField("error", err).Warn("registration failed")
+	for ctx.Err() == nil {
+		storewatch.Retry(ctx, func() error {
+			if s.control.registered(ctx, vm) {
+				return nil
+			}
+			err := s.config.Store.RegisterVM(ctx, vm)
+			if err != nil {
+				log.WithField("error", err).Warn("registration failed")
+			}
+			return err
+		})
+		select {
+		case <-s.control.unlisted:
+			log.WithField("vm", vm.Name).Warn("own entry removed, registering again")
+		case <-ctx.Done():
 		}
-		return err
-	})
+	}
 }
 
 // balancerService answers the balancer and serves the metrics.
--- a/pkg/edge/topics.go
+++ b/pkg/edge/topics.go
@@ -146,7 +146,7 @@
 	}
 	old, known := c.state.vms[item.Name]
 	if item.Deleted {
-		delete(c.state.vms, item.Name)
+		c.forgetVM(item.Name)
 	} else {
 		c.state.vms[item.Name] = item.Value
 	}
@@ -161,13 +161,26 @@
 	changed := false
 	for name := range c.state.vms {
 		if !listed[name] {
-			delete(c.state.vms, name)
+			c.forgetVM(name)
 			changed = true
 		}
 	}
 	return changed
 }
 
+// forgetVM drops a VM whose entry is gone. This VM is still there if the entry
+// was its own, so it registers again.
+func (c *control) forgetVM(name string) {
+	delete(c.state.vms, name)
+	if name != c.state.settings.VM {
+		return
+	}
+	select {
+	case c.unlisted <- struct{}{}:
+	default: // it is on its way already
+	}
+}
+
 func (c *control) currentVMs(time.Time) []storewatch.Item[discovery.VM] {
 	var items []storewatch.Item[discovery.VM]
 	for name, vm := range c.state.vms {
--- a/pkg/feed/choose.go
+++ b/pkg/feed/choose.go
@@ -42,12 +42,17 @@
 	return names
 }
 
-// First returns the name of the VM that does what one VM has to do for all.
-func First(vms map[string]discovery.VM) string {
-	if len(vms) == 0 {
-		return ""
+// Before returns the VMs ranked before a VM, the first of all first. What one VM
+// has to do for all is done by the first that can be reached.
+func Before(name string, vms map[string]discovery.VM) []discovery.VM {
+	var before []discovery.VM
+	for _, other := range ranked(vms) {
+		if other == name {
+			break
+		}
+		before = append(before, vms[other])
 	}
-	return ranked(vms)[0]
+	return before
 }
 
 // Candidates returns the VMs that self may subscribe to, the best first: those
