Pass long answers on while they come in

Cause: every answer was held until it was whole, up to 16 MB; longer ones failed, and a few dozen at once exceed the memory of the smallest VM.

Change: on routes to one replica the first 256 KB of an answer are held and the rest is copied to the caller as it comes; one that breaks off ends the caller's connection, so that it does not look complete. A part of a fan-out may have 4 MB, because a query holds one of each shard.

Conclusion: the memory of a VM no longer grows with the length of answers.

--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -19,8 +19,12 @@
 	// read. It fits into any socket's buffer, so the write cannot block on a
 	// replica that answers first.
 	inlineBody = 4 << 10
-	// maxReply bounds an answer, which is held in memory until it is whole.
-	maxReply = 16 << 20
+	// maxReply bounds an answer that is held in memory until it is whole. A
+	// query holds one of each shard.
+	maxReply = 4 << 20
+	// longReply is the length beyond which an answer is passed on while it comes
+	// in, where the caller of Do can take it.
+	longReply = 256 << 10
 	// maxStrays is the number of answers to other requests that are skipped
 	// before a connection is given up.
 	maxStrays = 2
@@ -40,6 +44,11 @@
 	// MaxIdle bounds the age of a kept connection; 0 is no bound. A request
 	// that may not be repeated needs a connection that was in use lately.
 	MaxIdle time.Duration
+	// Long takes an answer of more than 256 KB while it comes in: the reply holds
+	// its first bytes and rest reads the others, with an error if it breaks off.
+	// Do returns after it; an error of Long ends the connection. Without Long
+	// such an answer is held in memory, and one of more than 4 MB fails.
+	Long func(reply Reply, rest io.Reader) error
 	// OnSent is called when the request is about to be written.
 	OnSent func()
 }
@@ -145,7 +154,7 @@
 		if err != nil {
 			return Reply{}, false, err
 		}
-		body, err := readBody(response)
+		body, err := readBody(response, call.held())
 		if err != nil {
 			return Reply{}, false, err
 		}
@@ -161,6 +170,11 @@
 		c.keep = keepFor(response.Header)
 		reuse := !response.Close && response.ContentLength >= 0 || isChunked(response)
 		reply := Reply{Status: response.StatusCode, Header: response.Header, Body: body}
+		if len(body) > call.held() {
+			if err := call.Long(reply, response.Body); err != nil {
+				return Reply{}, false, err
+			}
+		}
 		return reply, reuse && !response.Close && c.reader.Buffered() == 0, nil
 	}
 	return Reply{}, false, errs.Ambiguous(errs.ResponseMismatch, "%s: the answer belongs to another request", c.RemoteAddr())
@@ -183,14 +197,23 @@
 	}
 }
 
-func readBody(response *http.Response) ([]byte, error) {
-	if n := response.ContentLength; n >= 0 && n <= maxReply {
+// held returns how much of an answer is held in memory.
+func (c Call) held() int {
+	if c.Long != nil {
+		return longReply
+	}
+	return maxReply
+}
+
+// readBody reads a body of up to held bytes, or one byte more of a longer one.
+func readBody(response *http.Response, held int) ([]byte, error) {
+	if n := response.ContentLength; n >= 0 && n <= int64(held) {
 		body := make([]byte, n)
 		_, err := io.ReadFull(response.Body, body)
 		return body, err
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReply+1))
-	if err == nil && len(body) > maxReply {
+	body, err := io.ReadAll(io.LimitReader(response.Body, int64(held)+1))
+	if err == nil && len(body) > held && held == maxReply {
 		return nil, errs.Ambiguous(errs.TooLarge, "the answer exceeds %d bytes", maxReply)
 	}
 	return body, err
--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -19,6 +19,8 @@
 	status int
 	header http.Header
 	body   []byte
+	// long is what follows the body, nil if the body is whole.
+	long *longAnswer
 }
 
 func (a *answer) write(w http.ResponseWriter) {
@@ -31,7 +33,12 @@
 	if _, typed := a.header["Content-Type"]; !typed {
 		h["Content-Type"] = nil // net/http must not guess one
 	}
-	h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	switch {
+	case a.long == nil:
+		h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	case a.header.Get("Content-Length") != "":
+		h.Set("Content-Length", a.header.Get("Content-Length"))
+	}
 	w.WriteHeader(a.status)
 	// A caller that has gone cannot be told; net/http closes its connection.
 	_, _ = w.Write(a.body)
@@ -122,7 +129,9 @@
 	switch {
 	case s.done:
 		q.f.metrics.answers[true].Inc(1)
-		return passed(s.reply), nil, true
+		a := passed(s.reply)
+		a.long = s.long
+		return a, nil, true
 	case s.running > 0:
 		return nil, nil, false
 	case s.failed != nil:
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -157,6 +157,7 @@
 		f.refuse(w, id, route, start, refusal)
 		return
 	}
+	defer q.finish()
 	answer, refusal := q.run(r.Context())
 	release()
 	if refusal != nil {
@@ -168,6 +169,9 @@
 	f.ledger.Succeeded(time.Now(), q.suspect.Fingerprint)
 	f.metrics.latency.RecordDuration(time.Since(start))
 	answer.write(w)
+	if answer.long != nil {
+		q.passOn(r.Context(), w, answer.long)
+	}
 }
 
 // refuse answers a request that was not sent to any replica.
--- a/pkg/forward/outcome.go
+++ b/pkg/forward/outcome.go
@@ -14,7 +14,7 @@
 	s.running--
 	now := time.Now()
 	switch {
-	case r.refusal == nil && q.f.notRun(r.reply):
+	case r.refusal == nil && r.long == nil && q.f.notRun(r.reply):
 		s.runs--
 		s.refusal = errs.Refuse(errs.UpstreamShed, "%s refused with status %d", r.upstream.Member.ID, r.reply.Status)
 		q.retry(now, s, true)
@@ -37,6 +37,12 @@
 // takeReply takes in an answer of a replica that ran the request.
 func (q *query) takeReply(now time.Time, s *shard, r result) {
 	reply := r.reply
+	taken := false
+	defer func() {
+		if r.long != nil && !taken {
+			r.long.end(errs.Refuse(errs.Canceled, "the answer is not passed on"))
+		}
+	}()
 	good := reply.Status >= 200 && reply.Status < 300
 	switch {
 	case good && (reply.Header.Get(q.f.headers.Receipt) == "" || reply.Header.Get("Content-Encoding") != ""):
@@ -45,12 +51,17 @@
 			q.retry(now, s, true)
 		}
 	case good || (reply.Status < http.StatusInternalServerError && !q.route.FanOut()):
-		s.done, s.reply = true, &reply
+		taken = true
+		s.done, s.reply, s.long = true, &reply, r.long
 		if q.delay != nil {
 			q.delay.Observe(now.Sub(r.start))
 		}
 	default:
-		s.failed = &reply
+		if r.long == nil {
+			s.failed = &reply
+		} else {
+			s.refusal = errs.Ambiguous(errs.UpstreamFailed, "%s failed with status %d", r.upstream.Member.ID, reply.Status)
+		}
 		if q.route.Idempotent {
 			q.retry(now, s, true)
 		}
--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -85,6 +85,8 @@
 	// failure, as long as the coverage allows it.
 	skipped bool
 	reply   *exchange.Reply
+	// long is the rest of reply, nil if that is whole.
+	long *longAnswer
 	// failed is the last replica's own failure, refusal the last other one.
 	failed  *exchange.Reply
 	refusal *errs.Refusal
@@ -98,7 +100,9 @@
 	upstream *Upstream
 	start    time.Time
 	reply    exchange.Reply
-	refusal  *errs.Refusal
+	// long is the rest of an answer that is still coming in.
+	long    *longAnswer
+	refusal *errs.Refusal
 }
 
 func (f *Forwarder) newQuery(r *http.Request, id string, body []byte, view *View, route *routes.Route, start time.Time) *query {
@@ -188,10 +192,10 @@
 	b.WriteString("\r\n")
 }
 
-// run sends the request and waits for what the answer needs.
+// run sends the request and waits for what the answer needs. The caller of run
+// calls finish.
 func (q *query) run(caller context.Context) (*answer, *errs.Refusal) {
 	q.ctx, q.cancel = context.WithDeadline(context.Background(), q.deadline)
-	defer q.finish()
 	now := time.Now()
 	if refusal := q.plan(now); refusal != nil {
 		return nil, refusal
@@ -237,10 +241,14 @@
 	return errs.Refuse(code, "%s", why)
 }
 
-// finish lets the sends that still run end on their own for a short time.
+// finish lets the sends that still run end on their own for a short time, that of
+// a long answer among them. It is called when the answer has been written.
 func (q *query) finish() {
+	if q.cancel == nil {
+		return // nothing was sent
+	}
 	for _, s := range q.shards {
-		if s.running > 0 {
+		if s.running > 0 || s.long != nil {
 			time.AfterFunc(loserGrace, q.cancel)
 			return
 		}
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -60,10 +61,21 @@
 	if !q.route.Idempotent {
 		call.MaxIdle = freshConnection
 	}
+	reported := false
+	if !q.route.FanOut() {
+		call.Long = func(reply exchange.Reply, rest io.Reader) error {
+			long := newLongAnswer(rest)
+			reported = true
+			q.results <- result{shard: s, upstream: u, start: start, reply: reply, long: long}
+			return long.wait(q.ctx)
+		}
+	}
 	reply, refusal := u.Pool.Do(q.ctx, call)
 	now := time.Now()
 	q.f.observe(u, now, start, reply, refusal, q.suspect)
-	q.results <- result{shard: s, upstream: u, start: start, reply: reply, refusal: refusal}
+	if !reported {
+		q.results <- result{shard: s, upstream: u, start: start, reply: reply, refusal: refusal}
+	}
 }
 
 // sendHead adds the header lines of one send.
