Split the handling of a request into routing, acceptance and query

Cause: ServeHTTP had grown to forty lines with the limits of callers and admission. Change: the route and what holds with it, the reading within the limits, and the query are functions of their own; a refusal without a chance no longer names a shard that was not asked.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -127,45 +127,29 @@
 		w.Header().Set("Connection", "close")
 	}
 	id := r.Header.Get(f.headers.RequestID)
-	view := f.view.Load()
-	if view == nil || view.Table == nil {
-		f.refuse(w, id, nil, start, errs.Refuse(errs.NotReady, "no configuration is known yet").WithRetryAfter(notReadyRetry))
-		return
-	}
-	route := view.Table.Match(r.Host, r.URL.Path)
-	if route == nil {
-		f.refuse(w, id, nil, start, errs.Refuse(errs.UnknownService, "no route for host %q path %q in version %d", r.Host, r.URL.Path, view.Table.Version))
-		return
-	}
-	if n, limit := headBytes(r), view.Table.Limits.HeaderBytes; limit > 0 && n > limit {
-		f.refuse(w, id, route, start, errs.Refuse(errs.HeaderTooLarge, "head of %d bytes exceeds %d", n, limit))
-		return
-	}
-	body, refusal := readBody(w, r, view.Table.Limits)
+	route, refusal := f.route(r)
 	if refusal != nil {
-		f.refuse(w, id, route, start, refusal)
+		f.refuse(w, id, "", start, refusal)
 		return
 	}
-	q := f.newQuery(r, id, body, view, route, start)
-	if q.verdict = f.ledger.Check(start, q.suspect.Fingerprint); q.verdict == poison.Blocked {
-		f.refuse(w, id, route, start, errs.Refuse(errs.Poisoned, "replicas crashed when they ran this request"))
+	q, refusal := f.accept(w, r, id, route, start)
+	if refusal != nil {
+		f.refuse(w, id, route.Name, start, refusal)
 		return
 	}
-	q.countPrimary()
 	release, refusal := q.admit(r.Context())
 	if refusal != nil {
-		f.refuse(w, id, route, start, refusal)
+		f.refuse(w, id, route.Name, start, refusal)
 		return
 	}
 	defer q.finish()
 	answer, refusal := q.run(r.Context())
 	release()
+	f.logQuery(q, refusal)
 	if refusal != nil {
-		f.logQuery(q, refusal)
 		f.writeRefusal(w, id, refusal)
 		return
 	}
-	f.logQuery(q, nil)
 	f.ledger.Succeeded(time.Now(), q.suspect.Fingerprint)
 	f.metrics.latency.RecordDuration(time.Since(start))
 	answer.write(w)
@@ -174,14 +158,48 @@
 	}
 }
 
-// refuse answers a request that was not sent to any replica.
-func (f *Forwarder) refuse(w http.ResponseWriter, id string, route *routes.Route, start time.Time, refusal *errs.Refusal) {
-	name := ""
-	if route != nil {
-		name = route.Name
+// route returns the route of a request.
+func (f *Forwarder) route(r *http.Request) (target, *errs.Refusal) {
+	view := f.view.Load()
+	if view == nil || view.Table == nil {
+		return target{}, errs.Refuse(errs.NotReady, "no configuration is known yet").WithRetryAfter(notReadyRetry)
 	}
+	route := view.Table.Match(r.Host, r.URL.Path)
+	if route == nil {
+		return target{}, errs.Refuse(errs.UnknownService, "no route for host %q path %q in version %d", r.Host, r.URL.Path, view.Table.Version)
+	}
+	return target{Route: route, view: view}, nil
+}
+
+// target is the route of a request with the view that it was taken from; both
+// hold until the request has ended.
+type target struct {
+	*routes.Route
+	view *View
+}
+
+// accept reads a request within the limits of callers and returns its query.
+func (f *Forwarder) accept(w http.ResponseWriter, r *http.Request, id string, to target, start time.Time) (*query, *errs.Refusal) {
+	limits := to.view.Table.Limits
+	if n := headBytes(r); limits.HeaderBytes > 0 && n > limits.HeaderBytes {
+		return nil, errs.Refuse(errs.HeaderTooLarge, "head of %d bytes exceeds %d", n, limits.HeaderBytes)
+	}
+	body, refusal := readBody(w, r, limits)
+	if refusal != nil {
+		return nil, refusal
+	}
+	q := f.newQuery(r, id, body, to.view, to.Route, start)
+	if q.verdict = f.ledger.Check(start, q.suspect.Fingerprint); q.verdict == poison.Blocked {
+		return nil, errs.Refuse(errs.Poisoned, "replicas crashed when they ran this request")
+	}
+	q.countPrimary()
+	return q, nil
+}
+
+// refuse answers a request that was not sent to any replica.
+func (f *Forwarder) refuse(w http.ResponseWriter, id, route string, start time.Time, refusal *errs.Refusal) {
 	f.log.WithFields(logrus.Fields{
-		"id": id, "route": name, "code": refusal.Code, "detail": refusal.Detail, "ms": milliseconds(time.Since(start)),
+		"id": id, "route": route, "code": refusal.Code, "detail": refusal.Detail, "ms": milliseconds(time.Since(start)),
 	}).Info("refused")
 	f.writeRefusal(w, id, refusal)
 }
--- a/pkg/forward/plan.go
+++ b/pkg/forward/plan.go
@@ -77,7 +77,6 @@
 		return errs.Refuse(errs.NoReplica, "%d of %d shards have a replica, %s", usable, len(q.shards), q.lastFailure()).WithRetryAfter(noReplicaRetry)
 	}
 	if likely < float64(least(q.route))-chanceMargin {
-		q.missing = len(q.shards)
 		return errs.Refuse(errs.Overloaded, "%.1f of %d shards are likely to answer", likely, len(q.shards)).WithRetryAfter(overloadRetry)
 	}
 	q.skip(expected, usable-least(q.route))
