Notice cuts that answer for the other side, and silent links while a query waits

Change: only an open connection shows that another failure domain can be reached. A replica without an answer for twice the target, 220 ms at least, is probed while the query still waits.

Tests: TestIsolationNeedsLostDomainsAndLostShards (fails before), TestSilentReplicaIsReportedWhileTheQueryWaits (fails before).

--- a/pkg/edge/departed.go
+++ b/pkg/edge/departed.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
@@ -79,6 +81,9 @@
 	return true
 }
 
+// refused reports whether a dial met a VM on which nothing listens.
+func refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // reached returns which of the other VMs can be reached.
 func (d *departed) reached(ctx context.Context, vms map[string]discovery.VM) map[string]bool {
 	var mu sync.Mutex
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -290,6 +290,10 @@
 	self := discovery.VM{Name: "vm1", Domain: "d1"}
 	reach := discovery.VM{Name: "vm2", Domain: "d2", PeerAddr: l.Addr().String()}
 	lost := discovery.VM{Name: "vm3", Domain: "d3", PeerAddr: "192.0.2.1:1"}
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, closed.Close())
+	refuses := discovery.VM{Name: "vm5", Domain: "d3", PeerAddr: closed.Addr().String()}
 	near := discovery.VM{Name: "vm4", Domain: "d1", PeerAddr: l.Addr().String()}
 	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
 		if addr == lost.PeerAddr {
@@ -310,6 +314,8 @@
 		return i.cutOff(ctx)
 	}
 	assert.Assert(t, cutOff(self, lost, near))
+	assert.Assert(t, cutOff(self, lost, refuses), "what cuts the link refuses connections")
 	assert.Assert(t, !cutOff(self, lost, reach))
+	assert.Assert(t, !cutOff(self, refuses, reach))
 	assert.Assert(t, !cutOff(self, near))
 }
--- a/pkg/edge/isolation.go
+++ b/pkg/edge/isolation.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
@@ -64,9 +62,8 @@
 		group.Go(func() error {
 			c, err := i.dial(ctx, "tcp", vm.PeerAddr)
 			if err != nil {
-				if refused(err) {
-					return errReached // its VM is there, only the process is not
-				}
+				// A refusal counts as well: what cuts a link may answer for the
+				// other side.
 				return nil
 			}
 			_ = c.Close() // the connection was only to show the way
@@ -76,9 +73,6 @@
 	return group.Wait() == nil
 }
 
-// refused reports whether a dial met a VM on which nothing listens.
-func refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
-
 // errReached ends the search for a VM that can be reached.
 var errReached = errs.Refuse(errs.PeerUnreachable, "a VM can be reached")
 
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"runtime"
 	"strconv"
 	"strings"
 	"testing"
@@ -288,3 +289,29 @@
 	assert.Equal(t, header.Get("Retry-After"), "")
 	assert.DeepEqual(t, s.arrivals(), []string{"r1 1"})
 }
+
+// Guards against a cut link that is noticed only when the deadlines of the
+// requests on it have passed.
+func TestSilentReplicaIsReportedWhileTheQueryWaits(t *testing.T) {
+	route := fanOut(1, "a", "b")
+	route.Target = 10 * time.Millisecond
+	s := newSite(t, route)
+	s.replica(s.group("a", 0), "a1", serves("ra", record("1")))
+	s.replica(s.group("b", 0), "b1", func(w http.ResponseWriter, r *http.Request) {
+		// The replica answers once it was reported.
+		for r.Context().Err() == nil {
+			s.mu.Lock()
+			reported := len(s.silent) > 0
+			s.mu.Unlock()
+			if reported {
+				serves("rb", record("2"))(w, r)
+				return
+			}
+			runtime.Gosched()
+		}
+	})
+	status, header, _ := s.ask("GET", "/a/", "1", "")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, header.Get("Missing"), "0")
+	assert.DeepEqual(t, s.silent, []string{"b1"})
+}
--- a/pkg/forward/outcome.go
+++ b/pkg/forward/outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
@@ -12,6 +13,7 @@
 func (q *query) take(r result) {
 	s := r.shard
 	s.running--
+	s.open = slices.DeleteFunc(s.open, func(o openSend) bool { return o.upstream == r.upstream })
 	now := time.Now()
 	switch {
 	case r.refusal == nil && r.long == nil && q.f.notRun(r.reply):
--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -39,9 +39,12 @@
 	// freshConnection bounds the age of a kept connection for requests that
 	// may not be repeated: a replica may forget an idle one without notice.
 	freshConnection = time.Second
-	// silentAfter is the time without an answer after which a replica is probed:
-	// its link may be cut. Pauses of replicas are shorter.
+	// silentAfter is the time without an answer after which a replica is probed
+	// when a send ends: its link may be cut. Pauses of replicas are shorter.
 	silentAfter = 220 * time.Millisecond
+	// silentTargets times the route's target, and silentAfter at least, is that
+	// time while a query waits: requests may take long where the target is long.
+	silentTargets = 2
 	// minLeft is the least time for which a request is worth sending.
 	minLeft = 2 * time.Millisecond
 )
@@ -77,6 +80,8 @@
 	group   *Group
 	service string
 	tried   []*Upstream
+	// open holds the sends without an outcome.
+	open []openSend
 	// running counts the sends without an outcome, runs those that may have
 	// run, arrivals those that reached a replica.
 	running, runs, arrivals int
@@ -94,6 +99,14 @@
 	ran bool
 }
 
+// openSend is a send without an outcome.
+type openSend struct {
+	upstream *Upstream
+	start    time.Time
+	// reported tells that the replica was reported as silent.
+	reported bool
+}
+
 // result is the outcome of one send.
 type result struct {
 	shard    *shard
@@ -209,6 +222,8 @@
 	defer hedge.Stop()
 	cutoff := q.cutoff()
 	defer cutoff.Stop()
+	silent := time.NewTicker(q.silence())
+	defer silent.Stop()
 	late := false
 	for {
 		q.unskip(time.Now())
@@ -223,6 +238,8 @@
 			hedge.Reset(q.hedgeDelay())
 		case <-cutoff.C:
 			late = true
+		case now := <-silent.C:
+			q.reportSilent(now)
 		case <-caller.Done():
 			return nil, q.ended(errs.Canceled, "the caller has left")
 		case <-q.ctx.Done():
@@ -231,6 +248,25 @@
 	}
 }
 
+// silence returns the time without an answer after which a replica is probed.
+func (q *query) silence() time.Duration {
+	return max(silentAfter, silentTargets*q.route.Target)
+}
+
+// reportSilent reports the replicas that have not answered for long. Waiting for
+// the end of the query would leave a cut link unnoticed until its deadline.
+func (q *query) reportSilent(now time.Time) {
+	for _, s := range q.shards {
+		for i := range s.open {
+			o := &s.open[i]
+			if !o.reported && now.Sub(o.start) >= q.silence() {
+				o.reported = true
+				q.f.observer.Silent(o.upstream)
+			}
+		}
+	}
+}
+
 // ended returns the refusal of a query that ends without an answer.
 func (q *query) ended(code errs.Code, why string) *errs.Refusal {
 	for _, s := range q.shards {
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -27,6 +27,7 @@
 		return false
 	}
 	s.tried = append(s.tried, u)
+	s.open = append(s.open, openSend{upstream: u, start: now})
 	s.running++
 	s.runs++
 	q.sends++
