Let queries that missed their target leave admission

Queries that wait for silent replicas until their deadline of 1.5 s held their places, and their times made the estimate of the queue useless, though they loaded no replica.

Change: a query leaves admission when it ends or misses its target.

Test: TestQueryThatMissedItsTargetKeepsNobodyOut (fails before).

Conclusion: a cut no longer turns into refusals for lack of places.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -137,14 +137,13 @@
 		f.refuse(w, id, route.Name, start, refusal)
 		return
 	}
-	release, refusal := q.admit(r.Context())
-	if refusal != nil {
+	if refusal := q.admit(r.Context()); refusal != nil {
 		f.refuse(w, id, route.Name, start, refusal)
 		return
 	}
 	defer q.finish()
 	answer, refusal := q.run(r.Context())
-	release()
+	q.release()
 	f.logQuery(q, refusal)
 	if refusal != nil {
 		f.writeRefusal(w, id, refusal)
--- a/pkg/forward/overload.go
+++ b/pkg/forward/overload.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/admission"
@@ -32,10 +33,13 @@
 
 // admit waits until a fan-out query may run. Beyond what the replicas bear,
 // each query would find some of its shards full, and hardly any would reach
-// its coverage; so the excess is refused before it is sent anywhere.
-func (q *query) admit(ctx context.Context) (func(), *errs.Refusal) {
+// its coverage; so the excess is refused before it is sent anywhere. The query
+// must be released when it has ended or missed its target: what then waits for
+// silent replicas loads none and must not keep others out.
+func (q *query) admit(ctx context.Context) *errs.Refusal {
+	q.release = func() {}
 	if !q.route.FanOut() {
-		return func() {}, nil
+		return nil
 	}
 	f, set := q.f, model.ServiceID(q.route.ShardSet())
 	f.gate.SetLimits(set, q.view.limits(q.route))
@@ -45,13 +49,14 @@
 		Service: set, Class: model.Search, Caller: q.caller, Deadline: q.start.Add(usefulTime(q.route)),
 	})
 	if err == nil {
-		return release, nil
+		q.release = sync.OnceFunc(release)
+		return nil
 	}
 	refusal := errs.As(err)
 	if refusal.Code == errs.DeadlineExceeded {
 		refusal = errs.Refuse(errs.Overloaded, "waited %s for admission", time.Since(q.start).Round(time.Millisecond))
 	}
-	return nil, refusal.WithRetryAfter(max(overloadRetry, refusal.RetryAfter))
+	return refusal.WithRetryAfter(max(overloadRetry, refusal.RetryAfter))
 }
 
 // limits returns how many queries of a route this VM may have in flight and
--- a/pkg/forward/overload_test.go
+++ b/pkg/forward/overload_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -52,6 +53,43 @@
 	assert.Equal(t, status, http.StatusOK)
 }
 
+// Guards against queries that wait for silent replicas past their target and keep
+// others out though they load no replica.
+func TestQueryThatMissedItsTargetKeepsNobodyOut(t *testing.T) {
+	route := fanOut(1, "a", "b")
+	route.Target = 50 * time.Millisecond
+	s := newSite(t, route)
+	s.view.VMs = 4
+	s.replica(s.group("a", 0), "a1", serves("ra", record("1")))
+	end := make(chan struct{})
+	held := make(chan struct{}, 100)
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.Header.Get("Id"), "waits") {
+			held <- struct{}{}
+			<-end
+		}
+		serves("rb", record("2"))(w, r)
+	}
+	b := s.group("b", 0)
+	s.replica(b, "b1", serve)
+	s.replica(b, "b2", serve) // leaves connections to others
+	limit := s.view.limits(route).Concurrency
+	var waiting sync.WaitGroup
+	for i := range limit {
+		waiting.Go(func() { s.ask("GET", "/a/", fmt.Sprint("waits", i), "") })
+	}
+	for range limit {
+		<-held
+	}
+	status := 0
+	for i := 0; status != http.StatusOK && i < 100; i++ {
+		status, _, _ = s.ask("GET", "/a/", fmt.Sprint("next", i), "")
+	}
+	close(end)
+	waiting.Wait()
+	assert.Equal(t, status, http.StatusOK)
+}
+
 // Guards against a bound that counts replicas that cannot be reached, or that
 // a shard which the coverage can do without lowers.
 func TestLimitsFollowTheWeakestNeededShard(t *testing.T) {
--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -70,6 +70,8 @@
 	// still running can finish.
 	ctx    context.Context
 	cancel context.CancelFunc
+	// release lets another query in; it may be called more than once.
+	release func()
 	// counts for the log
 	sends, hedges, retries, denied, skipped int
 	missing                                 int
@@ -238,6 +240,7 @@
 			hedge.Reset(q.hedgeDelay())
 		case <-cutoff.C:
 			late = true
+			q.release()
 		case now := <-silent.C:
 			q.reportSilent(now)
 		case <-caller.Done():
