claim: store an outcome whose owner fails as the context ends

When the owner's ClaimUnavailable and the end of the caller's context arrive together, the context's case of runOp can win; expire then took the queued failure, which settled the attempt, and returned before the operation reached the local committer. The outcome of a run was lost. Ruled out: the owner's late reply and the release; both pass through the committer. Change: expire submits an outcome or a release to the local committer whenever no result says what became of it. TestOutcomeIsStoredIfOwnerFailsAsContextEnds plays the two events in that order and failed before.

--- a/pkg/claim/route.go
+++ b/pkg/claim/route.go
@@ -125,22 +125,20 @@
 }
 
 // expire settles the attempt at the end of the context. It first adds the results
-// that arrived at the same time.
+// that arrived at the same time. If none of them says what became of an outcome
+// or a release, that operation goes to the local committer: the owner's failure
+// settles the attempt, but the operation must still be stored.
 func (r *opRunner) expire() {
-	for {
+	for settled := false; !settled; {
 		select {
 		case p := <-r.replies:
-			if r.attempt.AddResult(p.result) {
-				r.finish()
-				return
-			}
-			continue
+			settled = r.attempt.AddResult(p.result)
 		default:
+			settled = r.attempt.Expire()
 		}
-		break
 	}
-	r.attempt.Expire()
-	if r.op.Step != wire.ClaimTake {
+	verdict := r.attempt.Result().Verdict
+	if r.op.Step != wire.ClaimTake && (verdict == wire.ClaimUnavailable || verdict == wire.ClaimUnknown) {
 		r.startLocal()
 	}
 	r.finish()
