gateway: mark the first canary as ended before its answer is delivered

Cause: TestNoSecondCanaryWhileReportedLossIsUnanswered set firstEnded after x.answer had returned. Change: the flag is set directly before the answer. A second canary during the 300 ms without an answer still fails the test.

--- a/pkg/gateway/canary_test.go
+++ b/pkg/gateway/canary_test.go
@@ -29,9 +29,11 @@
 		var firstEnded atomic.Bool
 		s.setScript(func(n int, x *scriptedStream) {
 			if n == 1 {
-				defer firstEnded.Store(true)
 				s.ledger.RecordLoss(time.Now(), "search-g0-o1", "first", []uint64{poison.Fingerprint("search", "search", []byte(`{}`))})
 				time.Sleep(300 * time.Millisecond)
+				// The second canary may follow as soon as the answer is delivered,
+				// before x.answer returns.
+				firstEnded.Store(true)
 			}
 			if n > 1 {
 				assert.Check(t, firstEnded.Load(), "send %d while the lost canary was unanswered", n)
