soak: hand out each port of a VM once

Cause: freeAddr closes its listener again, and a VM listens only later, so two of the nine or more addresses of a run could be the same port: 36 pairs over 10,000 ports, 1 run in 280. The second VM then ended at its start and TestSeededRuns reported that a VM did not start. Ruled out: other soaks (each has a loopback address of its own) and outgoing connections (they use higher ports). Change: freeAddr remembers what it returned; a run whose VMs do not start shows the end of their logs. TestPortsOfVMsAreDistinct failed before.

--- a/pkg/soak/process.go
+++ b/pkg/soak/process.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/platform/standin"
 )
 
@@ -38,23 +39,54 @@
 	portTries = 100
 )
 
+// errNoPort tells that all ports that were tried had been handed out before.
+var errNoPort = errs.Refuse(errs.NotReady, "no port is left for a VM")
+
+// logTailBytes is how much of a VM's log is shown if it does not start.
+const logTailBytes = 2 << 10
+
 // loopback is an address of this process alone, so that the VMs of two soaks at
 // the same time cannot take each other's ports while one restarts.
 var loopback = net.IPv4(127, byte(1+os.Getpid()>>16%100), byte(os.Getpid()>>8), byte(os.Getpid())).String()
 
-// freeAddr returns a loopback address with a port that is free now.
+// handedOut are the addresses that freeAddr has returned. A VM listens only some
+// time after its addresses were drawn, so a free port can have been drawn before.
+var handedOut = struct {
+	sync.Mutex
+	addrs map[string]bool
+}{addrs: map[string]bool{}}
+
+// freeAddr returns a loopback address with a port that is free now and was not
+// returned before.
 func freeAddr() (string, error) {
-	var err error
+	handedOut.Lock()
+	defer handedOut.Unlock()
+	var err error = errNoPort
 	for range portTries {
 		addr := net.JoinHostPort(loopback, strconv.Itoa(firstPort+rand.IntN(ports)))
+		if handedOut.addrs[addr] {
+			continue
+		}
 		var l net.Listener
 		if l, err = net.Listen("tcp", addr); err == nil {
+			handedOut.addrs[addr] = true
 			return addr, l.Close()
 		}
 	}
 	return "", err
 }
 
+// logTail returns the end of the process's log.
+func (v *vm) logTail() string {
+	log, err := os.ReadFile(v.logPath())
+	if err != nil {
+		return err.Error()
+	}
+	return string(log[max(0, len(log)-logTailBytes):])
+}
+
+func (v *vm) logPath() string { return filepath.Join(v.dir, v.Name+".log") }
+
 // start starts the process; its log is appended to a file.
 func (v *vm) start() error {
 	v.mu.Lock()
@@ -63,7 +95,7 @@
 	if err := standin.WriteSettings(path, v.VMSettings); err != nil {
 		return err
 	}
-	log, err := os.OpenFile(filepath.Join(v.dir, v.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(v.logPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -91,7 +92,7 @@
 		callers.Go(func() { s.checker.call(callCtx, i, s.vms, random) })
 	}
 	if !s.await(ctx, recoverAnswers) || slices.ContainsFunc(s.vms, (*vm).ended) {
-		return Result{}, errNotStarted
+		return Result{}, s.notStarted()
 	}
 	play(s, ctx)
 	if !s.await(ctx, recoverAnswers) {
@@ -103,6 +104,15 @@
 	return Result{Asked: len(s.checker.all), Served: s.checker.served, Broken: s.checker.broken}, nil
 }
 
+// notStarted returns errNotStarted with the state and the end of the log of each VM.
+func (s *site) notStarted() error {
+	var states strings.Builder
+	for _, v := range s.vms {
+		fmt.Fprintf(&states, "\n%s, ended %t:\n%s", v.Name, v.ended(), v.logTail())
+	}
+	return fmt.Errorf("%w%s", errNotStarted, states.String())
+}
+
 // await waits for so many more answers.
 func (s *site) await(ctx context.Context, more int) bool {
 	want := s.checker.count() + more
--- a/pkg/soak/soak_test.go
+++ b/pkg/soak/soak_test.go
@@ -107,6 +107,18 @@
 	assert.Equal(t, len(c.broken), 6, "%v", c.broken)
 }
 
+// Guards against two listeners of VMs that are given the same port: the ports are
+// drawn before any VM listens, and the second VM then ends at its start.
+func TestPortsOfVMsAreDistinct(t *testing.T) {
+	drawn := map[string]bool{}
+	for range 1000 {
+		addr, err := freeAddr()
+		assert.NilError(t, err)
+		assert.Assert(t, !drawn[addr], "%s was returned twice", addr)
+		drawn[addr] = true
+	}
+}
+
 // Guards against a VM whose port a proxy or an outgoing connection takes: its
 // callers would then reach something else.
 func TestPortsOfVMsAreNotHandedOut(t *testing.T) {
