session: take timing out of two golden sessions

Cause, platform_down: the stand-in closes all connections at the start of the outage. If vm-a sends its read on a kept connection before it notices, net/http repeats the read, and the transcript has a second exchange. Cause, outcome_unknown: with 300 ms left, vm-b waits 75 ms for the claim owner and then reads the claim itself. Change: platform_down waits until the connections that were open before the outage are closed; outcome_unknown has a deadline of 2 s, with which vm-b waits claim.OwnerTimeout.

--- a/pkg/session/record_test.go
+++ b/pkg/session/record_test.go
@@ -37,6 +37,7 @@
 	sent     []byte
 	received []byte
 	ended    bool
+	closed   bool
 }
 
 func (r *recorder) dial(from string, frames bool) func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -78,11 +79,31 @@
 
 func (c *recorded) Close() error {
 	c.mu.Lock()
-	c.ended = true
+	c.ended, c.closed = true, true
 	c.mu.Unlock()
 	return c.Conn.Close()
 }
 
+// closed returns a function that reports whether the VMs have closed all
+// connections to a name that are open now.
+func (r *recorder) closed(to string) func() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var open []*recorded
+	for _, c := range r.conns {
+		if c.to == to {
+			open = append(open, c)
+		}
+	}
+	return func() bool {
+		return !slices.ContainsFunc(open, func(c *recorded) bool {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return !c.closed
+		})
+	}
+}
+
 // take returns what was said since the last call, sorted. Concurrent
 // exchanges have no order that every run repeats.
 func (r *recorder) take() []string {
--- a/pkg/session/session_test.go
+++ b/pkg/session/session_test.go
@@ -106,6 +106,9 @@
 func platformDown(s *site) {
 	s.note("The platform is down.")
 	s.cluster.Platform.SetDown(true)
+	// net/http repeats a read if the platform closed the kept connection before
+	// the VM noticed.
+	s.await("kept connections closed", s.rec.closed("platform"))
 	s.post("vm-a", bookPath, booking, "Idempotency-Key", "k1", "Nutmeghitch-Deadline-Ms", "300")
 	s.post("vm-a", searchPath, everything)
 }
@@ -118,7 +121,9 @@
 	s.post("vm-a", bookPath, booking, "Idempotency-Key", "k1")
 	s.each("lookup", func(u *fake.Upstream) { u.CrashOn(nil); _ = u.Restart() })
 	s.note("The upstream is back. A repeat does not run the booking again.")
-	s.post("vm-b", bookPath, booking, "Idempotency-Key", "k1", "Nutmeghitch-Deadline-Ms", "300")
+	// A quarter of the deadline, if that is shorter than claim.OwnerTimeout, is how
+	// long vm-b waits for vm-a before it reads the claim itself.
+	s.post("vm-b", bookPath, booking, "Idempotency-Key", "k1", "Nutmeghitch-Deadline-Ms", "2000")
 }
 
 func didNotRun(s *site) {
