forward: count the handshake of a caller's connection in the cutoff

On a new connection the handshake has taken a round trip of 6.4 ms before the request arrives, which the cutoff did not know. Ruled out: processing after the cutoff, which took 1 to 2 ms. Change: the VM reads the round-trip time of each caller's connection from the system at its acceptance. It counts from the arrival of the query, not from the end of its wait for admission.

--- a/pkg/edge/callers.go
+++ b/pkg/edge/callers.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/forward"
 	"github.com/nutmeghitch/nutmeghitch/pkg/kernel"
 	"github.com/nutmeghitch/nutmeghitch/pkg/netconn"
 	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
@@ -47,6 +48,7 @@
 	s.server = &http.Server{
 		Handler:           s.controller.forwarder,
 		ConnState:         conns.connStateChanged,
+		ConnContext:       callerConnContext,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -59,6 +61,13 @@
 	return nil
 }
 
+// callerConnContext is the ConnContext hook of the HTTP server: the round-trip time
+// of a caller's connection tells how much of the target the network takes.
+func callerConnContext(ctx context.Context, c net.Conn) context.Context {
+	roundTrip, _ := netconn.RoundTripTime(c)
+	return forward.WithCallerConn(ctx, &forward.CallerConn{RoundTrip: roundTrip})
+}
+
 // limits returns the limits of the current configuration, or no limits before
 // the first one is known.
 func (s *callersService) limits() routes.Limits {
--- a/pkg/forward/overload.go
+++ b/pkg/forward/overload.go
@@ -48,7 +48,7 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(maxAdmissionWaitShare*float64(q.route.Target)))
 	defer cancel()
 	release, err := f.fanOutLimiter.Admit(ctx, admission.Request{
-		Service: shardSet, Class: model.Search, Caller: q.caller, Deadline: q.start.Add(cutoffAfter(q.route)),
+		Service: shardSet, Class: model.Search, Caller: q.caller, Deadline: q.start.Add(q.cutoff),
 	})
 	if err == nil {
 		q.releaseAdmission = sync.OnceFunc(release)
--- a/pkg/forward/plan.go
+++ b/pkg/forward/plan.go
@@ -102,10 +102,9 @@
 	if q.route.Target <= 0 {
 		return
 	}
-	cutoff := cutoffAfter(q.route)
 	late := make([]int, 0, len(expectedLatencies))
 	for i, d := range expectedLatencies {
-		if d > cutoff {
+		if d > q.cutoff {
 			late = append(late, i)
 		}
 	}
--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -26,13 +26,6 @@
 	// usualLatencyShare of the target stands for the usual latency of a replica
 	// until that has been measured.
 	usualLatencyShare = 0.2
-	// cutoffMarginShare is the share of the target that is left for the network
-	// between the caller and this VM. When only this much time remains, the
-	// response is sent without the shards that have not answered.
-	cutoffMarginShare = 0.14
-	// minCutoffMargin is the least such time: a caller some milliseconds away
-	// needs it even if the target is short.
-	minCutoffMargin = 9 * time.Millisecond
 	// unneededSendGrace is how long sends that are no longer needed may go on, so
 	// that their connections can be reused. Replicas must be idle half a second
 	// after a caller has disconnected.
@@ -56,15 +49,18 @@
 
 // query is a caller's request in progress.
 type query struct {
-	forwarder     *Forwarder
-	id            string
-	method        string
-	head          []byte // of every send, without the header fields of sendHead
-	body          []byte
-	view          *View
-	route         *routes.Route
-	start         time.Time
-	deadline      time.Time
+	forwarder *Forwarder
+	id        string
+	method    string
+	head      []byte // of every send, without the header fields of sendHead
+	body      []byte
+	view      *View
+	route     *routes.Route
+	start     time.Time
+	deadline  time.Time
+	// cutoff is the time after start at which a response that lacks some shards is
+	// better than a late one.
+	cutoff        time.Duration
 	hedgePolicy   *hedge.Policy // nil if the route has none
 	caller        string
 	attempt       RequestAttempt
@@ -140,6 +136,7 @@
 		hedgePolicy: view.HedgeDelays[route.Name],
 		caller:      callerAddr(r.RemoteAddr),
 	}
+	q.cutoff = cutoffAfter(route, nextRequestRoundTrips(r.Context()))
 	q.attempt = RequestAttempt{Fingerprint: fingerprint(r, q.caller, body), RequestID: id}
 	q.head = f.requestHead(r)
 	services := route.Shards
@@ -327,20 +324,12 @@
 	return max(min(max(q.hedgePolicy.Delay(), shortest), longest), time.Millisecond)
 }
 
-// cutoffTimer returns the timer after which a response that lacks some shards is
-// better than a late one.
+// cutoffTimer returns the timer of the cutoff.
 func (q *query) cutoffTimer() *time.Timer {
 	if !q.route.FanOut() || q.route.Target <= 0 {
 		return time.NewTimer(defaultTimeout)
 	}
-	return time.NewTimer(cutoffAfter(q.route))
-}
-
-// cutoffAfter returns the time from the arrival of a query within which a response
-// must be sent to reach the caller within the target.
-func cutoffAfter(r *routes.Route) time.Duration {
-	margin := max(time.Duration(cutoffMarginShare*float64(r.Target)), minCutoffMargin)
-	return max(r.Target-margin, r.Target/2)
+	return time.NewTimer(time.Until(q.start.Add(q.cutoff)))
 }
 
 // hedge sends the request of each shard that has not answered to a second replica.
--- /dev/null
+++ b/pkg/forward/virtual_test.go
@@ -0,0 +1,152 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/discovery"
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/exchange"
+	"github.com/nutmeghitch/nutmeghitch/pkg/hedge"
+	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
+	"github.com/nutmeghitch/nutmeghitch/pkg/replica"
+	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
+)
+
+// virtualTier is a forwarder in front of replicas in virtual time: connections are
+// in memory, and only the waits that a test sets take time.
+type virtualTier struct {
+	t         *testing.T
+	view      *View
+	forwarder *Forwarder
+	pools     []*exchange.Pool
+}
+
+// virtualReplica answers requests in virtual time.
+type virtualReplica struct {
+	*Upstream
+	// dialTime is the time of opening a connection.
+	dialTime time.Duration
+	// work returns the time from a request to its answer.
+	work func(requestID string) time.Duration
+	// accepted counts the connections, requests the requests.
+	accepted, requests int
+}
+
+// inVirtualTime runs f in virtual time with a forwarder for the route.
+func inVirtualTime(t *testing.T, route *routes.Route, f func(tier *virtualTier)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		table, err := routes.NewTable(7, routes.Limits{}, []*routes.Route{route}, nil)
+		assert.NilError(t, err)
+		v := &virtualTier{t: t, view: &View{Table: table, ReplicaSets: map[string]*ReplicaSet{}, HedgeDelays: map[string]*hedge.Policy{}, VMs: 1}}
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		v.forwarder = New(testHeaders, silentObserver{}, poison.NewLedger(poison.Config{LossLimit: 3}), log, tally.NoopScope, tally.DefaultBuckets)
+		f(v)
+		time.Sleep(10 * unneededSendGrace) // for the sends that are canceled after their query
+		for _, p := range v.pools {
+			p.Close()
+		}
+		synctest.Wait()
+	})
+}
+
+// silentObserver ignores what requests reveal of replicas.
+type silentObserver struct{}
+
+func (silentObserver) ReplicaUnreachable(*Upstream, *errs.Refusal)                 {}
+func (silentObserver) ReplicaUnresponsive(*Upstream)                               {}
+func (silentObserver) RequestInterrupted(*Upstream, *errs.Refusal, RequestAttempt) {}
+
+// addReplica adds a replica to a service, whose budget allows extraSends.
+func (v *virtualTier) addReplica(service, id string, extraSends int, work func(requestID string) time.Duration) *virtualReplica {
+	rs := v.view.ReplicaSets[service]
+	if rs == nil {
+		rs = &ReplicaSet{Service: service, Budget: hedge.NewPolicy(hedge.Config{Groups: 1, ExtraLoad: 0.2, Burst: max(1, extraSends)})}
+		v.view.ReplicaSets[service] = rs
+	}
+	r := &virtualReplica{work: work}
+	pool := exchange.NewPool(r.dial, id, 8)
+	v.pools = append(v.pools, pool)
+	r.Upstream = &Upstream{
+		Member:  &discovery.Member{Replica: discovery.Replica{ID: id, Service: service, Addr: id}},
+		Tracker: replica.NewTracker(true, 8), Pool: pool,
+	}
+	rs.Upstreams = append(rs.Upstreams, r.Upstream)
+	v.forwarder.SetView(v.view)
+	return r
+}
+
+func (r *virtualReplica) dial(context.Context, string, string) (net.Conn, error) {
+	time.Sleep(r.dialTime)
+	client, server := net.Pipe()
+	r.accepted++
+	go r.serve(server)
+	return client, nil
+}
+
+func (r *virtualReplica) serve(c net.Conn) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		r.requests++
+		id := request.Header.Get("Id")
+		time.Sleep(r.work(id))
+		body := record("a")
+		if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nReceipt: %s.%s\r\nContent-Length: %d\r\n\r\n%s", id, r.Member.Service, id, len(body), body); err != nil {
+			return
+		}
+	}
+}
+
+// virtualAnswer is what a caller gets.
+type virtualAnswer struct {
+	*httptest.ResponseRecorder
+	// duration is the time from the first packet that the caller sends to the last
+	// one that it receives.
+	duration time.Duration
+}
+
+// send sends a request on a caller's connection, nil for one whose round-trip time
+// is not known.
+func (v *virtualTier) send(conn *CallerConn, path, id string) virtualAnswer {
+	start := time.Now()
+	r := httptest.NewRequest("GET", "http://h.example"+path, nil)
+	r.Header.Set("Id", id)
+	r.Header.Set("Left", "5000")
+	if conn != nil {
+		if conn.requests.Load() == 0 {
+			time.Sleep(conn.RoundTrip) // the handshake
+		}
+		time.Sleep(conn.RoundTrip / 2)
+		r = r.WithContext(WithCallerConn(r.Context(), conn))
+	}
+	w := httptest.NewRecorder()
+	v.forwarder.ServeHTTP(w, r)
+	if conn != nil {
+		time.Sleep(conn.RoundTrip / 2)
+	}
+	return virtualAnswer{w, time.Since(start)}
+}
+
+// always returns the same work time for each request.
+func always(d time.Duration) func(string) time.Duration {
+	return func(string) time.Duration { return d }
+}
--- a/pkg/netconn/netconn.go
+++ b/pkg/netconn/netconn.go
@@ -46,3 +46,26 @@
 		Count:    keepAliveProbes,
 	}
 }
+
+// RoundTripTime returns the round-trip time that the system has measured on a
+// connection: from the handshake, if nothing was sent yet. It reports false if
+// the system does not tell.
+func RoundTripTime(c net.Conn) (time.Duration, bool) {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return 0, false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	var info *unix.TCPInfo
+	var infoErr error
+	err = raw.Control(func(fd uintptr) {
+		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if err != nil || infoErr != nil || info.Rtt == 0 {
+		return 0, false
+	}
+	return time.Duration(info.Rtt) * time.Microsecond, true
+}
