--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -1,10 +1,12 @@
 package feed
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -215,3 +217,21 @@
 	_, err = s.Next()
 	assert.Assert(t, errs.Is(err, errs.PeerLost), "%v", err)
 }
+
+// Guards against memory that is taken for a long first message before it has
+// arrived, as many times as a faulty VM connects.
+func TestLongSubscribeMessageIsRejected(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	hub := NewHub(&fakeSource{status: Status{WatchingStore: true}}, log)
+	client, server := net.Pipe()
+	done := make(chan struct{})
+	go func() { hub.serve(t.Context(), server); close(done) }()
+	var frame bytes.Buffer
+	assert.NilError(t, wire.Write(&frame, 0, &wire.FeedSubscribe{VM: strings.Repeat("v", maxSubscribeBytes)}, maxFrameBytes))
+	go func() { _, _ = client.Write(frame.Bytes()) }() // fails when the hub closes the connection
+	<-done
+	_, err := client.Read(make([]byte, 1))
+	assert.Assert(t, err != nil)
+	assert.Equal(t, hub.Subscribers(), 0)
+}
--- a/pkg/feed/hub.go
+++ b/pkg/feed/hub.go
@@ -29,6 +29,10 @@
 	// maxFrameBytes bounds an update, which may hold a configuration of up to
 	// 1 MB and the entries of all replicas.
 	maxFrameBytes = wire.MaxTrafficFrameBytes
+	// maxSubscribeBytes bounds the first message of a subscriber, which holds names
+	// and revisions only. Memory for a longer one must not be taken before the VM
+	// knows who sends it.
+	maxSubscribeBytes = 64 << 10
 )
 
 // Status describes how current a VM's copy of the store is.
@@ -118,7 +122,7 @@
 func (h *Hub) serve(ctx context.Context, c net.Conn) {
 	defer c.Close()
 	_ = c.SetReadDeadline(time.Now().Add(subscribeTimeout)) // a closed socket fails in the read
-	_, m, err := wire.NewReader(c, maxFrameBytes).Next()
+	_, m, err := wire.NewReader(c, maxSubscribeBytes).Next()
 	request, ok := m.(*wire.FeedSubscribe)
 	if err != nil || !ok {
 		h.log.WithField("error", err).Warn("feed subscription rejected: no valid subscribe message")
