edge: join through the seeds, and wait for a feed after an outage of the store

A VM that starts listed every kind and watched it for 1.5 s, in which each registration of another VM ended a watch call. Ruled out: the watchers, whose calls are a fifth; the breaker, which lets one call at a time check. Change: a VM that starts asks its seeds for the entries of the VMs, within 200 ms, and subscribes to one that watches the store. Only without an answer it lists the store, once, and looks for a feed 0.9 s later. A VM without a feed checks with one call whether the store answers, in growing pauses, and watches it only if its state is 2 s old and no feed came back within 1.2 s of the store's return. A VM that starts while the store is away takes the newest state of all seeds, not that of the first one.

--- a/pkg/edge/topic.go
+++ b/pkg/edge/topic.go
@@ -44,6 +44,11 @@
 	topicName() string
 	// listAndWatch applies the changes in the store until ctx ends.
 	listAndWatch(ctx context.Context)
+	// listOnce applies all objects in the store.
+	listOnce(ctx context.Context) error
+	// check applies the changes in the store since the last ones, if there are any,
+	// and reports whether the store answered.
+	check(ctx context.Context) bool
 	applyFeed(now time.Time, in wire.FeedTopic) bool
 	snapshot(now time.Time) (wire.FeedTopic, error)
 	// verified returns when the store or a feed last confirmed the topic, and
@@ -58,15 +63,40 @@
 
 func (t *topic[T]) inBackground() bool { return t.background }
 
-// listAndWatch applies the changes in the store until ctx ends. It starts at the
-// revision of the topic, or with a list if that is 0.
+// listAndWatch implements anyTopic. It starts at the revision of the topic, or with a
+// list if that is 0.
 func (t *topic[T]) listAndWatch(ctx context.Context) {
+	if after, ok := t.knownRevision(ctx); ok {
+		storewatch.ListAndWatch(ctx, t.source, t.controller.storeBreaker, after, t.maxWatchWait, topicSink[T]{ctx: ctx, topic: t})
+	}
+}
+
+// listOnce implements anyTopic.
+func (t *topic[T]) listOnce(ctx context.Context) error {
+	return storewatch.ListOnce(ctx, t.source, t.controller.storeBreaker, topicSink[T]{ctx: ctx, topic: t})
+}
+
+// check implements anyTopic.
+func (t *topic[T]) check(ctx context.Context) bool {
+	after, ok := t.knownRevision(ctx)
+	if !ok {
+		return false
+	}
+	if after == 0 {
+		return t.listOnce(ctx) == nil
+	}
+	return storewatch.Check(ctx, t.source, t.controller.storeBreaker, after, topicSink[T]{ctx: ctx, topic: t})
+}
+
+// knownRevision returns the revision of the topic, or false if ctx has ended.
+func (t *topic[T]) knownRevision(ctx context.Context) (int64, bool) {
 	revision := make(chan int64, 1)
 	t.controller.post(ctx, func(time.Time) bool { revision <- t.revision; return false })
 	select {
 	case after := <-revision:
-		storewatch.ListAndWatch(ctx, t.source, t.controller.storeBreaker, after, t.maxWatchWait, topicSink[T]{ctx: ctx, topic: t})
+		return after, true
 	case <-ctx.Done():
+		return 0, false
 	}
 }
 
@@ -154,7 +184,7 @@
 	return out, nil
 }
 
-// topicSink passes the results of storewatch.ListAndWatch to the controller's
+// topicSink passes what package storewatch reads to the controller's
 // goroutine.
 type topicSink[T any] struct {
 	ctx   context.Context
--- a/pkg/edge/topics.go
+++ b/pkg/edge/topics.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -56,6 +57,12 @@
 	}
 }
 
+// topic returns the topic with the name.
+func (c *controller) topic(name string) anyTopic {
+	i := slices.IndexFunc(c.topics, func(t anyTopic) bool { return t.topicName() == name })
+	return c.topics[i]
+}
+
 // ignoreAbsent keeps objects that a complete list does not name: the
 // configuration is never removed, and crash reports expire.
 func ignoreAbsent(time.Time, map[string]bool) bool { return false }
--- a/pkg/edge/updatesource.go
+++ b/pkg/edge/updatesource.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/discovery"
 	"github.com/nutmeghitch/nutmeghitch/pkg/feed"
@@ -15,16 +18,21 @@
 )
 
 const (
-	// initialWatchTime is how long a VM that has just started watches the store
-	// before it tries to subscribe to the feed of another VM.
-	initialWatchTime = 1500 * time.Millisecond
-	// resubscribeInterval is the time between attempts to subscribe again after a
-	// feed was lost. Until one succeeds, the VM watches the store.
+	// resubscribeInterval is the time between attempts of a VM that watches the
+	// store in place of others to subscribe again.
 	resubscribeInterval = 1500 * time.Millisecond
 	// bootstrapInterval is the pause between requests to the seed VMs of a VM
 	// that is not ready yet. They are needed if the store is unavailable when
 	// the VM starts.
-	bootstrapInterval = 300 * time.Millisecond
+	bootstrapInterval = 600 * time.Millisecond
+	// seedWait is how long a VM that starts waits for seed VMs to name the others,
+	// before it asks the store. Seeds that have lost power do not refuse a dial.
+	seedWait = 200 * time.Millisecond
+	// initialListTimeout bounds the first lists, in which the store may be slow.
+	initialListTimeout = time.Second
+	// registrationTime is the time after which a VM that has listed all objects asks
+	// for the other VMs again: those that start together have registered by then.
+	registrationTime = 900 * time.Millisecond
 )
 
 // updateSource chooses where this VM gets changes of configuration and replicas
@@ -36,45 +44,132 @@
 	controller *controller
 	dial       feed.DialFunc
 	log        logrus.FieldLogger
+	// confirmedAt is when the known state was last current. Only run uses it.
+	confirmedAt time.Time
 }
 
-// run passes updates to the controller until ctx ends. A VM that starts watches
-// the store first: the store answers in milliseconds, while dials of other VMs
-// hang until they time out if all VMs have lost power together.
+// run passes updates to the controller until ctx ends.
 func (s *updateSource) run(ctx context.Context) {
-	for pause := initialWatchTime; ctx.Err() == nil; pause = resubscribeInterval {
-		for subscription := s.watchStore(ctx, pause); subscription != nil; subscription = s.subscribe(ctx) {
+	subscription := s.join(ctx)
+	for ctx.Err() == nil {
+		if subscription != nil {
 			s.setWatchingStore(ctx, false)
 			s.consume(ctx, subscription)
 		}
+		if subscription = s.awaitFeed(ctx); subscription == nil {
+			subscription = s.watchStore(ctx)
+		}
+	}
+}
+
+// join gets the state of a VM that starts: from the feed of another VM if a seed VM
+// names one, and else from the store. VMs that all start at the same time find no
+// seed; each lists the objects once, and most then subscribe to those few that
+// watch the store. The result is nil without a subscription.
+func (s *updateSource) join(ctx context.Context) *feed.Subscription {
+	if s.learnVMs(ctx) {
+		if subscription := s.subscribe(ctx); subscription != nil {
+			return subscription
+		}
+	}
+	listCtx, cancel := context.WithTimeout(ctx, initialListTimeout)
+	defer cancel()
+	var lists errgroup.Group
+	for _, t := range s.controller.topics {
+		if !t.inBackground() {
+			lists.Go(func() error { return t.listOnce(listCtx) })
+		}
+	}
+	listedAt := time.Now()
+	if lists.Wait() == nil {
+		s.confirmedAt = listedAt
+	}
+	if wait.Sleep(ctx, registrationTime) {
+		s.controller.topic(topicVMs).check(ctx)
 	}
+	return nil
+}
+
+// learnVMs asks the seed VMs for the entries of all VMs. It reports whether one
+// has answered in time. What else seeds know may be out of date, and is not used.
+func (s *updateSource) learnVMs(ctx context.Context) bool {
+	answers := make(chan []wire.FeedTopic)
+	ctx, cancel := context.WithTimeout(ctx, seedWait)
+	defer cancel()
+	for _, addr := range s.otherSeeds() {
+		go func() {
+			if all, err := s.fetch(ctx, addr); err == nil {
+				select {
+				case answers <- all:
+				case <-ctx.Done():
+				}
+			}
+		}()
+	}
+	select {
+	case all := <-answers:
+		vms := slices.DeleteFunc(slices.Clone(all), func(t wire.FeedTopic) bool { return t.Name != topicVMs })
+		s.controller.post(ctx, func(now time.Time) bool { return s.controller.applyFeed(now, vms) })
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// otherSeeds returns the seed addresses of other VMs.
+func (s *updateSource) otherSeeds() []string {
+	return slices.DeleteFunc(slices.Clone(s.seeds()), func(addr string) bool { return addr == s.self.PeerAddr })
+}
+
+// fetch returns all objects that the VM at addr knows, current or not.
+func (s *updateSource) fetch(ctx context.Context, addr string) ([]wire.FeedTopic, error) {
+	subscription, all, err := feed.Subscribe(ctx, s.dial, addr, wire.FeedSubscribe{VM: s.self.Name, AcceptStale: true})
+	if err != nil {
+		s.log.WithFields(logrus.Fields{"addr": addr, "error": err}).Info("fetching objects from a seed VM failed")
+		return nil, err
+	}
+	subscription.Close()
+	s.log.WithField("addr", addr).Info("objects received from a seed VM")
+	return all, nil
+}
+
+// awaitFeed subscribes to the feed of another VM. It returns nil if this VM has to
+// watch the store itself, or ctx has ended.
+func (s *updateSource) awaitFeed(ctx context.Context) *feed.Subscription {
+	decision := standby{confirmedAt: s.confirmedAt}
+	for ctx.Err() == nil && len(feed.SubscriptionCandidates(s.self, s.vms(ctx))) > 0 {
+		if subscription := s.subscribe(ctx); subscription != nil {
+			return subscription
+		}
+		if decision.shouldCheck(time.Now()) {
+			answers := s.controller.topic(topicConfig).check(ctx)
+			decision.checked(time.Now(), answers, rand.Float64())
+		}
+		if decision.mustWatch(time.Now()) {
+			s.log.WithField("unconfirmed_ms", time.Since(s.confirmedAt).Milliseconds()).Info("no VM feeds this one: watching the store")
+			return nil
+		}
+		wait.Sleep(ctx, decision.pause(time.Now()))
+	}
+	return nil
 }
 
 // watchStore watches the store until another VM accepts a subscription, which it
-// returns. It tries to subscribe after each pause. Background topics are
-// watched only after the first attempt has failed. The result is nil if ctx has
+// returns. It tries to subscribe after each pause. The result is nil if ctx has
 // ended.
-func (s *updateSource) watchStore(ctx context.Context, pause time.Duration) *feed.Subscription {
+func (s *updateSource) watchStore(ctx context.Context) *feed.Subscription {
 	watchCtx, stop := context.WithCancel(ctx)
 	var watchers sync.WaitGroup
 	defer watchers.Wait()
 	defer stop()
 	s.setWatchingStore(ctx, true)
-	start := func(background bool) {
-		for _, t := range s.controller.topics {
-			if t.inBackground() == background {
-				watchers.Go(func() { t.listAndWatch(watchCtx) })
-			}
-		}
+	for _, t := range s.controller.topics {
+		watchers.Go(func() { t.listAndWatch(watchCtx) })
 	}
-	start(false)
-	for first := true; wait.Sleep(ctx, pause); first = false {
+	for wait.Sleep(ctx, resubscribeInterval) {
 		if subscription := s.subscribe(ctx); subscription != nil {
 			return subscription
 		}
-		if first {
-			start(true)
-		}
 	}
 	return nil
 }
@@ -93,6 +188,7 @@
 			s.log.WithFields(logrus.Fields{"vm": vm.Name, "error": err}).Info("subscribing to the feed of a VM failed")
 			continue
 		}
+		s.confirmedAt = subscription.VerifiedAt()
 		s.log.WithField("vm", vm.Name).Info("subscribed to the feed of a VM")
 		s.controller.post(ctx, func(now time.Time) bool { return s.controller.applyFeed(now, all) })
 		return subscription
@@ -111,6 +207,7 @@
 			s.log.WithField("error", err).Info("feed subscription ended")
 			return
 		}
+		s.confirmedAt = subscription.VerifiedAt()
 		if len(topics) > 0 {
 			s.controller.post(ctx, func(now time.Time) bool { return s.controller.applyFeed(now, topics) })
 		}
@@ -136,25 +233,21 @@
 		case <-s.controller.readiness.becameReady:
 			return
 		default:
-			s.bootstrapFromSeed(ctx)
+			s.bootstrapFromSeeds(ctx)
 		}
 	}
 }
 
-// bootstrapFromSeed applies all objects that the first seed VM that answers has.
-func (s *updateSource) bootstrapFromSeed(ctx context.Context) {
-	for _, addr := range s.seeds() {
-		if addr == s.self.PeerAddr {
-			continue
-		}
-		subscription, all, err := feed.Subscribe(ctx, s.dial, addr, wire.FeedSubscribe{VM: s.self.Name, AcceptStale: true})
-		if err != nil {
-			s.log.WithFields(logrus.Fields{"addr": addr, "error": err}).Info("fetching objects from a seed VM failed")
-			continue
-		}
-		subscription.Close()
-		s.log.WithField("addr", addr).Info("objects received from a seed VM")
-		s.controller.post(ctx, func(now time.Time) bool { return s.controller.applyFeed(now, all) })
-		return
+// bootstrapFromSeeds applies all objects that the seed VMs have. Those of one seed
+// can be out of date; of each topic the newest revision stays.
+func (s *updateSource) bootstrapFromSeeds(ctx context.Context) {
+	var fetching sync.WaitGroup
+	defer fetching.Wait()
+	for _, addr := range s.otherSeeds() {
+		fetching.Go(func() {
+			if all, err := s.fetch(ctx, addr); err == nil {
+				s.controller.post(ctx, func(now time.Time) bool { return s.controller.applyFeed(now, all) })
+			}
+		})
 	}
 }
--- a/pkg/exchange/endless_test.go
+++ b/pkg/exchange/endless_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -308,6 +307,6 @@
 			return response, body
 		}
 	}
-	t.Fatal(fmt.Sprintf("no response with the id in %q", raw))
+	t.Fatalf("no response with the id in %q", raw)
 	return nil, nil
 }
--- a/pkg/feed/subscribe.go
+++ b/pkg/feed/subscribe.go
@@ -32,6 +32,7 @@
 	conn        net.Conn
 	reader      *wire.Reader
 	acceptStale bool
+	verifiedAt  time.Time
 }
 
 // Subscribe opens the feed of the VM at addr and returns it with the full state of
@@ -74,9 +75,14 @@
 	if !s.acceptStale && (update.StoreUnreachable || update.SinceVerified > maxVerificationAge) {
 		return nil, errs.Refuse(errs.StaleView, "%s has lost the store, last confirmed %s ago", s.conn.RemoteAddr(), update.SinceVerified)
 	}
+	s.verifiedAt = time.Now().Add(-update.SinceVerified)
 	return update.Topics, nil
 }
 
+// VerifiedAt returns when the store has confirmed the state of the sender, as of
+// the last update.
+func (s *Subscription) VerifiedAt() time.Time { return s.verifiedAt }
+
 // Close ends the feed.
 func (s *Subscription) Close() {
 	_ = s.conn.Close() // the protocol has no closing message
--- a/pkg/storewatch/storewatch.go
+++ b/pkg/storewatch/storewatch.go
@@ -77,11 +77,49 @@
 		w.watch(ctx, after)
 	}
 	for ctx.Err() == nil {
-		after, ok := w.list(ctx)
-		if ok {
-			w.watch(ctx, after)
+		after, err := w.list(ctx)
+		if err != nil {
+			w.failed(ctx, err)
+			continue
 		}
+		w.watch(ctx, after)
+	}
+}
+
+// ListOnce passes all objects of the kind to the sink. Its error is that of the call.
+func ListOnce[T any](ctx context.Context, source Source[T], breaker *Breaker, sink Sink[T]) error {
+	w := watcher[T]{source: source, breaker: breaker, sink: sink}
+	_, err := w.list(ctx)
+	if err != nil && ctx.Err() == nil {
+		sink.Failed(err)
+	}
+	return err
+}
+
+// Check makes one call that waits for nothing, and passes what has changed after a
+// revision to the sink. It reports whether the store answered; a store without the
+// changes since the revision did.
+func Check[T any](ctx context.Context, source Source[T], breaker *Breaker, after int64, sink Sink[T]) bool {
+	w := watcher[T]{source: source, breaker: breaker, sink: sink}
+	var batch Batch[T]
+	err := w.call(ctx, func(bool) (err error) {
+		batch, err = source.Watch(ctx, after, maxProbeWait)
+		return err
+	})
+	switch {
+	case errs.Is(err, errs.PlatformWatchGap):
+		return true
+	case err != nil:
+		if ctx.Err() == nil {
+			sink.Failed(err)
+		}
+		return false
+	}
+	if len(batch.Items) > 0 {
+		sink.Changed(batch)
 	}
+	sink.Synced(max(after, batch.Revision))
+	return true
 }
 
 // watcher is the state of one ListAndWatch.
@@ -93,21 +131,19 @@
 	retryPause time.Duration
 }
 
-// list passes all objects to the sink. It returns their revision, or false if the
-// call failed.
-func (w *watcher[T]) list(ctx context.Context) (int64, bool) {
+// list passes all objects to the sink and returns their revision.
+func (w *watcher[T]) list(ctx context.Context) (int64, error) {
 	var batch Batch[T]
 	err := w.call(ctx, func(bool) (err error) {
 		batch, err = w.source.List(ctx)
 		return err
 	})
 	if err != nil {
-		w.failed(ctx, err)
-		return 0, false
+		return 0, err
 	}
 	w.sink.Listed(batch)
 	w.synced(batch.Revision)
-	return batch.Revision, true
+	return batch.Revision, nil
 }
 
 // watch passes changes to the sink until the store no longer has the changes
