Relay parts of fan-out queries through VMs of other failure domains

Cause: on the large site half of the shards have no replica in the domain of the VM that got a query. Ruled out: fewer VMs for each replica without a second level, which leaves fewer local replicas to choose from. Change: a VM groups the shards whose best replicas are in another domain, by cost, and asks a VM there, which queries its replicas, merges, and reports outcomes before the hedges are due. Tests in virtual time: answers as from direct sends, a VM that is unreachable, silent, stopping or without a view, slow and refusing replicas behind it, callers that leave, invalid replies, FuzzServe; planRelays as a table.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -180,7 +180,8 @@
 		if err != nil {
 			return err
 		}
-		scope.Go(func(ctx context.Context) error { return s.controller.hub.Serve(ctx, l) })
+		peers := &peerServer{hub: s.controller.hub, relay: s.forwarder.ServeRelay, log: s.config.Log.WithField("part", "peers")}
+		scope.Go(func(ctx context.Context) error { return peers.run(ctx, l) })
 	}
 	detector := &isolationDetector{self: s.self(), updates: updates, forwarder: s.forwarder, ready: s.controller.readiness, dial: dialer.DialContext, log: log}
 	scope.Go(func(ctx context.Context) error { updates.run(ctx); return nil })
--- /dev/null
+++ b/pkg/edge/peers.go
@@ -0,0 +1,68 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/feed"
+	"github.com/nutmeghitch/nutmeghitch/pkg/relay"
+	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
+)
+
+const (
+	// firstMessageTimeout bounds the wait for the first message of another VM.
+	firstMessageTimeout = time.Second
+	// maxFirstMessageBytes bounds that message. Memory for a longer one must not be
+	// taken before the VM knows what it is.
+	maxFirstMessageBytes = 64 << 10
+)
+
+// peerServer serves the connections of other VMs: feeds and relayed requests.
+type peerServer struct {
+	hub   *feed.Hub
+	relay relay.Handler
+	log   logrus.FieldLogger
+}
+
+// run accepts connections until ctx ends.
+func (s *peerServer) run(ctx context.Context, l net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() }) // ends Accept
+	defer stop()
+	var running sync.WaitGroup
+	defer running.Wait()
+	for {
+		c, err := l.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return errs.Refuse(errs.PeerUnreachable, "accepting connections of VMs: %v", err)
+		}
+		running.Go(func() { s.serve(ctx, c) })
+	}
+}
+
+// serve handles one connection, whose first message tells what it is for. A VM that
+// only checks whether this one is reachable closes it without a message.
+func (s *peerServer) serve(ctx context.Context, c net.Conn) {
+	_ = c.SetReadDeadline(time.Now().Add(firstMessageTimeout)) // a closed socket fails in the read
+	_, m, err := wire.NewReader(c, maxFirstMessageBytes).Next()
+	switch first := m.(type) {
+	case *wire.FeedSubscribe:
+		s.hub.Serve(ctx, c, first)
+	case *wire.RelayRequest:
+		relay.Serve(ctx, c, first, s.relay, s.log)
+	default:
+		_ = c.Close() // nothing was sent on it
+		if !errors.Is(err, net.ErrClosed) && !errors.Is(err, io.EOF) {
+			s.log.WithField("error", err).Warn("connection of a VM closed: no valid first message")
+		}
+	}
+}
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -1,17 +1,20 @@
 package edge
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/discovery"
 	"github.com/nutmeghitch/nutmeghitch/pkg/exchange"
 	"github.com/nutmeghitch/nutmeghitch/pkg/forward"
 	"github.com/nutmeghitch/nutmeghitch/pkg/hedge"
+	"github.com/nutmeghitch/nutmeghitch/pkg/relay"
 	"github.com/nutmeghitch/nutmeghitch/pkg/replica"
 	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
 )
@@ -33,6 +36,9 @@
 	// coldMargin extends the warm-up time of a replica by the time that the entry
 	// which reports it may take to arrive.
 	coldMargin = 300 * time.Millisecond
+	// relayVMsPerDomain is the number of VMs of another failure domain to which this
+	// VM relays requests: one, and others while that one fails.
+	relayVMsPerDomain = 3
 	// hedgeExtraLoad sets the hedge delay: the slowest 8% of requests get a second
 	// send, which is hedge.HedgeBudgetShare of this ratio.
 	hedgeExtraLoad = 0.1
@@ -63,6 +69,8 @@
 	// crashes holds the crash reports in the store by name.
 	crashes   map[string]discovery.Crash
 	upstreams map[replicaKey]*forward.Upstream
+	// relayPeers holds the VMs to which requests are relayed.
+	relayPeers map[discovery.VM]*relay.Peer
 	// retryBudgets holds the budget for extra sends of each service by name.
 	retryBudgets map[string]*hedge.Policy
 	// hedgePolicies holds the policy that sets the hedge delay of each route by
@@ -84,6 +92,7 @@
 		vms:             map[string]discovery.VM{},
 		crashes:         map[string]discovery.Crash{},
 		upstreams:       map[replicaKey]*forward.Upstream{},
+		relayPeers:      map[discovery.VM]*relay.Peer{},
 		retryBudgets:    map[string]*hedge.Policy{},
 		hedgePolicies:   map[string]*hedge.Policy{},
 		restoredDomains: map[string]bool{},
@@ -123,7 +132,7 @@
 		return nil
 	}
 	vms := s.vmNames()
-	v := &forward.View{Table: s.table, ReplicaSets: map[string]*forward.ReplicaSet{}, HedgeDelays: map[string]*hedge.Policy{}, VMs: len(vms)}
+	v := &forward.View{Table: s.table, ReplicaSets: map[string]*forward.ReplicaSet{}, HedgeDelays: map[string]*hedge.Policy{}, VMs: len(vms), RelayPeers: s.currentRelayPeers()}
 	current := map[replicaKey]bool{}
 	members := s.registry.View().Services
 	for name, service := range s.table.Services {
@@ -152,6 +161,48 @@
 	return v
 }
 
+// currentRelayPeers returns the VMs to which this VM relays requests. It closes the
+// connections to the others.
+func (s *state) currentRelayPeers() []*relay.Peer {
+	chosen := relayVMs(s.settings.VM, s.settings.Domain, s.vms)
+	peers := make([]*relay.Peer, 0, len(chosen))
+	for _, vm := range chosen {
+		p, ok := s.relayPeers[vm]
+		if !ok {
+			p = relay.NewPeer(vm.Name, vm.Domain, vm.PeerAddr, relay.DialFunc(s.dial))
+			s.relayPeers[vm] = p
+		}
+		peers = append(peers, p)
+	}
+	for vm, p := range s.relayPeers {
+		if !slices.Contains(chosen, vm) {
+			p.Close()
+			delete(s.relayPeers, vm)
+		}
+	}
+	return peers
+}
+
+// relayVMs returns some VMs of each other failure domain, chosen by a hash of both
+// names: the VMs of a domain spread over all of the others, and each keeps few
+// connections.
+func relayVMs(self, domain string, vms map[string]discovery.VM) []discovery.VM {
+	byDomain := map[string][]discovery.VM{}
+	for _, vm := range vms {
+		if vm.Domain != domain && vm.PeerAddr != "" {
+			byDomain[vm.Domain] = append(byDomain[vm.Domain], vm)
+		}
+	}
+	var chosen []discovery.VM
+	for _, d := range slices.Sorted(maps.Keys(byDomain)) {
+		in := byDomain[d]
+		rank := func(vm discovery.VM) uint64 { return xxhash.Sum64String(self + "\x00" + vm.Name) }
+		slices.SortFunc(in, func(a, b discovery.VM) int { return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.Name, b.Name)) })
+		chosen = append(chosen, in[:min(len(in), relayVMsPerDomain)]...)
+	}
+	return chosen
+}
+
 // replicaKeyOf returns the key of a registered replica.
 func replicaKeyOf(m *discovery.Member) replicaKey {
 	return replicaKey{id: m.ID, bornUnixMS: m.Born, addr: m.Addr}
--- a/pkg/exchange/socket.go
+++ b/pkg/exchange/socket.go
@@ -4,6 +4,8 @@
 	"syscall"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/netconn"
 )
 
 // errNotIdle tells that a kept connection was closed or holds bytes that belong to no
@@ -36,7 +38,7 @@
 		if sent {
 			return true
 		}
-		if idle = !c.reused || nothingToRead(int(fd)); !idle {
+		if idle = !c.reused || netconn.SocketHasNothingToRead(int(fd)); !idle {
 			return true
 		}
 		n, writeErr = writeSocket(int(fd), request)
@@ -56,17 +58,6 @@
 	}
 }
 
-// nothingToRead reports whether a socket is open and has no data to read.
-func nothingToRead(fd int) bool {
-	var peeked [1]byte
-	for {
-		_, _, err := syscall.Recvfrom(fd, peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		if !errors.Is(err, syscall.EINTR) {
-			return errors.Is(err, syscall.EAGAIN)
-		}
-	}
-}
-
 // writeSocket writes what the socket takes without blocking.
 func writeSocket(fd int, b []byte) (int, error) {
 	for {
--- a/pkg/feed/hub.go
+++ b/pkg/feed/hub.go
@@ -24,15 +24,9 @@
 	maxSubscribers = 2 * vmsPerWatcher
 	// writeTimeout bounds the writing of one update.
 	writeTimeout = time.Second
-	// subscribeTimeout bounds the wait for the first message of a subscriber.
-	subscribeTimeout = time.Second
 	// maxFrameBytes bounds an update, which may hold a configuration of up to
 	// 1 MB and the entries of all replicas.
 	maxFrameBytes = wire.MaxTrafficFrameBytes
-	// maxSubscribeBytes bounds the first message of a subscriber, which holds names
-	// and revisions only. Memory for a longer one must not be taken before the VM
-	// knows who sends it.
-	maxSubscribeBytes = 64 << 10
 )
 
 // Status describes how current a VM's copy of the store is.
@@ -99,35 +93,11 @@
 	return len(h.subscribers)
 }
 
-// Serve accepts connections of subscribers until ctx ends.
-func (h *Hub) Serve(ctx context.Context, l net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = l.Close() }) // ends Accept
-	defer stop()
-	var running sync.WaitGroup
-	defer running.Wait()
-	for {
-		c, err := l.Accept()
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			return errs.Refuse(errs.PeerUnreachable, "accepting subscribers: %v", err)
-		}
-		running.Go(func() { h.serve(ctx, c) })
-	}
-}
-
-// serve sends updates to one subscriber until ctx ends, the connection fails, or
-// the feed cannot be continued.
-func (h *Hub) serve(ctx context.Context, c net.Conn) {
+// Serve sends updates to the subscriber at the other end of a connection, which has
+// sent request, until ctx ends, the connection fails, or the feed cannot be
+// continued.
+func (h *Hub) Serve(ctx context.Context, c net.Conn, request *wire.FeedSubscribe) {
 	defer c.Close()
-	_ = c.SetReadDeadline(time.Now().Add(subscribeTimeout)) // a closed socket fails in the read
-	_, m, err := wire.NewReader(c, maxSubscribeBytes).Next()
-	request, ok := m.(*wire.FeedSubscribe)
-	if err != nil || !ok {
-		h.log.WithField("error", err).Warn("feed subscription rejected: no valid subscribe message")
-		return
-	}
 	status := h.source.Status()
 	if !request.AcceptStale && (!status.WatchingStore || status.StoreUnreachable || h.Subscribers() >= maxSubscribers) {
 		return
@@ -143,7 +113,7 @@
 		return
 	}
 	h.log.WithField("vm", request.VM).Info("feed subscriber connected")
-	err = h.send(ctx, c, s)
+	err := h.send(ctx, c, s)
 	h.mu.Lock()
 	delete(h.subscribers, s)
 	h.mu.Unlock()
--- a/pkg/forward/outcome.go
+++ b/pkg/forward/outcome.go
@@ -48,6 +48,8 @@
 	}()
 	success := reply.Status >= 200 && reply.Status < 300
 	switch {
+	case s.answered:
+		// Another send was faster. The records of a shard must not be merged twice.
 	case success && (reply.Header.Get(q.forwarder.headers.Receipt) == "" || reply.Header.Get("Content-Encoding") != ""):
 		s.refusal = errs.Ambiguous(errs.ResponseMismatch, "%s answered without a receipt", r.upstream.Member.ID)
 		if q.route.Idempotent {
--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -14,6 +14,7 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/hedge"
 	"github.com/nutmeghitch/nutmeghitch/pkg/model"
 	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
+	"github.com/nutmeghitch/nutmeghitch/pkg/relay"
 	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
 )
 
@@ -77,7 +78,10 @@
 	releaseAdmission func()
 	// The remaining fields are counts for the log.
 	sends, hedges, retries, budgetRefusals int
-	skippedShards, missingShards           int
+	skippedShards, missingShards, relays   int
+	hedgeRounds                            int
+	// relayedRecords holds the greatest records of shards that other VMs queried.
+	relayedRecords [][]byte
 }
 
 // shard is the part of a query that one service answers.
@@ -90,6 +94,10 @@
 	// number.
 	openSends     []openSend
 	openSendCount int
+	// relayed is the VM through which the request was sent first, and relayedTo the
+	// replica; both are nil if this VM sent it itself.
+	relayed   *relay.Peer
+	relayedTo *Upstream
 	// attempts counts the sends that may have run, including open ones.
 	attempts int
 	// failuresAtReplica counts the sends that reached a replica and failed.
@@ -121,6 +129,8 @@
 
 // sendResult is the outcome of one send.
 type sendResult struct {
+	// relay is the outcome of a relayed request; the other fields are then empty.
+	relay    *relayOutcome
 	shard    *shard
 	upstream *Upstream
 	start    time.Time
@@ -149,7 +159,8 @@
 	for _, s := range services {
 		q.shards = append(q.shards, &shard{service: s, replicas: view.ReplicaSets[s]})
 	}
-	q.results = make(chan sendResult, len(q.shards)*(route.Attempts+maxExtraSends))
+	// A relayed request has at most one outcome for each of its shards and a last one.
+	q.results = make(chan sendResult, len(q.shards)*(route.Attempts+maxExtraSends+2))
 	return q
 }
 
@@ -228,11 +239,7 @@
 	if refusal := q.planShards(now); refusal != nil {
 		return nil, refusal
 	}
-	for _, s := range q.shards {
-		if !s.skipped {
-			q.sendToCheapest(now, s)
-		}
-	}
+	q.sendAll(now)
 	hedgeTimer := time.NewTimer(q.hedgeDelay())
 	defer hedgeTimer.Stop()
 	cutoff := q.cutoffTimer()
@@ -247,10 +254,13 @@
 		}
 		select {
 		case r := <-q.results:
-			q.handleResult(r)
+			if r.relay != nil {
+				q.handleRelayOutcome(r.relay)
+			} else {
+				q.handleResult(r)
+			}
 		case <-hedgeTimer.C:
-			q.hedge()
-			hedgeTimer.Reset(q.hedgeDelay())
+			hedgeTimer.Reset(q.hedge())
 		case <-cutoff.C:
 			pastCutoff = true
 			q.releaseAdmission()
@@ -336,13 +346,31 @@
 	return time.NewTimer(time.Until(q.start.Add(q.cutoff)))
 }
 
-// hedge sends the request of each shard that has not answered to a second replica.
-func (q *query) hedge() {
+// hedge sends the request of each shard that has not answered to a second replica,
+// and returns the time until the next hedges.
+func (q *query) hedge() time.Duration {
 	if !q.route.Idempotent || q.poisonVerdict == poison.Suspect {
-		return // a request that may crash replicas is not sent to more of them
+		return q.hedgeDelay() // a request that may crash replicas is not sent to more of them
 	}
 	now := time.Now()
+	q.hedgeRounds++
+	next := q.hedgeDelay()
+	silent := q.silentRelays()
+	for peer := range silent {
+		if q.hedgeRounds > 1 {
+			peer.Failed(now)
+		}
+	}
 	for _, s := range q.shards {
+		// The first report of a VM can be a few milliseconds late. Hedges of all its
+		// shards would take the budget of those that need one.
+		if silent[s.relayed] {
+			if q.hedgeRounds == 1 {
+				next = max(time.Millisecond, time.Duration(relayGraceShare*float64(q.route.Target)))
+				continue
+			}
+			s.forget(s.relayedTo)
+		}
 		if s.answered || s.openSendCount == 0 || s.attempts >= q.route.Attempts {
 			continue
 		}
@@ -351,4 +379,5 @@
 			q.forwarder.metrics.hedges.Inc(1)
 		}
 	}
+	return next
 }
--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -108,7 +108,7 @@
 
 // mergedResponse returns the response made of the shards that have answered.
 func (q *query) mergedResponse() *response {
-	parts := make([][]byte, 0, len(q.shards))
+	parts := append(make([][]byte, 0, len(q.shards)+len(q.relayedRecords)), q.relayedRecords...)
 	receipts := make([]string, 0, len(q.shards))
 	for _, s := range q.shards {
 		if s.answered {
@@ -170,6 +170,9 @@
 	} else if n := len(q.shards[0].tried); n > 0 {
 		fields["service"], fields["replica"] = q.shards[0].service, q.shards[0].tried[n-1].Member.ID
 	}
+	if q.relays > 0 {
+		fields["relays"] = q.relays
+	}
 	if q.skippedShards > 0 {
 		fields["skipped_shards"] = q.skippedShards
 	}
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -59,7 +59,7 @@
 func (q *query) send(s *shard, u *Upstream, start time.Time) {
 	u.Tracker.Begin(start)
 	call := exchange.Call{
-		Method: q.method, Head: q.sendHead(u, start), Body: q.body,
+		Method: q.method, Head: q.forwarder.sendHead(q.head, u, q.sendDeadline(start).Sub(start)), Body: q.body,
 		IDHeader: q.forwarder.headers.RequestID, ID: q.id, Holding: q.holding,
 	}
 	if !q.route.Idempotent {
@@ -82,19 +82,19 @@
 	}
 }
 
-// sendHead returns the head of the request with the header fields that differ
-// between sends: the time left and the target replica.
-func (q *query) sendHead(u *Upstream, now time.Time) []byte {
-	head := make([]byte, 0, len(q.head)+96)
-	head = append(head, q.head...)
-	head = append(head, q.forwarder.headers.Deadline...)
-	head = append(head, ": "...)
-	head = strconv.AppendInt(head, max(1, q.sendDeadline(now).Sub(now).Milliseconds()), 10)
-	head = append(head, "\r\n"...)
-	head = append(head, q.forwarder.headers.TargetReplica...)
-	head = append(head, ": "...)
-	head = append(head, u.Member.ID...)
-	return append(head, "\r\n"...)
+// sendHead returns the head of a send: head, which all sends of a request share, and
+// the header fields that differ between them, the time left and the target replica.
+func (f *Forwarder) sendHead(head []byte, u *Upstream, left time.Duration) []byte {
+	b := make([]byte, 0, len(head)+96)
+	b = append(b, head...)
+	b = append(b, f.headers.Deadline...)
+	b = append(b, ": "...)
+	b = strconv.AppendInt(b, max(1, left.Milliseconds()), 10)
+	b = append(b, "\r\n"...)
+	b = append(b, f.headers.TargetReplica...)
+	b = append(b, ": "...)
+	b = append(b, u.Member.ID...)
+	return append(b, "\r\n"...)
 }
 
 // sendDeadline returns the time until which a replica should work on a send. For a
--- a/pkg/forward/view.go
+++ b/pkg/forward/view.go
@@ -6,6 +6,7 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/discovery"
 	"github.com/nutmeghitch/nutmeghitch/pkg/exchange"
 	"github.com/nutmeghitch/nutmeghitch/pkg/hedge"
+	"github.com/nutmeghitch/nutmeghitch/pkg/relay"
 	"github.com/nutmeghitch/nutmeghitch/pkg/replica"
 	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
 )
@@ -36,6 +37,9 @@
 	HedgeDelays map[string]*hedge.Policy
 	// VMs is the number of VMs that share the replicas, including this one.
 	VMs int
+	// RelayPeers are VMs of other failure domains to which parts of fan-out queries
+	// are relayed, those to prefer first.
+	RelayPeers []*relay.Peer
 }
 
 // pick returns the replica with the lowest cost among those that were not tried. A
--- a/pkg/netconn/netconn.go
+++ b/pkg/netconn/netconn.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -69,3 +70,33 @@
 	}
 	return time.Duration(info.Rtt) * time.Microsecond, true
 }
+
+// NothingToRead reports whether the socket is open and has no data to read. A
+// connection that gives no access to its socket is taken to be in this state.
+func NothingToRead(c net.Conn) bool {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	nothing := false
+	err = raw.Read(func(fd uintptr) bool {
+		nothing = SocketHasNothingToRead(int(fd))
+		return true
+	})
+	return err == nil && nothing
+}
+
+// SocketHasNothingToRead is NothingToRead for the descriptor of a socket.
+func SocketHasNothingToRead(fd int) bool {
+	var peeked [1]byte
+	for {
+		_, _, err := syscall.Recvfrom(fd, peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if !errors.Is(err, syscall.EINTR) {
+			return errors.Is(err, syscall.EAGAIN)
+		}
+	}
+}
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -204,6 +204,13 @@
 	return t.expectedLatency(now, usualLatency), t.usable(now)
 }
 
+// Usable reports whether requests may be sent to the replica now.
+func (t *Tracker) Usable(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.usable(now)
+}
+
 // usable reports whether the replica is reachable and its cold limit allows a request
 // now. t.mu is held.
 func (t *Tracker) usable(now time.Time) bool {
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -59,6 +59,8 @@
 	KindProbeReply:     func() Message { return new(ProbeReply) },
 	KindFeedSubscribe:  func() Message { return new(FeedSubscribe) },
 	KindFeedUpdate:     func() Message { return new(FeedUpdate) },
+	KindRelayRequest:   func() Message { return new(RelayRequest) },
+	KindRelayReply:     func() Message { return new(RelayReply) },
 }
 
 // appender is an io.Writer that appends to a slice.
--- a/pkg/wire/messages.go
+++ b/pkg/wire/messages.go
@@ -40,9 +40,11 @@
 	KindProbeReply
 	KindFeedSubscribe
 	KindFeedUpdate
+	KindRelayRequest
+	KindRelayReply
 
 	// lastKind is the highest kind that has a message type.
-	lastKind = KindFeedUpdate
+	lastKind = KindRelayReply
 )
 
 // Message is implemented by every message of the protocol.
--- /dev/null
+++ b/pkg/wire/relay.go
@@ -0,0 +1,61 @@
+package wire
+
+import "time"
+
+// RelayRequest asks a VM to send a fan-out query to one replica of each of some
+// services in its own failure domain, and to merge what they answer.
+type RelayRequest struct {
+	// RequestID is the identifier of the caller's attempt, which replicas echo.
+	RequestID string `msgpack:"id"`
+	Method    string `msgpack:"method"`
+	// Head is the request line and the header lines that all sends share.
+	Head []byte `msgpack:"head"`
+	Body []byte `msgpack:"body"`
+	// Fingerprint identifies the request in the ledger of crashes.
+	Fingerprint uint64   `msgpack:"fp"`
+	Services    []string `msgpack:"services"`
+	// TopK is the number of records that the merged answer needs.
+	TopK int `msgpack:"k"`
+	// Usual is the usual latency of the replicas.
+	Usual time.Duration `msgpack:"usual"`
+	// Left is the time that a replica has for its answer.
+	Left time.Duration `msgpack:"left"`
+	// FirstReply is the time after which the sender needs to know which services
+	// have not answered. From then on each outcome is passed on at once.
+	FirstReply time.Duration `msgpack:"first"`
+	// End is the time after which the sender waits for no further reply.
+	End time.Duration `msgpack:"end"`
+}
+
+// RelayReply carries outcomes of a RelayRequest. Each service is in one reply.
+type RelayReply struct {
+	// Records are the greatest records of the services in Answered.
+	Records  []byte         `msgpack:"records"`
+	Answered []RelayAnswer  `msgpack:"answered"`
+	Failed   []RelayFailure `msgpack:"failed"`
+	// Done is set in the last reply.
+	Done bool `msgpack:"done"`
+}
+
+// RelayAnswer says that a replica of a service has answered.
+type RelayAnswer struct {
+	// Service is the index of the service in the request.
+	Service int           `msgpack:"s"`
+	Receipt string        `msgpack:"receipt"`
+	Latency time.Duration `msgpack:"latency"`
+}
+
+// RelayFailure says that a service gave no answer.
+type RelayFailure struct {
+	// Service is the index of the service in the request.
+	Service int     `msgpack:"s"`
+	Failure Failure `msgpack:"f"`
+	// ReachedReplica is set if a replica has received the request.
+	ReachedReplica bool `msgpack:"reached"`
+}
+
+// Kind implements Message.
+func (*RelayRequest) Kind() Kind { return KindRelayRequest }
+
+// Kind implements Message.
+func (*RelayReply) Kind() Kind { return KindRelayReply }
