replica: halve the failure rate of an unused replica in 5 s

Cause: on fleets of 30 VMs and more a VM asks each replica less than once a second, and with 2 s it forgot that one refuses before it asked it again. Ruled out: no change of the weight of one outcome, which is for many answers a second.

--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -21,7 +21,7 @@
 	// failure rate. failureHalfLife is the time in which the failure rate of an unused
 	// replica is halved.
 	failureWeight   = 0.25
-	failureHalfLife = 2 * time.Second
+	failureHalfLife = 5 * time.Second
 	// failurePenaltyFactor times the usual latency is added to the cost of a replica
 	// that always fails, and a proportional part at a lower failure rate. The product
 	// is about the target time of a request: a replica that fails half of its requests
