edge: notice isolation before shards are missing, and refuse what cannot be covered

The balancer uses a domain until none of its VMs is ready, so one without queries kept all callers there. Ruled out: dials of VMs alone, which may all have ended while their replicas answer. Change: on a sign of trouble, and with two dials every 0.9 s where the own domain cannot cover the queries, a VM dials VMs and then replicas of other domains. An isolated VM refuses at once what needs them, as not run, and answers the rest without them.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -183,7 +183,7 @@
 		peers := &peerServer{hub: s.controller.hub, relay: s.forwarder.ServeRelay, log: s.config.Log.WithField("part", "peers")}
 		scope.Go(func(ctx context.Context) error { return peers.run(ctx, l) })
 	}
-	detector := &isolationDetector{self: s.self(), updates: updates, forwarder: s.forwarder, ready: s.controller.readiness, dial: dialer.DialContext, log: log}
+	detector := &isolationDetector{self: s.self(), updates: updates, forwarder: s.forwarder, ready: s.controller.readiness, prober: s.prober, dial: dialer.DialContext, log: log}
 	scope.Go(func(ctx context.Context) error { updates.run(ctx); return nil })
 	scope.Go(func(ctx context.Context) error { updates.bootstrap(ctx); return nil })
 	scope.Go(func(ctx context.Context) error { detector.run(ctx); return nil })
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -282,9 +282,9 @@
 	other.Value.Service = "t"
 	replicaTopic(c).update(start, replicaBatch(5, replicaItem("a", 3), other), true)
 	view := c.state.view(start)
-	assert.Assert(t, view.MeetsMinCoverage())
+	assert.Assert(t, view.MeetsMinCoverage(false))
 	view.ReplicaSets["t"].Upstreams[0].Tracker.SetDown(true)
-	assert.Assert(t, !view.MeetsMinCoverage())
+	assert.Assert(t, !view.MeetsMinCoverage(false))
 
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -313,7 +313,7 @@
 		go func() { ended <- c.run(ctx) }()
 		defer func() { cancel(); assert.NilError(t, <-ended) }()
 		detector := &isolationDetector{self: self, updates: &updateSource{controller: c}, dial: dial}
-		return detector.otherDomainsUnreachable(ctx)
+		return detector.otherDomainsUnreachable(ctx, maxIsolationDials)
 	}
 	assert.Assert(t, otherDomainsUnreachable(self, unreachable, sameDomain))
 	assert.Assert(t, otherDomainsUnreachable(self, unreachable, refusing), "a device on the link may refuse connections")
@@ -321,3 +321,51 @@
 	assert.Assert(t, !otherDomainsUnreachable(self, refusing, reachable))
 	assert.Assert(t, !otherDomainsUnreachable(self, sameDomain))
 }
+
+// Guards against a VM behind a cut that notices it only after its queries have shown
+// most replicas to be unreachable, and against one that counts as isolated because
+// the VMs of other domains have ended while their replicas still answer.
+func TestIsolationIsNoticedBeforeShardsAreMissing(t *testing.T) {
+	c := newTestController(t)
+	table, err := routes.NewTable(1, routes.Limits{},
+		[]*routes.Route{{Name: "all", Host: "h", Prefix: "/", Shards: []string{"s", "t"}, MinCoverage: 1}},
+		[]*routes.Service{{Name: "s", MaxConns: 30}, {Name: "t", MaxConns: 30}})
+	assert.NilError(t, err)
+	configTopic(c).update(start, configBatch(table, 1), true)
+	remote := replicaItem("b", 4)
+	remote.Value.Service, remote.Value.Domain = "t", "d2"
+	replicaTopic(c).update(start, replicaBatch(5, replicaItem("a", 3), remote), true)
+	other := discovery.VM{Name: "vm2", Domain: "d2", PeerAddr: "vm2:1"}
+	c.state.vms = map[string]discovery.VM{other.Name: other}
+	ctx, cancel := context.WithCancel(t.Context())
+	view := c.state.view(start)
+	ended := make(chan error, 1)
+	go func() { ended <- c.run(ctx) }()
+	defer func() { cancel(); assert.NilError(t, <-ended) }()
+	assert.Assert(t, view.MeetsMinCoverage(false) && !view.MeetsMinCoverage(true))
+	dials := 0
+	reachable := map[string]bool{}
+	detector := &isolationDetector{
+		self: discovery.VM{Name: "vm1", Domain: "d1"}, updates: &updateSource{controller: c}, prober: c.prober, forwarder: c.forwarder,
+		dial: func(_ context.Context, _, addr string) (net.Conn, error) {
+			dials++
+			if !reachable[addr] {
+				return nil, context.DeadlineExceeded
+			}
+			client, server := net.Pipe()
+			_ = server.Close()
+			return client, nil
+		},
+	}
+	for range routineChecks - 1 {
+		assert.Assert(t, !detector.isolated(ctx, view), "no sign of trouble")
+	}
+	assert.Equal(t, dials, 0)
+	assert.Assert(t, detector.isolated(ctx, view), "a VM without queries")
+	view.RelayPeers[0].Failed(time.Now())
+	assert.Assert(t, detector.isolated(ctx, view))
+	reachable["b:1"] = true
+	assert.Assert(t, !detector.isolated(ctx, view), "a replica of another domain can be reached")
+	reachable = map[string]bool{"vm2:1": true}
+	assert.Assert(t, !detector.isolated(ctx, view), "a VM of another domain can be reached")
+}
--- a/pkg/edge/isolation.go
+++ b/pkg/edge/isolation.go
@@ -21,8 +21,14 @@
 	// isolationDialTimeout limits the dials of VMs in other failure domains, which
 	// run concurrently.
 	isolationDialTimeout = 250 * time.Millisecond
-	// maxIsolationDials is the number of VMs that are dialled. They are spread
-	// over as many failure domains as possible.
+	// routineChecks is the number of checks of which one dials without a sign of
+	// trouble. The balancer takes callers to another domain only when no VM of the
+	// isolated one is ready, also none that has no queries.
+	routineChecks = 3
+	// routineDials is the number of VMs that it dials.
+	routineDials = 2
+	// maxIsolationDials is the number of VMs, and of replicas, that are dialled. They
+	// are spread over as many failure domains as possible.
 	maxIsolationDials = 4
 )
 
@@ -36,15 +42,19 @@
 	updates   *updateSource
 	forwarder *forward.Forwarder
 	ready     *readiness
+	prober    *prober
 	dial      feed.DialFunc
 	log       logrus.FieldLogger
+	// checks counts the checks.
+	checks int
 }
 
 // run updates the readiness until ctx ends.
 func (i *isolationDetector) run(ctx context.Context) {
 	for wait.Sleep(ctx, isolationCheckInterval) {
 		view := i.forwarder.View()
-		isolated := view != nil && !view.MeetsMinCoverage() && i.otherDomainsUnreachable(ctx)
+		isolated := view != nil && i.isolated(ctx, view)
+		i.forwarder.SetIsolated(isolated)
 		if i.ready.isolated.Swap(isolated) != isolated {
 			i.log.WithField("isolated", isolated).Warn("isolation from all other failure domains changed")
 			i.forwarder.SetCloseConnections(isolated || i.ready.stopping.Load())
@@ -52,37 +62,79 @@
 	}
 }
 
-// otherDomainsUnreachable reports whether VMs of other failure domains are known
-// and none of those that it dials can be reached.
-func (i *isolationDetector) otherDomainsUnreachable(ctx context.Context) bool {
-	targets := isolationDialTargets(i.self, i.updates.vms(ctx))
-	if len(targets) == 0 {
+// isolated reports whether this VM is isolated. Before so many replicas are known to
+// be unreachable that shards are missing, which takes as many queries, it dials VMs on
+// a sign of trouble and now and then, and replicas if no VM can be reached: the VMs of
+// other domains may all have ended.
+func (i *isolationDetector) isolated(ctx context.Context, view *forward.View) bool {
+	i.checks++
+	if !view.MeetsMinCoverage(false) {
+		return i.otherDomainsUnreachable(ctx, maxIsolationDials)
+	}
+	if view.MeetsMinCoverage(true) {
 		return false
 	}
+	trouble := view.RelaysFail(time.Now()) || i.prober.busy()
+	if !trouble && (i.checks%routineChecks != 0 || !i.otherDomainsUnreachable(ctx, routineDials)) {
+		return false
+	}
+	return i.otherDomainsUnreachable(ctx, maxIsolationDials) && i.noneReachable(ctx, remoteReplicaAddrs(view))
+}
+
+// remoteReplicaAddrs returns the addresses of some replicas in other failure domains,
+// of each domain if there are few.
+func remoteReplicaAddrs(view *forward.View) []string {
+	var addrs []string
+	byDomain := map[string]int{}
+	for _, rs := range view.ReplicaSets {
+		for _, u := range rs.Upstreams {
+			d := u.Member.Domain
+			if len(addrs) < maxIsolationDials && !u.Tracker.Local && !u.Tracker.Down() && byDomain[d] < 1+maxIsolationDials/4 {
+				byDomain[d]++
+				addrs = append(addrs, u.Member.Addr)
+			}
+		}
+	}
+	return addrs
+}
+
+// otherDomainsUnreachable reports whether VMs of other failure domains are known
+// and none of the up to maxDials that it dials can be reached.
+func (i *isolationDetector) otherDomainsUnreachable(ctx context.Context, maxDials int) bool {
+	targets := isolationDialTargets(i.self, i.updates.vms(ctx), maxDials)
+	addrs := make([]string, 0, len(targets))
+	for _, vm := range targets {
+		addrs = append(addrs, vm.PeerAddr)
+	}
+	return len(addrs) > 0 && i.noneReachable(ctx, addrs)
+}
+
+// noneReachable reports whether no connection to any of the addresses can be opened.
+func (i *isolationDetector) noneReachable(ctx context.Context, addrs []string) bool {
 	ctx, cancel := context.WithTimeout(ctx, isolationDialTimeout)
 	defer cancel()
 	var group errgroup.Group
-	for _, vm := range targets {
+	for _, addr := range addrs {
 		group.Go(func() error {
-			c, err := i.dial(ctx, "tcp", vm.PeerAddr)
+			c, err := i.dial(ctx, "tcp", addr)
 			if err != nil {
 				// A refused connection counts as unreachable too: the device that
 				// blocks a link may refuse it in place of the other side.
 				return nil
 			}
 			_ = c.Close() // nothing was sent on the connection
-			return errVMReachable
+			return errReachable
 		})
 	}
 	return group.Wait() == nil
 }
 
-// errVMReachable makes the group of dials report that one of them succeeded.
-var errVMReachable = errs.Refuse(errs.PeerUnreachable, "a VM can be reached")
+// errReachable makes the group of dials report that one of them succeeded.
+var errReachable = errs.Refuse(errs.PeerUnreachable, "an address can be reached")
 
-// isolationDialTargets returns up to maxIsolationDials VMs of other failure
-// domains: the first of each domain, then the second of each, and so on.
-func isolationDialTargets(self discovery.VM, vms map[string]discovery.VM) []discovery.VM {
+// isolationDialTargets returns up to limit VMs of other failure domains, in no fixed
+// order: the first of each domain, then the second of each, and so on.
+func isolationDialTargets(self discovery.VM, vms map[string]discovery.VM, limit int) []discovery.VM {
 	byDomain := map[string][]discovery.VM{}
 	for _, vm := range vms {
 		if vm.Domain != self.Domain && vm.PeerAddr != "" {
@@ -90,10 +142,10 @@
 		}
 	}
 	var targets []discovery.VM
-	for round := 0; len(targets) < maxIsolationDials; round++ {
+	for round := 0; len(targets) < limit; round++ {
 		before := len(targets)
 		for _, domainVMs := range byDomain {
-			if round < len(domainVMs) && len(targets) < maxIsolationDials {
+			if round < len(domainVMs) && len(targets) < limit {
 				targets = append(targets, domainVMs[round])
 			}
 		}
--- a/pkg/edge/prober.go
+++ b/pkg/edge/prober.go
@@ -147,6 +147,13 @@
 	}
 }
 
+// busy reports whether a replica is being probed.
+func (p *prober) busy() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.probing) > 0
+}
+
 // startProbing starts the probe loop of a replica after a delay, unless it is
 // already running.
 func (p *prober) startProbing(u *forward.Upstream, delay time.Duration) {
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -90,7 +90,9 @@
 	view          atomic.Pointer[View]
 	// closeConnections is set while callers should connect to another VM.
 	closeConnections atomic.Bool
-	metrics          forwardMetrics
+	// isolated is set while this VM reaches no other failure domain.
+	isolated atomic.Bool
+	metrics  forwardMetrics
 }
 
 type forwardMetrics struct {
@@ -152,6 +154,10 @@
 // connection, so that the caller connects to another VM.
 func (f *Forwarder) SetCloseConnections(on bool) { f.closeConnections.Store(on) }
 
+// SetIsolated sets whether this VM reaches no other failure domain. Queries that need
+// replicas of others are then refused at once.
+func (f *Forwarder) SetIsolated(on bool) { f.isolated.Store(on) }
+
 // View returns the view that new requests use, nil before the first SetView.
 func (f *Forwarder) View() *View { return f.view.Load() }
 
--- a/pkg/forward/overload_test.go
+++ b/pkg/forward/overload_test.go
@@ -150,3 +150,29 @@
 		assert.Equal(t, len(tier.received()), c.received)
 	}
 }
+
+// Guards against queries that an isolated VM holds until their deadline although it
+// knows that replicas of other failure domains are out of reach, and against refusals
+// of those that its own domain can answer.
+func TestIsolatedVMRefusesWhatItCannotCover(t *testing.T) {
+	for _, c := range []struct {
+		minCoverage float64
+		status      int
+	}{{1, http.StatusServiceUnavailable}, {0.5, http.StatusOK}} {
+		tier := newTestTier(t, fanOutRoute(c.minCoverage, "a", "b"))
+		tier.addReplica(tier.addService("a", 0), "a1", respondWith("ra", record("1")))
+		tier.addReplica(tier.addService("b", 0), "b1", respondWith("rb", record("2"))).Tracker.Local = false
+		tier.forwarder.SetIsolated(true)
+		status, header, _ := tier.send("GET", "/a/", "1", "")
+		assert.Equal(t, status, c.status)
+		if status == http.StatusServiceUnavailable {
+			assert.Assert(t, header.Get("Retry-After") != "")
+			assert.Equal(t, len(tier.received()), 0)
+		} else {
+			assert.Equal(t, header.Get("Missing"), "1")
+		}
+		tier.forwarder.SetIsolated(false)
+		status, _, _ = tier.send("GET", "/a/", "2", "")
+		assert.Equal(t, status, http.StatusOK)
+	}
+}
--- a/pkg/forward/plan.go
+++ b/pkg/forward/plan.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/relay"
 	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
 )
 
@@ -27,12 +28,13 @@
 }
 
 // MeetsMinCoverage reports whether every fan-out route has enough shards with a
-// reachable replica to meet its minimum coverage.
-func (v *View) MeetsMinCoverage() bool {
+// reachable replica to meet its minimum coverage. With localOnly it counts only the
+// replicas in this VM's failure domain.
+func (v *View) MeetsMinCoverage(localOnly bool) bool {
 	for _, r := range v.Table.Routes {
 		reachable := 0
 		for _, s := range r.Shards {
-			if rs := v.ReplicaSets[s]; rs != nil && rs.reachable() {
+			if rs := v.ReplicaSets[s]; rs != nil && rs.reachable(localOnly) {
 				reachable++
 			}
 		}
@@ -44,31 +46,43 @@
 }
 
 // reachable reports whether at least one replica is reachable.
-func (rs *ReplicaSet) reachable() bool {
+func (rs *ReplicaSet) reachable(localOnly bool) bool {
 	for _, u := range rs.Upstreams {
-		if !u.Tracker.Down() {
+		if !u.Tracker.Down() && (u.Tracker.Local || !localOnly) {
 			return true
 		}
 	}
 	return false
 }
 
+// RelaysFail reports whether a VM to which requests are relayed has failed lately.
+func (v *View) RelaysFail(now time.Time) bool {
+	return slices.ContainsFunc(v.RelayPeers, func(p *relay.Peer) bool { return !p.Usable(now) })
+}
+
 // planShards decides, before the first send, which shards to query. It refuses the
 // query if too few shards have a replica, or if so many replicas refuse requests
 // that the required coverage is out of reach. Such a query has not run anywhere,
 // and the budget that it would have used is left for queries that can succeed. As
 // far as the coverage allows, shards that would answer too late are skipped: their
-// responses would not be used, and querying them would delay later queries.
+// responses would not be used, and querying them would delay later queries. A VM that
+// is isolated counts and queries only shards with a replica in its failure domain.
 func (q *query) planShards(now time.Time) *errs.Refusal {
 	if !q.route.FanOut() {
 		return nil
 	}
 	expectedLatencies := make([]time.Duration, len(q.shards))
 	usableShards, expectedAnswers := 0, 0.0
+	isolated := q.forwarder.isolated.Load()
 	for i, s := range q.shards {
 		if s.replicas == nil {
 			continue
 		}
+		if isolated && !s.replicas.reachable(true) {
+			s.skipped = true
+			q.skippedShards++
+			continue
+		}
 		if u := s.replicas.cheapest(now, q.usualLatency(), nil); u != nil {
 			usableShards++
 			expectedLatencies[i], _ = u.Tracker.ExpectedLatency(now, q.usualLatency())
--- a/pkg/soak/plan.go
+++ b/pkg/soak/plan.go
@@ -113,7 +113,7 @@
 }
 
 func (s *site) linkFault(name string, p *proxy, v *vm) fault {
-	state := pick(s, linkSlow, linkSilent, linkOneWay, linkWell)
+	state := pick(s, linkSlow, linkSilent, linkOneWay, linkWell, linkEndless, linkDripping)
 	return fault{fmt.Sprintf("link to %s %s, reset %t", name, state, state == linkWell), func() func() {
 		if v != nil {
 			v.disturb()
--- a/pkg/soak/process.go
+++ b/pkg/soak/process.go
@@ -1,12 +1,14 @@
 package soak
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -113,6 +115,21 @@
 	return nil
 }
 
+// peakMemoryBytes returns the most memory that the running process has held, 0 if the
+// system does not tell.
+func (v *vm) peakMemoryBytes() int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", v.cmd.Process.Pid))
+	if err != nil {
+		return 0 // the process has ended
+	}
+	_, after, _ := strings.Cut(string(status), "VmHWM:")
+	var kilobytes int64
+	_, _ = fmt.Sscan(after, &kilobytes) // 0 without the field
+	return kilobytes << 10
+}
+
 // ended reports whether the process has ended.
 func (v *vm) ended() bool {
 	v.mu.Lock()
--- a/pkg/soak/proxy.go
+++ b/pkg/soak/proxy.go
@@ -3,6 +3,7 @@
 package soak
 
 import (
+	"bytes"
 	"net"
 	"sync"
 	"time"
@@ -19,11 +20,24 @@
 	// the server to the client.
 	linkSilent link = "silent"
 	linkOneWay link = "one way"
+	// linkEndless puts a head without end in place of answers, linkDripping passes
+	// a few bytes of them a second.
+	linkEndless  link = "endless"
+	linkDripping link = "dripping"
 )
 
 // linkDelay is the delay of a slow link.
 const linkDelay = 40 * time.Millisecond
 
+const (
+	// dripBytes are passed every dripInterval on a dripping link.
+	dripBytes    = 2
+	dripInterval = 100 * time.Millisecond
+)
+
+// endlessHead is the start of a head that a field without end follows.
+const endlessHead = "HTTP/1.1 200 OK\r\nX-Field: "
+
 // proxy passes bytes between clients and one server, and spoils them on demand.
 type proxy struct {
 	listener net.Listener
@@ -109,8 +123,7 @@
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
-			p.wait(answers)
-			if _, err := to.Write(buffer[:n]); err != nil {
+			if p.write(to, buffer[:n], answers) != nil {
 				return
 			}
 		}
@@ -120,12 +133,60 @@
 	}
 }
 
+// write passes bytes on as the state of the link demands.
+func (p *proxy) write(to net.Conn, b []byte, answers bool) error {
+	p.wait(answers)
+	switch state, _ := p.current(); {
+	case answers && state == linkEndless:
+		return p.writeWithoutEnd(to)
+	case answers && state == linkDripping:
+		return p.drip(to, b)
+	}
+	_, err := to.Write(b)
+	return err
+}
+
+// writeWithoutEnd writes a head until the other side closes the connection. Its error
+// is never nil: what follows on the connection would be no answer.
+func (p *proxy) writeWithoutEnd(to net.Conn) error {
+	_, err := to.Write([]byte(endlessHead))
+	for block := bytes.Repeat([]byte("x"), 16<<10); err == nil; {
+		_, err = to.Write(block)
+	}
+	return err
+}
+
+// drip writes some bytes at a time while the link drips, and then the rest.
+func (p *proxy) drip(to net.Conn, b []byte) error {
+	for len(b) > dripBytes {
+		state, changed := p.current()
+		if state != linkDripping {
+			break
+		}
+		if _, err := to.Write(b[:dripBytes]); err != nil {
+			return err
+		}
+		b = b[dripBytes:]
+		select {
+		case <-time.After(dripInterval):
+		case <-changed:
+		}
+	}
+	_, err := to.Write(b)
+	return err
+}
+
+// current returns the state of the link, and what is closed when it changes.
+func (p *proxy) current() (link, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state, p.changed
+}
+
 // wait holds bytes back as the state of the link demands.
 func (p *proxy) wait(answers bool) {
 	for {
-		p.mu.Lock()
-		state, changed := p.state, p.changed
-		p.mu.Unlock()
+		state, changed := p.current()
 		switch {
 		case state == linkSlow:
 			time.Sleep(linkDelay)
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -26,6 +26,8 @@
 	// readyTimeout bounds the start of the tier and its recovery after the
 	// faults; it only ends runs that hang, on a busy machine too.
 	readyTimeout = 60 * time.Second
+	// maxPeakMemoryBytes is what a VM of the smallest machine may hold.
+	maxPeakMemoryBytes = 284 << 20
 	// recoverAnswers are needed after the faults.
 	recoverAnswers = 20
 )
@@ -98,6 +100,11 @@
 	if !s.await(ctx, recoverAnswers) {
 		s.checker.breach("no %d answers within %s after the faults had ended", recoverAnswers, readyTimeout)
 	}
+	for _, v := range s.vms {
+		if peak := v.peakMemoryBytes(); peak > maxPeakMemoryBytes {
+			s.checker.breach("%s has held %d MB", v.Name, peak>>20)
+		}
+	}
 	stop()
 	callers.Wait()
 	s.checker.finish()
