exchange: take no refusal without the identifier of its request

Cause: an error answer without an identifier was taken for that of the request. A late refusal of an earlier request with the mark "not run" would have had a request sent again that may have run. Ruled out: replicas that answer errors without an identifier. Change: every answer to a request with an identifier must carry it. TestRefusalNeedsTheRequestIDToo failed before. TestEarlyResponseClosesConnection failed now and then, also on, beside other work: its server read the whole body at once, and if the client was slow the write had ended when the early answer was read, so the connection was rightly reused, and the server closed it on the next request.

--- a/pkg/exchange/endless_test.go
+++ b/pkg/exchange/endless_test.go
@@ -218,6 +218,21 @@
 	assert.Equal(t, string(reply.Body), "second")
 }
 
+// Guards against a late refusal without an identifier, of a probe or of an earlier
+// request, that is taken for the answer to the next request: it would then count as
+// not run and be sent again.
+func TestRefusalNeedsTheRequestIDToo(t *testing.T) {
+	s := newScriptedServer(t, func(c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	})
+	p := s.pool(1)
+	_, refusal := exchangeOnce(t, p, callWithID("1"))
+	assert.Assert(t, refusal != nil && refusal.Code == errs.ResponseMismatch && refusal.RunState == errs.MayHaveRun, "%v", refusal)
+	open, _, _ := p.Stats()
+	assert.Equal(t, open, 0)
+}
+
 // TestHeadsAreReadAsNetHTTPReadsThem compares the parser with that of net/http. It
 // guards against a head that is framed in another way than other readers frame it.
 func TestHeadsAreReadAsNetHTTPReadsThem(t *testing.T) {
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -38,8 +37,9 @@
 	// Body is sent with a Content-Length header unless it is nil.
 	Body []byte
 	// IDHeader is the name of the header that replicas copy from the request into
-	// the response, ID its value. A health probe has no ID: a response with one
-	// belongs to an earlier request on the connection.
+	// the response, ID its value. A response with another one, or without it, is not
+	// the answer, whatever its status: a late refusal of an earlier request must not
+	// say that this one did not run. A health probe has no ID.
 	IDHeader, ID string
 	// MaxIdleTime is the longest time that a reused connection may have been idle;
 	// 0 is no limit. A request that must not be repeated needs a connection that was
@@ -183,7 +183,7 @@
 			if echoed != "" && echoed != call.ID && !head.close && len(body) <= call.bufferLimitBytes() {
 				continue
 			}
-			if echoed != call.ID && (echoed != "" || head.status < http.StatusMultipleChoices) {
+			if echoed != call.ID {
 				break
 			}
 		}
--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -145,6 +145,9 @@
 // read the whole request body: it would take the next request for the rest of that
 // body.
 func TestEarlyResponseClosesConnection(t *testing.T) {
+	// The body is read only after the response was received. A replica that reads it
+	// at once may have all of it by then, and the connection is rightly reused.
+	received := make(chan struct{})
 	s := newScriptedServer(t,
 		func(c net.Conn, r *bufio.Reader) {
 			request, err := http.ReadRequest(r)
@@ -152,6 +155,7 @@
 				return
 			}
 			_, _ = io.WriteString(c, okResponse("1", "early"))
+			<-received
 			_, _ = io.Copy(io.Discard, request.Body)
 			_, _ = r.ReadByte() // returns when the pool closes the connection
 		},
@@ -161,6 +165,7 @@
 	post.Method, post.Head = "POST", []byte("POST /x HTTP/1.1\r\nHost: h\r\nId: 1\r\n")
 	post.Body = []byte(strings.Repeat("x", 32<<20))
 	reply, refusal := exchangeOnce(t, p, post)
+	close(received)
 	assert.Assert(t, refusal == nil, "%v", refusal)
 	assert.Equal(t, string(reply.Body), "early")
 	reply, refusal = exchangeOnce(t, p, callWithID("2"))
