relay: use a VM that has failed again once it answers a probe

Cause: a VM that had failed was tried again with a query after 0.5 to 4 s, and after it the next two of its domain. When a domain is lost, several queries of each VM waited for VMs that are gone. Change: a VM that has failed is probed until it answers; the others of its domain must answer a probe first. A VM that stops leaves probes without an answer.

--- a/pkg/edge/isolation.go
+++ b/pkg/edge/isolation.go
@@ -74,7 +74,7 @@
 	if view.MeetsMinCoverage(true) {
 		return false
 	}
-	trouble := view.RelaysFail(time.Now()) || i.prober.busy()
+	trouble := view.RelaysFail() || i.prober.busy()
 	if !trouble && (i.checks%routineChecks != 0 || !i.otherDomainsUnreachable(ctx, routineDials)) {
 		return false
 	}
--- a/pkg/forward/plan.go
+++ b/pkg/forward/plan.go
@@ -56,8 +56,20 @@
 }
 
 // RelaysFail reports whether a VM to which requests are relayed has failed lately.
-func (v *View) RelaysFail(now time.Time) bool {
-	return slices.ContainsFunc(v.RelayPeers, func(p *relay.Peer) bool { return !p.Usable(now) })
+func (v *View) RelaysFail() bool {
+	return slices.ContainsFunc(v.RelayPeers, func(p *relay.Peer) bool { return !p.Usable() })
+}
+
+// relayFailed records that a VM to which requests are relayed has failed. The others
+// of its failure domain must answer a probe first: the whole domain may be gone, and
+// each try costs a query the time until its hedges.
+func (v *View) relayFailed(failed *relay.Peer) {
+	failed.Failed()
+	for _, p := range v.RelayPeers {
+		if p != failed && p.Domain == failed.Domain {
+			p.Suspect()
+		}
+	}
 }
 
 // planShards decides, before the first send, which shards to query. It refuses the
--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -358,7 +358,7 @@
 	silent := q.silentRelays()
 	for peer := range silent {
 		if q.hedgeRounds > 1 {
-			peer.Failed(now)
+			q.view.relayFailed(peer)
 		}
 	}
 	for _, s := range q.shards {
--- a/pkg/forward/relayplan.go
+++ b/pkg/forward/relayplan.go
@@ -38,7 +38,7 @@
 	usablePeers := map[string]*relay.Peer{}
 	var domains []string
 	for _, p := range peers {
-		if _, ok := usablePeers[p.Domain]; !ok && p.Usable(now) {
+		if _, ok := usablePeers[p.Domain]; !ok && p.Usable() {
 			usablePeers[p.Domain] = p
 			domains = append(domains, p.Domain)
 		}
--- a/pkg/forward/relaysend.go
+++ b/pkg/forward/relaysend.go
@@ -79,7 +79,7 @@
 			return
 		}
 		if q.ctx.Err() == nil {
-			g.peer.Failed(time.Now())
+			q.view.relayFailed(g.peer)
 		}
 		q.results <- sendResult{relay: &relayOutcome{group: g, refusal: refusal}}
 	}()
@@ -112,6 +112,9 @@
 		q.relayedRecords = append(q.relayedRecords, o.reply.Records)
 	}
 	for _, f := range o.reply.Failed {
+		if f.Failure.Code == errs.Stopping {
+			o.group.peer.Failed()
+		}
 		if s := o.group.take(f.Service); s != nil {
 			q.failRelayed(now, s, o.group.upstreams[f.Service], errs.As(f.Failure.Err()), f.ReachedReplica)
 		}
--- a/pkg/forward/relayserve.go
+++ b/pkg/forward/relayserve.go
@@ -34,8 +34,15 @@
 
 // ServeRelay queries one replica of each service in this VM's failure domain for
 // another VM, and passes the outcomes on: all together if they are complete before
-// the first reply is due, and else each at once from then on.
+// the first reply is due, and else each at once from then on. A request without
+// services is a probe, which a VM that takes no requests leaves without an answer.
 func (f *Forwarder) ServeRelay(ctx context.Context, request *wire.RelayRequest, reply func(*wire.RelayReply) error) {
+	if len(request.Services) == 0 {
+		if !f.closeConnections.Load() && f.view.Load() != nil {
+			_ = reply(&wire.RelayReply{Done: true}) // the connection then ends
+		}
+		return
+	}
 	start := time.Now()
 	holding := f.memory.NewHolding()
 	defer holding.End()
--- a/pkg/relay/peer.go
+++ b/pkg/relay/peer.go
@@ -10,6 +10,7 @@
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/netconn"
+	"github.com/nutmeghitch/nutmeghitch/pkg/wait"
 	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
 )
 
@@ -22,11 +23,13 @@
 	maxIdleTime = 20 * time.Second
 	// dialTimeout bounds a dial, which takes a millisecond: a query waits for it.
 	dialTimeout = 60 * time.Millisecond
-	// minAvoidTime and maxAvoidTime bound the growing time for which a VM that has
-	// failed, or was silent, gets no further request. Each try costs one query the
-	// time until its hedges.
-	minAvoidTime = 500 * time.Millisecond
-	maxAvoidTime = 4 * time.Second
+	// minProbePause and maxProbePause bound the growing pause between probes of a VM
+	// that has failed, or was silent. It gets no request before it answers one: each
+	// would cost a query the time until its hedges.
+	minProbePause = 200 * time.Millisecond
+	maxProbePause = 2 * time.Second
+	// probeTimeout bounds a probe, which takes a few milliseconds.
+	probeTimeout = 250 * time.Millisecond
 	// MaxRequestBytes bounds the head and body of a request that is relayed.
 	MaxRequestBytes = 32 << 10
 	// maxFrameBytes bounds a message: a request, or the records and receipts of all
@@ -45,11 +48,14 @@
 	addr       string
 	dial       DialFunc
 
-	mu         sync.Mutex
-	idle       []*peerConn
-	closed     bool
-	avoidTime  time.Duration
-	avoidUntil time.Time
+	// ctx ends with Close.
+	ctx   context.Context
+	close context.CancelFunc
+
+	mu   sync.Mutex
+	idle []*peerConn
+	// down is set while the peer is probed.
+	down bool
 }
 
 // peerConn is a connection to a Peer, which carries one request at a time.
@@ -61,40 +67,64 @@
 
 // NewPeer returns a peer that listens at addr. It does not connect yet.
 func NewPeer(vm, domain, addr string, dial DialFunc) *Peer {
-	return &Peer{VM: vm, Domain: domain, addr: addr, dial: dial}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Peer{VM: vm, Domain: domain, addr: addr, dial: dial, ctx: ctx, close: cancel}
 }
 
 // Usable reports whether requests may be sent to the peer now.
-func (p *Peer) Usable(now time.Time) bool {
+func (p *Peer) Usable() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.closed && !now.Before(p.avoidUntil)
+	return !p.down && p.ctx.Err() == nil
 }
 
-// Failed records that the peer has failed, or has not answered in time.
-func (p *Peer) Failed(now time.Time) {
+// Failed records that the peer has failed, or has not answered in time. It is used
+// again once it answers a probe.
+func (p *Peer) Failed() { p.probeFrom(minProbePause) }
+
+// Suspect makes the peer answer a probe before it is used again, because another VM
+// of its failure domain has failed.
+func (p *Peer) Suspect() { p.probeFrom(0) }
+
+// probeFrom probes the peer after a pause until it answers, unless it is probed
+// already.
+func (p *Peer) probeFrom(pause time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now.Before(p.avoidUntil) {
-		return // another request has recorded the same failure
+	if p.down || p.ctx.Err() != nil {
+		return
 	}
-	p.avoidTime = min(max(minAvoidTime, 2*p.avoidTime), maxAvoidTime)
-	p.avoidUntil = now.Add(p.avoidTime)
+	p.down = true
+	p.closeIdleLocked() // they lead to the same process, and may be broken
+	go p.probe(pause)
 }
 
-// answered records that the peer has answered.
-func (p *Peer) answered() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.avoidTime, p.avoidUntil = 0, time.Time{}
+func (p *Peer) probe(pause time.Duration) {
+	for wait.Sleep(p.ctx, pause) {
+		ctx, cancel := context.WithTimeout(p.ctx, probeTimeout)
+		refusal := p.Do(ctx, &wire.RelayRequest{}, func(*wire.RelayReply) {})
+		cancel()
+		if refusal == nil {
+			p.mu.Lock()
+			p.down = false
+			p.mu.Unlock()
+			return
+		}
+		pause = min(max(minProbePause, 2*pause), maxProbePause)
+	}
 }
 
 // Close closes the idle connections; those in use are closed when their requests
 // end.
 func (p *Peer) Close() {
+	p.close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.closed = true
+	p.closeIdleLocked()
+}
+
+// closeIdleLocked closes the idle connections. p.mu is held.
+func (p *Peer) closeIdleLocked() {
 	for _, c := range p.idle {
 		_ = c.Close() // nothing is sent on it any more
 	}
@@ -136,7 +166,6 @@
 		if !ok {
 			return errs.Ambiguous(errs.ProtocolMismatch, "VM %s sent kind %d", p.VM, m.Kind())
 		}
-		p.answered()
 		onReply(reply)
 		if reply.Done {
 			return nil
@@ -176,7 +205,7 @@
 func (p *Peer) release(c *peerConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle) >= maxIdleConns {
+	if p.ctx.Err() != nil || len(p.idle) >= maxIdleConns {
 		_ = c.Close() // it is not needed
 		return
 	}
