storewatch: confirm what a VM knows when it starts to watch

Cause: after a common start the VMs that watch the store listed it, waited 0.9 s for the others to register, and began with watch calls of 2 s. Change: the first watch call at a known revision returns after 50 ms. A VM that watches retries a store that does not answer every 0.5 s at most. Test: TestKnownRevisionIsConfirmedSoon.

--- a/pkg/storewatch/storewatch.go
+++ b/pkg/storewatch/storewatch.go
@@ -20,9 +20,10 @@
 	// answers again, because the other watchers wait for its result.
 	maxProbeWait = 50 * time.Millisecond
 	// minRetryPause and maxRetryPause bound the pause after a failed call. The
-	// upper bound lets a VM notice within a second that the store answers again.
+	// upper bound lets the few VMs that watch notice soon that the store answers
+	// again: all others wait for their feeds.
 	minRetryPause = 100 * time.Millisecond
-	maxRetryPause = time.Second
+	maxRetryPause = 500 * time.Millisecond
 )
 
 // Item is the decoded state of one object.
@@ -67,13 +68,15 @@
 
 // ListAndWatch passes all objects of the kind to the sink, and then every
 // change, until ctx ends. If after is not 0, the caller already knows all
-// changes up to that revision, and the first call watches for later ones. No
+// changes up to that revision, and the first call watches for later ones. It returns
+// soon, because what the caller knows may not have been confirmed for a while. No
 // watch call waits longer than maxWait: when a store loses its history, a waiting
 // call may never get the changes before the loss, and only the next call reports
 // the gap.
 func ListAndWatch[T any](ctx context.Context, source Source[T], breaker *Breaker, after int64, maxWait time.Duration, sink Sink[T]) {
 	w := watcher[T]{source: source, breaker: breaker, sink: sink, maxWait: maxWait, retryPause: minRetryPause}
 	if after > 0 {
+		w.confirmSoon = true
 		w.watch(ctx, after)
 	}
 	for ctx.Err() == nil {
@@ -129,6 +132,8 @@
 	sink       Sink[T]
 	maxWait    time.Duration
 	retryPause time.Duration
+	// confirmSoon is set until the first call has succeeded.
+	confirmSoon bool
 }
 
 // list passes all objects to the sink and returns their revision.
@@ -153,7 +158,7 @@
 		var batch Batch[T]
 		err := w.call(ctx, func(probe bool) (err error) {
 			maxWait := w.maxWait
-			if probe {
+			if probe || w.confirmSoon {
 				maxWait = min(maxWait, maxProbeWait)
 			}
 			batch, err = w.source.Watch(ctx, after, maxWait)
@@ -193,6 +198,7 @@
 
 // synced reports a successful call.
 func (w *watcher[T]) synced(revision int64) {
+	w.confirmSoon = false
 	w.retryPause = minRetryPause
 	w.sink.Synced(revision)
 }
--- a/pkg/storewatch/storewatch_test.go
+++ b/pkg/storewatch/storewatch_test.go
@@ -86,6 +86,19 @@
 	})
 }
 
+// Guards against a VM that starts to watch with what it knows, and whose subscribers
+// leave because the first watch call, which waits for a change, confirms nothing for
+// seconds.
+func TestKnownRevisionIsConfirmedSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		source := &scriptedSource{stop: stop, steps: []func() (Batch[string], error){batch(5), batch(5), batch(5)}}
+		ListAndWatch(ctx, source, NewBreaker(), 5, 2*time.Second, &recordingSink{})
+		assert.DeepEqual(t, source.calls[:3], []string{"watch 5", "watch 5", "watch 5"})
+		assert.DeepEqual(t, source.maxWaits[:3], []time.Duration{maxProbeWait, 2 * time.Second, 2 * time.Second})
+	})
+}
+
 // Guards against watchers that all call a store that does not answer, and
 // against watchers that wait forever after the probing one was canceled.
 func TestBreakerLetsOneCallProbe(t *testing.T) {
