storewatch: confirm the return of the store soon

Cause: after an outage each kind of objects counted as failed until a call for it had succeeded, and the watch for VM entries waits up to 20 s. Change: after a failure a watch call returns after 50 ms until one has succeeded. Test: TestReturnOfTheStoreIsConfirmedSoon.

--- a/pkg/storewatch/storewatch.go
+++ b/pkg/storewatch/storewatch.go
@@ -132,7 +132,8 @@
 	sink       Sink[T]
 	maxWait    time.Duration
 	retryPause time.Duration
-	// confirmSoon is set until the first call has succeeded.
+	// confirmSoon makes watch calls return soon until one has succeeded: a store that
+	// answers again must not count as unreachable until a long wait ends.
 	confirmSoon bool
 }
 
@@ -210,6 +211,7 @@
 		return
 	}
 	w.sink.Failed(err)
+	w.confirmSoon = true
 	wait.Sleep(ctx, w.retryPause/2+rand.N(w.retryPause/2))
 	w.retryPause = min(2*w.retryPause, maxRetryPause)
 }
--- a/pkg/storewatch/storewatch_test.go
+++ b/pkg/storewatch/storewatch_test.go
@@ -99,6 +99,26 @@
 	})
 }
 
+// Guards against a topic that counts as failed until a long watch call ends, after
+// another topic's call has found that the store answers again: all VMs that are fed
+// wait for it.
+func TestReturnOfTheStoreIsConfirmedSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		breaker := NewBreaker()
+		source := &scriptedSource{stop: stop, steps: []func() (Batch[string], error){
+			batch(5), batch(5), refusal(errs.PlatformDown),
+			func() (Batch[string], error) { return Batch[string]{Revision: 5}, nil }, batch(5),
+		}}
+		go func() {
+			time.Sleep(20 * time.Millisecond) // another topic's call succeeds first
+			breaker.release(false, false, false)
+		}()
+		ListAndWatch(ctx, source, breaker, 5, 20*time.Second, &recordingSink{})
+		assert.DeepEqual(t, source.maxWaits[:5], []time.Duration{maxProbeWait, 20 * time.Second, 20 * time.Second, maxProbeWait, 20 * time.Second})
+	})
+}
+
 // Guards against watchers that all call a store that does not answer, and
 // against watchers that wait forever after the probing one was canceled.
 func TestBreakerLetsOneCallProbe(t *testing.T) {
