--- a/pkg/claim/route.go
+++ b/pkg/claim/route.go
@@ -70,6 +70,7 @@
 		ownerTimer = time.NewTimer(min(remaining(ctx)/ownerTimeoutDivisor, OwnerTimeout))
 	} else {
 		ownerTimer = time.NewTimer(remaining(ctx))
+		ownerTimer.Stop() // there is no owner to wait for
 		r.startLocal()
 	}
 	defer ownerTimer.Stop()
--- a/pkg/confsync/schedule.go
+++ b/pkg/confsync/schedule.go
@@ -81,9 +81,6 @@
 	return slices.Contains(able[:min(len(able), watchersPerDomain)], self.ID)
 }
 
-// IsWatcher reports whether this VM watches the platform.
-func (s *Syncer) IsWatcher() bool { return s.watcher }
-
 // highestKnownVersion returns the highest version that this VM has or has heard of.
 func (s *Syncer) highestKnownVersion() uint64 {
 	v := max(s.current.Version, s.pending.Version)
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -212,11 +212,12 @@
 	tier := newTestTier(t, singleRoute(false))
 	replicas := tier.addService("s", 10)
 	tier.addReplica(replicas, "old", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) })
-	tier.addReplica(replicas, "new", respondWith("n", "fine"))
+	tier.addReplica(replicas, "new", respondWith("n", "fine")).Tracker.Local = false // the other replica is preferred
 	for i := range 4 {
 		status, _, _ := tier.send("POST", "/p/", strconv.Itoa(i), "x")
 		assert.Equal(t, status, http.StatusOK)
 	}
+	assert.Assert(t, len(tier.unreachable) > 0)
 	for _, id := range tier.unreachable {
 		assert.Equal(t, id, "old")
 	}
--- a/pkg/forward/overload_test.go
+++ b/pkg/forward/overload_test.go
@@ -163,11 +163,12 @@
 		tier.addReplica(tier.addService("a", 0), "a1", respondWith("ra", record("1")))
 		tier.addReplica(tier.addService("b", 0), "b1", respondWith("rb", record("2"))).Tracker.Local = false
 		tier.forwarder.SetIsolated(true)
-		status, header, _ := tier.send("GET", "/a/", "1", "")
+		status, header, body := tier.send("GET", "/a/", "1", "")
 		assert.Equal(t, status, c.status)
 		if status == http.StatusServiceUnavailable {
 			assert.Assert(t, header.Get("Retry-After") != "")
 			assert.Equal(t, len(tier.received()), 0)
+			assert.Assert(t, strings.Contains(body, "no replica in this failure domain"), body)
 		} else {
 			assert.Equal(t, header.Get("Missing"), "1")
 		}
--- a/pkg/forward/plan.go
+++ b/pkg/forward/plan.go
@@ -85,12 +85,12 @@
 	}
 	expectedLatencies := make([]time.Duration, len(q.shards))
 	usableShards, expectedAnswers := 0, 0.0
-	isolated := q.forwarder.isolated.Load()
+	q.isolated = q.forwarder.isolated.Load()
 	for i, s := range q.shards {
 		if s.replicas == nil {
 			continue
 		}
-		if isolated && !s.replicas.reachable(true) {
+		if q.isolated && !s.replicas.reachable(true) {
 			s.skipped = true
 			q.skippedShards++
 			continue
--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -80,6 +80,8 @@
 	sends, hedges, retries, budgetRefusals int
 	skippedShards, missingShards, relays   int
 	hedgeRounds                            int
+	// isolated is set if this VM reached no other failure domain at the start.
+	isolated bool
 	// relayedRecords holds the greatest records of shards that other VMs queried.
 	relayedRecords [][]byte
 }
--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -90,6 +91,11 @@
 
 // missingReason names the first shard that failed or was not queried, and why.
 func (q *query) missingReason() string {
+	if q.isolated {
+		if i := slices.IndexFunc(q.shards, func(s *shard) bool { return s.skipped }); i >= 0 {
+			return q.shards[i].service + ": no replica in this failure domain, and no other can be reached"
+		}
+	}
 	for _, s := range q.shards {
 		switch {
 		case s.answered:
--- a/pkg/storewatch/breaker.go
+++ b/pkg/storewatch/breaker.go
@@ -47,16 +47,19 @@
 }
 
 // release records the outcome of a call, also of one that acquire did not
-// allow. It wakes the waiting calls after a success, and after a probe whose
-// caller was canceled, so that one of them takes over the probe.
+// allow. A call whose caller was canceled tells nothing of the store. release wakes
+// the waiting calls after a success, and after a canceled call, so that one of them
+// takes over its probe.
 func (b *Breaker) release(probe, failed, canceled bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if probe {
 		b.probing = false
 	}
-	b.open = failed
-	if !failed || (probe && canceled) {
+	if !canceled {
+		b.open = failed
+	}
+	if !failed || canceled {
 		close(b.recheck)
 		b.recheck = make(chan struct{})
 	}
--- a/pkg/storewatch/storewatch.go
+++ b/pkg/storewatch/storewatch.go
@@ -193,7 +193,7 @@
 	}
 	err := request(probe)
 	failed := err != nil && !errs.Is(err, errs.PlatformWatchGap)
-	w.breaker.release(probe, failed && ctx.Err() == nil, ctx.Err() != nil)
+	w.breaker.release(probe, failed, err != nil && ctx.Err() != nil)
 	return err
 }
 
--- a/pkg/storewatch/storewatch_test.go
+++ b/pkg/storewatch/storewatch_test.go
@@ -136,7 +136,7 @@
 		}
 		synctest.Wait()
 		assert.Equal(t, len(acquired), 0)
-		b.release(true, true, true) // the probing caller was canceled
+		b.release(true, false, true) // the probing caller was canceled, which says nothing of the store
 		synctest.Wait()
 		assert.Equal(t, len(acquired), 1)
 		assert.Assert(t, <-acquired)
