--- a/pkg/claim/service.go
+++ b/pkg/claim/service.go
@@ -54,7 +54,6 @@
 
 // Prior is the recorded outcome of an earlier request with the same key.
 type Prior struct {
-	Done   bool
 	Answer []byte
 	Status int
 }
@@ -165,7 +164,7 @@
 	case wire.ClaimGranted:
 		return g, nil, nil
 	case wire.ClaimDone:
-		return Grant{}, &Prior{Done: true, Answer: r.Answer, Status: r.Status}, nil
+		return Grant{}, &Prior{Answer: r.Answer, Status: r.Status}, nil
 	case wire.ClaimUnknown:
 		return Grant{}, nil, errs.Ambiguous(errs.OutcomeUnknown, "another request holds the key and its outcome did not come in time")
 	case wire.ClaimReused:
--- a/pkg/dispatch/configure_test.go
+++ b/pkg/dispatch/configure_test.go
@@ -46,3 +46,14 @@
 		assert.Equal(t, most, 3)
 	})
 }
+
+// Guards against operations that are added to a service and get no baseline, because
+// its limits stay as they are.
+func TestChangedOperationsApplyToOwnedReplicas(t *testing.T) {
+	now := time.Unix(1000, 0)
+	spec := targetSpec{service: "s", serviceLimits: serviceLimits{slots: 1, maxConns: 2, coldWindow: 1, queueLimit: 1}, operations: []string{"trip"}}
+	target := newTarget(spec, now, nil)
+	spec.operations = []string{"book", "trip"}
+	target.configure(now, spec, nil)
+	assert.DeepEqual(t, target.spec.operations, []string{"book", "trip"})
+}
--- a/pkg/dispatch/spec.go
+++ b/pkg/dispatch/spec.go
@@ -82,6 +82,7 @@
 func (t *target) configure(now time.Time, s targetSpec, dial dialFunc) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.spec.operations = s.operations
 	if s.serviceLimits == t.spec.serviceLimits {
 		return
 	}
@@ -91,7 +92,6 @@
 		time.AfterFunc(replacedClientLifetime, old.Close)
 	}
 	t.spec.serviceLimits = s.serviceLimits
-	t.spec.operations = s.operations
 	t.window.Configure(ramp.Config{Slots: s.slots, ColdWindow: s.coldWindow})
 	t.limiter.Configure(limit.Config{Slots: s.slots, QueueLimit: s.queueLimit})
 	t.pollAt(now)
--- a/pkg/node/open.go
+++ b/pkg/node/open.go
@@ -42,16 +42,16 @@
 			BurstCalls:     s.Platform.BurstCalls,
 		}),
 	}
+	level, err := logrus.ParseLevel(s.LogLevel)
+	if err != nil {
+		return nil, nil, errs.Refuse(errs.SettingsInvalid, "log_level: %v", err)
+	}
 	if err := openTLS(&c, s.Listen); err != nil {
 		return nil, nil, err
 	}
 	if err := openListeners(&c, s.Listen); err != nil {
 		return nil, nil, err
 	}
-	level, err := logrus.ParseLevel(s.LogLevel)
-	if err != nil {
-		return nil, nil, errs.Refuse(errs.SettingsInvalid, "log_level: %v", err)
-	}
 	resources := &Resources{}
 	c.Logger, resources.LogWriter = logging.New(out, level, logCapacityLines)
 	resources.Metrics = metrics.New(map[string]string{"vm": string(s.VM), "domain": string(s.Domain)}, func(err error) {
@@ -59,6 +59,9 @@
 	})
 	c.MetricsScope, c.MetricsHandler = resources.Metrics.Scope, resources.Metrics.Handler
 	n, err := New(c)
+	if err != nil {
+		closeListeners(&c)
+	}
 	return n, resources, err
 }
 
