Read the change once more: one test forwarder, a typed error of the soak

Three tests of package forward built the same silent forwarder; newTestForwarder serves them. The soak's error of a run that did not start was wrapped with fmt.Errorf around a refusal; it is a refusal itself, with the same text.

Looked at and left: errNotIdle of package exchange has no type of package errs, but classifyError turns it into one before it leaves the package; the other pairs are import blocks and lists of fields.

--- a/pkg/forward/bench_test.go
+++ b/pkg/forward/bench_test.go
@@ -16,8 +16,6 @@
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
-	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/discovery"
@@ -145,12 +143,7 @@
 	var err error
 	v.Table, err = routes.NewTable(7, routes.Limits{}, []*routes.Route{route}, nil)
 	assert.NilError(b, err)
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	f := New(Config{
-		Headers: testHeaders, Observer: silentObserver{}, Ledger: poison.NewLedger(poison.Config{LossLimit: 3}),
-		Memory: exchange.NewMemory(0), Log: log, Scope: tally.NoopScope, Buckets: tally.DefaultBuckets,
-	})
+	f := newTestForwarder(silentObserver{}, poison.NewLedger(poison.Config{LossLimit: 3}))
 	f.SetView(v)
 	query := func(id string) {
 		r := httptest.NewRequest("GET", "http://h.example/a/2f", nil)
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -71,14 +71,22 @@
 	tt.ledger.RecordLoss(time.Now(), "", attempt.RequestID, []uint64{attempt.Fingerprint})
 }
 
+// newTestForwarder returns a forwarder without a view, which writes no log.
+func newTestForwarder(o Observer, ledger *poison.Ledger) *Forwarder {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return New(Config{
+		Headers: testHeaders, Observer: o, Ledger: ledger, Memory: exchange.NewMemory(0),
+		Log: log, Scope: tally.NoopScope, Buckets: tally.DefaultBuckets,
+	})
+}
+
 func newTestTier(t *testing.T, routeList ...*routes.Route) *testTier {
 	t.Helper()
 	table, err := routes.NewTable(7, routes.Limits{BodyBytes: 1000}, routeList, nil)
 	assert.NilError(t, err)
 	tt := &testTier{t: t, table: table, ledger: poison.NewLedger(poison.Config{LossLimit: 3}), view: &View{Table: table, ReplicaSets: map[string]*ReplicaSet{}, HedgeDelays: map[string]*hedge.Policy{}}}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	tt.forwarder = New(Config{Headers: testHeaders, Observer: tt, Ledger: tt.ledger, Memory: exchange.NewMemory(0), Log: log, Scope: tally.NoopScope, Buckets: tally.DefaultBuckets})
+	tt.forwarder = newTestForwarder(tt, tt.ledger)
 	tt.server = httptest.NewUnstartedServer(tt.forwarder)
 	tt.server.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return WithCallerConn(ctx, &CallerConn{Conn: c})
--- a/pkg/forward/virtual_test.go
+++ b/pkg/forward/virtual_test.go
@@ -13,8 +13,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/sirupsen/logrus"
-	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/discovery"
@@ -69,12 +67,7 @@
 
 func newVirtualTier(t *testing.T, table *routes.Table) *virtualTier {
 	v := &virtualTier{t: t, view: &View{Table: table, ReplicaSets: map[string]*ReplicaSet{}, HedgeDelays: map[string]*hedge.Policy{}, VMs: 1}}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	v.forwarder = New(Config{
-		Headers: testHeaders, Observer: silentObserver{}, Ledger: poison.NewLedger(poison.Config{LossLimit: 3}),
-		Memory: exchange.NewMemory(0), Log: log, Scope: tally.NoopScope, Buckets: tally.DefaultBuckets,
-	})
+	v.forwarder = newTestForwarder(silentObserver{}, poison.NewLedger(poison.Config{LossLimit: 3}))
 	return v
 }
 
--- a/pkg/soak/plan.go
+++ b/pkg/soak/plan.go
@@ -7,15 +7,10 @@
 	"syscall"
 	"time"
 
-	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/wait"
 	"github.com/nutmeghitch/nutmeghitch/platform/standin"
 )
 
-// errNotStarted tells that a VM ended, or that no answer came, before the first
-// fault.
-var errNotStarted = errs.Refuse(errs.NotReady, "a VM did not start, or the tier gave no answers before the first fault")
-
 const (
 	// faultMin and faultMax bound how long a fault lasts; the longer ones
 	// overlap with those that follow.
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/platform/standin"
 )
 
@@ -111,13 +112,14 @@
 	return Result{Asked: len(s.checker.all), Served: s.checker.served, Broken: s.checker.broken}, nil
 }
 
-// notStarted returns errNotStarted with the state and the end of the log of each VM.
+// notStarted returns the error of a run in which a VM ended, or no answer came, before
+// the first fault. It names the state and the end of the log of each VM.
 func (s *site) notStarted() error {
 	var states strings.Builder
 	for _, v := range s.vms {
 		fmt.Fprintf(&states, "\n%s, ended %t:\n%s", v.Name, v.ended(), v.logTail())
 	}
-	return fmt.Errorf("%w%s", errNotStarted, states.String())
+	return errs.Refuse(errs.NotReady, "a VM did not start, or the tier gave no answers before the first fault%s", states.String())
 }
 
 // await waits for so many more answers.
