forward: log the request limit that a replica names

A replica in need names in its answers the requests a second that it accepts from all VMs together. No log line or metric showed this, so the hypotheses on why replicas exceed their limits could not be told apart. The header is decoded in platform/, the tracker of a replica keeps the newest value, and each change is logged with the request that showed it and with this VM's sends by kind. No request is sent or refused differently.

An answer without a limit counts only if its request was sent after the limit was last named, and only if the replica ran it: answers may arrive out of order, and refusals need not repeat the limit.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -40,6 +40,9 @@
 	Receipts, MissingShards string
 	// ReplicaID and WarmupLeft are set in the responses to health probes.
 	ReplicaID, WarmupLeft string
+	// RequestLimit holds the requests a second that a replica in need accepts from
+	// all VMs together, as a decimal number.
+	RequestLimit string
 }
 
 const (
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -28,7 +28,7 @@
 
 var testHeaders = HeaderNames{
 	RequestID: "Id", Deadline: "Left", TargetReplica: "For", Receipt: "Receipt", NotRun: "Not-Run",
-	Receipts: "Receipts", MissingShards: "Missing", ReplicaID: "Replica", WarmupLeft: "Cold",
+	Receipts: "Receipts", MissingShards: "Missing", ReplicaID: "Replica", WarmupLeft: "Cold", RequestLimit: "Limit",
 }
 
 // testTier is a forwarder in front of replicas on the loopback interface. It is also
--- a/pkg/forward/relayserve.go
+++ b/pkg/forward/relayserve.go
@@ -9,6 +9,7 @@
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/exchange"
+	"github.com/nutmeghitch/nutmeghitch/pkg/replica"
 	"github.com/nutmeghitch/nutmeghitch/pkg/topk"
 	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
 )
@@ -83,6 +84,7 @@
 		}
 		go func() {
 			u.Tracker.Begin(start)
+			u.Tracker.CountSend(replica.RelayedSend)
 			reply, refusal := u.Pool.Do(ctx, exchange.Call{
 				Method: request.Method, Head: f.sendHead(request.Head, u, left), Body: request.Body,
 				IDHeader: f.headers.RequestID, ID: request.RequestID, Holding: holding,
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -29,12 +29,16 @@
 	if u == nil {
 		return false
 	}
+	kind := replica.FirstSend
+	if len(s.tried) > 0 {
+		kind = replica.ExtraSend
+	}
 	s.tried = append(s.tried, u)
 	s.openSends = append(s.openSends, openSend{upstream: u, start: now})
 	s.openSendCount++
 	s.attempts++
 	q.sends++
-	go q.send(s, u, now)
+	go q.send(s, u, now, kind)
 	return true
 }
 
@@ -56,8 +60,9 @@
 func takeHedge(p *hedge.Policy) error { return p.TryTakeAboveReserve(1) }
 
 // send sends the request to a replica and puts the outcome into q.results.
-func (q *query) send(s *shard, u *Upstream, start time.Time) {
+func (q *query) send(s *shard, u *Upstream, start time.Time, kind replica.SendKind) {
 	u.Tracker.Begin(start)
+	u.Tracker.CountSend(kind)
 	call := exchange.Call{
 		Method: q.method, Head: q.forwarder.sendHead(q.head, u, q.sendDeadline(start).Sub(start)), Body: q.body,
 		IDHeader: q.forwarder.headers.RequestID, ID: q.id, Holding: q.holding,
@@ -115,6 +120,9 @@
 // recordOutcome records the outcome of a send in the replica's tracker and tells
 // the observer about a replica that may have failed.
 func (f *Forwarder) recordOutcome(u *Upstream, now, start time.Time, reply exchange.Reply, refusal *errs.Refusal, attempt RequestAttempt) {
+	if refusal == nil {
+		f.recordRequestLimit(u, now, start, reply, attempt.RequestID)
+	}
 	switch {
 	case refusal == nil && f.notRun(reply):
 		u.Tracker.End(now, start, replica.Shed)
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -65,6 +65,7 @@
 	shedUntil            time.Time
 	down                 bool
 	coldLimit            coldLimiter
+	requestLimit         requestLimit
 }
 
 // NewTracker returns the tracker of a replica of which nothing has been observed.
