forward: test the request limit of a replica, known to fail

Fleets of 1, 5 and 119 VMs in virtual time send 200 requests a second to a service of two replicas, one of which names a limit of 4, 20 or 60 requests a second. The bound is the stated one: one and a half times of the limit over any 4 s, and 5 more, from VMs that have known it for half a second.

--- /dev/null
+++ b/pkg/forward/requestlimit_test.go
@@ -0,0 +1,166 @@
+package forward
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
+)
+
+// limitedReplica is a replica that several VMs use and that names a request limit for
+// a while.
+type limitedReplica struct {
+	perSecond  float64
+	from, till time.Time
+
+	mu       sync.Mutex
+	arrivals []arrival
+	// toldAt holds when each VM first got an answer with the limit.
+	toldAt map[int]time.Time
+}
+
+type arrival struct {
+	at time.Time
+	vm int
+}
+
+func (l *limitedReplica) limitFor(vm int) string {
+	now := time.Now()
+	if now.Before(l.from) || !now.Before(l.till) {
+		return ""
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.toldAt[vm].IsZero() {
+		l.toldAt[vm] = now
+	}
+	return strconv.FormatFloat(l.perSecond, 'f', -1, 64)
+}
+
+func (l *limitedReplica) arrived(vm int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.arrivals = append(l.arrivals, arrival{time.Now(), vm})
+}
+
+const (
+	// The bounds of a request limit: within limitWindow, a replica may get
+	// limitFactor times of what the limit allows and limitSlack more from the VMs
+	// that have known it for limitNotice.
+	limitWindow = 4 * time.Second
+	limitNotice = 500 * time.Millisecond
+	limitFactor = 1.5
+	limitSlack  = 5
+)
+
+// worstExcess returns by how many requests the replica got more than is allowed in
+// its worst window after the given time, and the number in that window.
+func (l *limitedReplica) worstExcess(after time.Time) (excess float64, inWindow int) {
+	var counted []time.Time
+	for _, a := range l.arrivals {
+		told := l.toldAt[a.vm]
+		if !told.IsZero() && a.at.Sub(told) >= limitNotice && !a.at.Before(after) && a.at.Before(l.till) {
+			counted = append(counted, a.at)
+		}
+	}
+	allowed := limitFactor*l.perSecond*limitWindow.Seconds() + limitSlack
+	excess = -allowed
+	first := 0
+	for i, at := range counted {
+		for at.Sub(counted[first]) >= limitWindow {
+			first++
+		}
+		if n := i - first + 1; float64(n)-allowed > excess {
+			excess, inWindow = float64(n)-allowed, n
+		}
+	}
+	return excess, inWindow
+}
+
+// limitedFleet is a number of VMs in front of the same replicas of one service, the
+// first of which names a request limit.
+type limitedFleet struct {
+	tiers   []*virtualTier
+	limited *limitedReplica
+}
+
+// inLimitedFleet runs f in virtual time. free is the number of replicas without a limit.
+func inLimitedFleet(t *testing.T, vms, free int, perSecond float64, f func(fleet *limitedFleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		table, err := routes.NewTable(7, routes.Limits{}, []*routes.Route{singleRoute(true)}, nil)
+		assert.NilError(t, err)
+		now := time.Now()
+		fleet := &limitedFleet{limited: &limitedReplica{perSecond: perSecond, from: now.Add(time.Second), till: now.Add(13 * time.Second), toldAt: map[int]time.Time{}}}
+		for vm := range vms {
+			tier := newVirtualTier(t, table)
+			tier.view.VMs = vms
+			r := tier.addReplica("s", "limited", 2, always(5*time.Millisecond))
+			r.requestLimit = func() string { return fleet.limited.limitFor(vm) }
+			r.arrived = func() { fleet.limited.arrived(vm) }
+			for i := range free {
+				tier.addReplica("s", fmt.Sprint("free", i), 2, always(5*time.Millisecond))
+			}
+			fleet.tiers = append(fleet.tiers, tier)
+		}
+		f(fleet)
+		time.Sleep(10 * unneededSendGrace)
+		for _, tier := range fleet.tiers {
+			for _, p := range tier.pools {
+				p.Close()
+			}
+		}
+		synctest.Wait()
+	})
+}
+
+// load sends perSecond requests a second until the given time, half of them through
+// the first VM, and returns the answers.
+func (f *limitedFleet) load(perSecond int, until time.Time) []virtualAnswer {
+	random := rand.New(rand.NewPCG(1, uint64(len(f.tiers))))
+	var (
+		mu      sync.Mutex
+		answers []virtualAnswer
+		pending sync.WaitGroup
+	)
+	for i := 0; time.Now().Before(until); i++ {
+		vm := 0
+		if random.IntN(2) == 0 {
+			vm = random.IntN(len(f.tiers))
+		}
+		pending.Go(func() {
+			answer := f.tiers[vm].send(nil, "/p/", fmt.Sprint("q", i))
+			mu.Lock()
+			defer mu.Unlock()
+			answers = append(answers, answer)
+		})
+		time.Sleep(time.Duration(random.ExpFloat64() * float64(time.Second) / float64(perSecond)))
+	}
+	pending.Wait()
+	return answers
+}
+
+// Guards against VMs that together send a replica more than the request limit that it
+// names, and against callers who get worse service than its other replicas allow.
+func TestReplicaGetsNoMoreThanTheRequestLimitThatItNames(t *testing.T) {
+	for _, vms := range []int{1, 5, 119} {
+		for _, perSecond := range []float64{4, 20, 60} {
+			inLimitedFleet(t, vms, 1, perSecond, func(fleet *limitedFleet) {
+				limited := fleet.limited
+				answers := fleet.load(200, limited.till)
+				excess, n := limited.worstExcess(limited.from.Add(limitNotice))
+				assert.Check(t, excess <= 0, "%d VMs, limit %g a second: %d requests in %s", vms, perSecond, n, limitWindow)
+				for _, a := range answers {
+					assert.Check(t, a.Code == 200 && a.duration < 100*time.Millisecond, "%d VMs: %d after %s", vms, a.Code, a.duration)
+				}
+			})
+		}
+	}
+}
--- a/pkg/forward/virtual_test.go
+++ b/pkg/forward/virtual_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -42,6 +43,11 @@
 	work func(requestID string) time.Duration
 	// refuse answers that the request was not run; nil never does.
 	refuse func(requestID string) bool
+	// requestLimit returns the request limit that an answer names, "" for none; nil
+	// never names one.
+	requestLimit func() string
+	// arrived is called when a request arrives, unless it is nil.
+	arrived func()
 	// records is the body of the answers.
 	records string
 	// accepted counts the connections, requests the requests, canceled those whose
@@ -114,12 +120,20 @@
 			return
 		}
 		r.requests.Add(1)
+		if r.arrived != nil {
+			r.arrived()
+		}
 		id := request.Header.Get("Id")
 		time.Sleep(r.work(id))
 		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nReceipt: %s.%s\r\nContent-Length: %d\r\n\r\n%s", id, r.Member.Service, id, len(r.records), r.records)
 		if r.refuse != nil && r.refuse(id) {
 			answer = fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
 		}
+		if r.requestLimit != nil {
+			if limit := r.requestLimit(); limit != "" {
+				answer = strings.Replace(answer, "\r\n", "\r\nLimit: "+limit+"\r\n", 1)
+			}
+		}
 		if _, err := io.WriteString(c, answer); err != nil {
 			r.canceled.Add(1)
 			return
