forward: count a hedge to a cold replica once

Found while looking for the places where the sends to a replica with a limit are counted. A hedge or retry was counted twice towards the limit of a cold replica: once when it was checked that a replica is available, and once when it was sent. With one request left the second count found no room, so the hedge was not sent although the replica accepted it, and its caller waited for the slow replica.

The check no longer counts. The test failed before: the caller got its answer from the slow replica after 1 s, and the cold one got nothing. The limit itself was never exceeded by this; a replica got fewer requests than it accepts.

--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -45,7 +45,7 @@
 // sendExtra is sendToCheapest for a hedge or a retry, which takeBudget takes from
 // the budget of the shard.
 func (q *query) sendExtra(now time.Time, s *shard, takeBudget func(*hedge.Policy) error) bool {
-	if s.replicas == nil || s.replicas.pick(now, q.usualLatency(), s.tried) == nil {
+	if s.replicas == nil || s.replicas.cheapest(now, q.usualLatency(), s.tried) == nil {
 		return false
 	}
 	if err := takeBudget(s.replicas.Budget); err != nil {
