Keep the request limit of a replica on all VMs together

Callers noticed nothing, but a replica in need that named a limit of requests a second got up to 2.4 times of what the limit allows for as long as it named it.

Cause: the limit was in the answers and nobody acted on it. Routing knew two kinds of limits that bind all VMs together, that of a cold replica, which comes with its entry, and that of connections, which comes with the configuration. A limit that a replica sets by itself while it serves was not among them. Evidence: one VM alone sent 42 requests a second to a replica that named 18.7, from 8 ms after it had read the limit. Ruled out: hedges and retries (56 of 1,030 sends). A limit on each VM alone would not do: 5 times 18.7 is 93.

Now each VM gets permits in turn by the time of day, one in each interval of VMs / limit. A permit lapses after 1 s, so that in any period all VMs together send at most what the limit allows in the period and one second more, whatever the load of each is. No message is needed for a request. A tenth is kept for VMs that have just joined. Without a permit a replica is not usable: another one gets the request, a shard is left out if the coverage allows it, and what cannot be served is refused at once with the time until the next permit as Retry-After. Health probes take permits too. A VM that relays keeps such replicas for direct sends, and the VM that sends for others reports the limits of its domain.

--- a/pkg/edge/prober.go
+++ b/pkg/edge/prober.go
@@ -175,6 +175,11 @@
 		p.mu.Unlock()
 	}()
 	for wait.Sleep(p.ctx, delay) && p.inCurrentView(u) {
+		now := time.Now()
+		if !u.Tracker.AllowProbe(now) {
+			delay = max(minProbeDelay, u.Tracker.WaitForPermit(now))
+			continue
+		}
 		refusal := p.probe(u)
 		p.reportSuspects(u, refusal)
 		if refusal == nil {
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -132,6 +132,7 @@
 		return nil
 	}
 	vms := s.vmNames()
+	position, _ := slices.BinarySearch(vms, s.settings.VM)
 	v := &forward.View{Table: s.table, ReplicaSets: map[string]*forward.ReplicaSet{}, HedgeDelays: map[string]*hedge.Policy{}, VMs: len(vms), RelayPeers: s.currentRelayPeers()}
 	current := map[replicaKey]bool{}
 	members := s.registry.View().Services
@@ -139,6 +140,7 @@
 		replicaSet := &forward.ReplicaSet{Service: name, Budget: s.retryBudget(name, len(vms))}
 		for _, m := range members[name] {
 			u := s.upstream(now, m, service, vms)
+			u.Tracker.SetVMs(len(vms), position)
 			current[replicaKeyOf(m)] = true
 			replicaSet.Upstreams = append(replicaSet.Upstreams, u)
 		}
--- a/pkg/forward/plan.go
+++ b/pkg/forward/plan.go
@@ -103,7 +103,7 @@
 	}
 	if usableShards < requiredShards(q.route) {
 		q.missingShards = len(q.shards) - usableShards
-		return errs.Refuse(errs.NoReplica, "%d of %d shards have a replica, %s", usableShards, len(q.shards), q.missingReason()).WithRetryAfter(noReplicaRetryAfter)
+		return errs.Refuse(errs.NoReplica, "%d of %d shards have a replica, %s", usableShards, len(q.shards), q.missingReason()).WithRetryAfter(q.waitForShards(now, requiredShards(q.route)-usableShards))
 	}
 	if expectedAnswers < float64(requiredShards(q.route))-coverageMarginShards {
 		return errs.Refuse(errs.Overloaded, "%.1f of %d shards are likely to answer", expectedAnswers, len(q.shards)).WithRetryAfter(minOverloadRetryAfter)
@@ -112,6 +112,41 @@
 	return nil
 }
 
+// waitForShards returns the Retry-After of a query that lacks the given number of
+// shards: the time until so many more have a replica whose request limit allows a
+// request. For other reasons a replica may be usable soon.
+func (q *query) waitForShards(now time.Time, missing int) time.Duration {
+	var waits []time.Duration
+	for _, s := range q.shards {
+		if wait := s.replicas.waitForPermit(now); wait > 0 {
+			waits = append(waits, wait)
+		}
+	}
+	slices.Sort(waits)
+	if len(waits) == 0 {
+		return noReplicaRetryAfter
+	}
+	return max(noReplicaRetryAfter, waits[min(max(1, missing), len(waits))-1])
+}
+
+// waitForPermit returns the least time until a reachable replica's request limit
+// allows a request, 0 if one allows it now or none is reachable.
+func (rs *ReplicaSet) waitForPermit(now time.Time) time.Duration {
+	if rs == nil {
+		return 0
+	}
+	least := time.Duration(math.MaxInt64)
+	for _, u := range rs.Upstreams {
+		if !u.Tracker.Down() {
+			least = min(least, u.Tracker.WaitForPermit(now))
+		}
+	}
+	if least == math.MaxInt64 {
+		return 0
+	}
+	return least
+}
+
 // answerProbability returns the probability that a shard answers. Unless the
 // budget is down to its reserve, a second replica is tried if the first one fails.
 func answerProbability(now time.Time, first *Upstream, replicas *ReplicaSet) float64 {
--- a/pkg/forward/relayplan.go
+++ b/pkg/forward/relayplan.go
@@ -86,7 +86,9 @@
 }
 
 // relayCandidatesOf returns the replicas of a shard in other failure domains that
-// cost about as little as the best one, none if that is in this VM's domain.
+// cost about as little as the best one, none if that is in this VM's domain. One with
+// a request limit is not among them: this VM sends it what its share of the limit
+// allows, and the other VM has a share of its own.
 func relayCandidatesOf(now time.Time, usualLatency time.Duration, s *shard) relayCandidates {
 	c := relayCandidates{shard: s}
 	if s.replicas == nil {
@@ -98,7 +100,7 @@
 	}
 	lowest, _ := best.Tracker.Cost(now, usualLatency)
 	for _, u := range s.replicas.Upstreams {
-		if cost, usable := u.Tracker.Cost(now, usualLatency); usable && !u.Tracker.Local && float64(cost) <= relayCostSlack*float64(lowest) {
+		if cost, usable := u.Tracker.Cost(now, usualLatency); usable && !u.Tracker.Local && !u.Tracker.RequestLimit().Named && float64(cost) <= relayCostSlack*float64(lowest) {
 			c.upstreams = append(c.upstreams, u)
 		}
 	}
--- a/pkg/forward/relaysend.go
+++ b/pkg/forward/relaysend.go
@@ -68,11 +68,17 @@
 		request.Services = append(request.Services, s.service)
 	}
 	q.relays++
+	replicaSets := make([]*ReplicaSet, len(g.shards))
+	for i, s := range g.shards {
+		replicaSets[i] = s.replicas
+	}
 	go func() {
-		t := relayTracking{start: now, upstreams: g.upstreams, ended: make([]bool, len(g.upstreams))}
+		t := relayTracking{start: now, upstreams: g.upstreams, replicaSets: replicaSets, ended: make([]bool, len(g.upstreams))}
 		defer t.endOpen()
 		refusal := g.peer.Do(q.ctx, request, func(reply *wire.RelayReply) {
-			t.record(time.Now(), reply)
+			now := time.Now()
+			t.record(now, reply)
+			q.forwarder.recordRelayedLimits(now, t.replicaSets, reply, q.id)
 			q.results <- sendResult{relay: &relayOutcome{group: g, reply: reply}}
 		})
 		if refusal == nil {
@@ -152,6 +158,8 @@
 type relayTracking struct {
 	start     time.Time
 	upstreams []*Upstream
+	// replicaSets are the replicas of the services.
+	replicaSets []*ReplicaSet
 	// ended is set for the replicas whose outcome is recorded.
 	ended []bool
 }
--- a/pkg/forward/relayserve.go
+++ b/pkg/forward/relayserve.go
@@ -31,6 +31,8 @@
 	refusal *errs.Refusal
 	reached bool
 	latency time.Duration
+	// limits are the request limits of the service's replicas in this VM's domain.
+	limits []wire.RelayLimit
 }
 
 // ServeRelay queries one replica of each service in this VM's failure domain for
@@ -79,7 +81,7 @@
 	for i, service := range request.Services {
 		u, refusal := f.pickRelayed(view, start, service, request)
 		if refusal != nil {
-			parts <- relayedPart{service: i, refusal: refusal}
+			parts <- relayedPart{service: i, refusal: refusal, limits: view.localLimits(i, service)}
 			continue
 		}
 		go func() {
@@ -91,7 +93,9 @@
 			})
 			now := time.Now()
 			f.recordOutcome(u, now, start, reply, refusal, RequestAttempt{Fingerprint: request.Fingerprint, RequestID: request.RequestID})
-			parts <- f.relayedPart(i, u, now.Sub(start), reply, refusal)
+			p := f.relayedPart(i, u, now.Sub(start), reply, refusal)
+			p.limits = view.localLimits(i, service)
+			parts <- p
 		}()
 	}
 	return len(request.Services)
@@ -124,12 +128,27 @@
 	if rate := u.Tracker.FailureRate(now); rate > maxRelayedFailureRate {
 		return nil, errs.Refuse(errs.Overloaded, "%s has failed %.0f%% of its requests", u.Member.ID, 100*rate)
 	}
-	if !u.Tracker.AllowCold(now) {
-		return nil, errs.Refuse(errs.UpstreamCold, "%s is cold", u.Member.ID)
+	if !u.Tracker.AllowSend(now) {
+		return nil, errs.Refuse(errs.UpstreamCold, "%s is cold or names a request limit", u.Member.ID)
 	}
 	return u, nil
 }
 
+// localLimits returns the request limits that replicas of the service in this VM's
+// failure domain name. i is the index of the service in the relayed request.
+func (v *View) localLimits(i int, service string) []wire.RelayLimit {
+	if v == nil || v.ReplicaSets[service] == nil {
+		return nil
+	}
+	var limits []wire.RelayLimit
+	for _, u := range v.ReplicaSets[service].Upstreams {
+		if limit := u.Tracker.RequestLimit(); u.Tracker.Local && limit.Named {
+			limits = append(limits, wire.RelayLimit{Service: i, Replica: u.Member.ID, PerSecond: limit.PerSecond})
+		}
+	}
+	return limits
+}
+
 // relayedPart returns the outcome of a send, as handleResult takes it.
 func (f *Forwarder) relayedPart(service int, u *Upstream, latency time.Duration, reply exchange.Reply, refusal *errs.Refusal) relayedPart {
 	p := relayedPart{service: service, reply: reply, refusal: refusal, reached: true, latency: latency}
@@ -193,6 +212,7 @@
 
 func (c *relayCollector) add(p relayedPart) {
 	c.open--
+	c.next.Limits = append(c.next.Limits, p.limits...)
 	if p.refusal != nil {
 		c.failed++
 		c.next.Failed = append(c.next.Failed, wire.RelayFailure{Service: p.service, Failure: *wire.FailureOf(p.refusal), ReachedReplica: p.reached})
--- a/pkg/forward/requestlimit.go
+++ b/pkg/forward/requestlimit.go
@@ -10,6 +10,7 @@
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/exchange"
 	"github.com/nutmeghitch/nutmeghitch/pkg/replica"
+	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
 )
 
 // recordRequestLimit records the request limit that a replica's answer names. An
@@ -23,12 +24,35 @@
 	case value == "" && (f.notRun(reply) || reply.Header.Get(f.headers.Receipt) == ""):
 		return
 	case value == "":
-	case err != nil || !(perSecond >= 0) || math.IsInf(perSecond, 0):
+	case err != nil || !validLimit(perSecond):
 		f.log.WithFields(logrus.Fields{"id": requestID, "replica": u.Member.ID, "value": value}).Warn("request limit ignored: not a number of requests a second")
 		return
 	default:
 		limit = replica.RequestLimit{PerSecond: perSecond, Named: true}
 	}
+	f.applyRequestLimit(u, now, sentAt, limit, requestID)
+}
+
+// recordRelayedLimits records the request limits that another VM reports of replicas
+// in its failure domain. This VM may not have had an answer of them itself.
+func (f *Forwarder) recordRelayedLimits(now time.Time, replicaSets []*ReplicaSet, reply *wire.RelayReply, requestID string) {
+	for _, l := range reply.Limits {
+		if l.Service < 0 || l.Service >= len(replicaSets) || !validLimit(l.PerSecond) {
+			continue
+		}
+		for _, u := range replicaSets[l.Service].Upstreams {
+			if u.Member.ID == l.Replica {
+				f.applyRequestLimit(u, now, now, replica.RequestLimit{PerSecond: l.PerSecond, Named: true}, requestID)
+			}
+		}
+	}
+}
+
+// validLimit reports whether a number can be a request limit.
+func validLimit(perSecond float64) bool { return perSecond >= 0 && !math.IsInf(perSecond, 0) }
+
+// applyRequestLimit records a request limit, and logs it if it has changed.
+func (f *Forwarder) applyRequestLimit(u *Upstream, now, sentAt time.Time, limit replica.RequestLimit, requestID string) {
 	before, sends, changed := u.Tracker.RecordRequestLimit(now, sentAt, limit)
 	if !changed {
 		return
--- a/pkg/forward/requestlimit_test.go
+++ b/pkg/forward/requestlimit_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/nutmeghitch/nutmeghitch/pkg/replica"
 	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
 )
 
@@ -105,6 +106,7 @@
 			r := tier.addReplica("s", "limited", 2, always(5*time.Millisecond))
 			r.requestLimit = func() string { return fleet.limited.limitFor(vm) }
 			r.arrived = func() { fleet.limited.arrived(vm) }
+			r.Tracker.SetVMs(vms, vm)
 			for i := range free {
 				tier.addReplica("s", fmt.Sprint("free", i), 2, always(5*time.Millisecond))
 			}
@@ -164,3 +166,60 @@
 		}
 	}
 }
+
+// Guards against requests that wait for a replica whose limit is used up, or are
+// refused while it is not, and against refusals that do not tell when to come back.
+func TestRequestsBeyondAllLimitsAreRefusedAtOnce(t *testing.T) {
+	const perSecond = 30
+	inLimitedFleet(t, 5, 0, perSecond, func(fleet *limitedFleet) {
+		limited := fleet.limited
+		time.Sleep(time.Until(limited.from))
+		served := 0
+		for _, a := range fleet.load(400, limited.till) {
+			if a.Code == 200 {
+				served++
+				continue
+			}
+			assert.Equal(t, a.Code, 503)
+			assert.Assert(t, a.duration < time.Millisecond, "refused after %s", a.duration)
+			retryAfter, err := strconv.ParseFloat(a.Header().Get("Retry-After"), 64)
+			assert.NilError(t, err)
+			assert.Assert(t, retryAfter > 0 && retryAfter <= 0.2, "%g s; each VM has a request every 185 ms", retryAfter)
+		}
+		excess, n := limited.worstExcess(limited.from.Add(limitNotice))
+		assert.Check(t, excess <= 0, "%d requests in %s", n, limitWindow)
+		seconds := limited.till.Sub(limited.from).Seconds()
+		assert.Check(t, float64(served) > 0.8*perSecond*seconds, "%d served in %g s", served, seconds)
+	})
+}
+
+// Guards against a VM that relays requests to a replica whose limit it has never been
+// told, because only the VM that sends them has had an answer with it.
+func TestRequestLimitIsKnownToAVMThatOnlyRelays(t *testing.T) {
+	inRelayFleet(t, 1, func(r *relayFleet) {
+		r.remote[2].requestLimit = func() string { return "7.5" }
+		answer := r.send(nil, "/a/", "q")
+		assert.Equal(t, answer.Code, 200, answer.Body)
+		assert.Equal(t, r.directSends(), 0)
+		for i, u := range r.own {
+			want := replica.RequestLimit{}
+			if !u.Tracker.Local && i/2 == 2 {
+				want = replica.RequestLimit{PerSecond: 7.5, Named: true}
+			}
+			assert.Equal(t, u.Tracker.RequestLimit(), want, u.Member.ID)
+		}
+	})
+}
+
+// Guards against values that are no limit and stop or free a replica.
+func TestInvalidRequestLimitsAreIgnored(t *testing.T) {
+	inVirtualTime(t, singleRoute(true), func(v *virtualTier) {
+		r := v.addReplica("s", "a", 0, always(time.Millisecond))
+		for _, value := range []string{"12.5", "many", "-1", "NaN", "+Inf", "1e999"} {
+			r.requestLimit = func() string { return value }
+			time.Sleep(time.Second)
+			assert.Equal(t, v.send(nil, "/p/", value).Code, 200, value)
+			assert.Equal(t, r.Tracker.RequestLimit(), replica.RequestLimit{PerSecond: 12.5, Named: true}, value)
+		}
+	})
+}
--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -148,7 +148,7 @@
 	case s.failedReply != nil:
 		return responseFrom(s.failedReply), nil, true
 	case s.refusal == nil:
-		return nil, errs.Refuse(errs.NoReplica, "no replica of %s can take requests now", s.service).WithRetryAfter(noReplicaRetryAfter), true
+		return nil, errs.Refuse(errs.NoReplica, "no replica of %s can take requests now", s.service).WithRetryAfter(q.waitForShards(time.Now(), 1)), true
 	case s.mayHaveRun:
 		return nil, errs.Ambiguous(s.refusal.Code, "%s", s.refusal.Detail), true
 	default:
--- a/pkg/forward/view.go
+++ b/pkg/forward/view.go
@@ -43,20 +43,20 @@
 }
 
 // pick returns the replica with the lowest cost among those that were not tried. A
-// replica whose connections are all in use is picked last. A cold replica is
-// picked only within its rate limit. pick returns nil if no replica is available.
+// replica whose connections are all in use is picked last. A replica that is cold or
+// names a request limit is picked only within its limits. pick returns nil if no
+// replica is available.
 func (rs *ReplicaSet) pick(now time.Time, usualLatency time.Duration, tried []*Upstream) *Upstream {
 	for range len(rs.Upstreams) {
 		u := rs.cheapest(now, usualLatency, tried)
-		if u == nil || u.Tracker.AllowCold(now) {
+		if u == nil || u.Tracker.AllowSend(now) {
 			return u
 		}
 	}
 	return nil
 }
 
-// cheapest is pick without counting the request against the limit of a cold
-// replica.
+// cheapest is pick without counting the request against the limits of the replica.
 func (rs *ReplicaSet) cheapest(now time.Time, usualLatency time.Duration, tried []*Upstream) *Upstream {
 	var cheapest *Upstream
 	var lowestCost time.Duration
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -189,12 +189,13 @@
 	return now.Before(t.coldLimit.until)
 }
 
-// AllowCold reports whether a request may be sent now and, if so, counts it
-// towards the cold limit. A replica without a cold limit allows every request.
-func (t *Tracker) AllowCold(now time.Time) bool {
+// AllowSend reports whether the cold limit and the request limit allow a request
+// now and, if so, counts it towards both. A replica without a limit allows every
+// request.
+func (t *Tracker) AllowSend(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.coldLimit.allow(now)
+	return t.requestLimit.hasRoom(now) && t.coldLimit.allow(now) && t.requestLimit.allow(now)
 }
 
 // ExpectedLatency returns the time that a request sent now is expected to take,
@@ -212,10 +213,10 @@
 	return t.usable(now)
 }
 
-// usable reports whether the replica is reachable and its cold limit allows a request
+// usable reports whether the replica is reachable and its limits allow a request
 // now. t.mu is held.
 func (t *Tracker) usable(now time.Time) bool {
-	return !t.down && (!now.Before(t.coldLimit.until) || t.coldLimit.hasRoom(now))
+	return !t.down && (!now.Before(t.coldLimit.until) || t.coldLimit.hasRoom(now)) && t.requestLimit.hasRoom(now)
 }
 
 // expectedLatency implements ExpectedLatency. t.mu is held.
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -80,7 +80,7 @@
 		now := start
 		for range rapid.IntRange(1, 300).Draw(t, "sends") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "gap")) * time.Millisecond)
-			if trackers[rapid.IntRange(0, n-1).Draw(t, "vm")].AllowCold(now) {
+			if trackers[rapid.IntRange(0, n-1).Draw(t, "vm")].AllowSend(now) {
 				sent = append(sent, now)
 			}
 			lastSecond := 0
--- a/pkg/replica/requestlimit.go
+++ b/pkg/replica/requestlimit.go
@@ -1,6 +1,21 @@
 package replica
 
-import "time"
+import (
+	"time"
+)
+
+const (
+	// usableLimitShare is the part of a replica's request limit that is given out to
+	// the VMs. The rest is a reserve for VMs that have just joined and are not counted
+	// yet, and for health probes after a restart.
+	usableLimitShare = 0.9
+	// permitLifetime is how long a permit to send may be used. In any period, all VMs
+	// together then send at most what the limit allows in the period and this time.
+	permitLifetime = time.Second
+	// minLimitPerSecond is the least limit that is kept. A replica that gets no request
+	// could not tell that its limit has ended.
+	minLimitPerSecond = 0.5
+)
 
 // SendKind tells why a request is sent to a replica.
 type SendKind uint8
@@ -34,6 +49,55 @@
 	namedAt time.Time
 	// sends counts the requests of this VM since the limit has last changed.
 	sends SendCounts
+	// vms is the number of VMs that share the limit, and position that of this VM
+	// among them.
+	vms, position int
+	permits       permitSchedule
+}
+
+// permitSchedule gives out the permits of one VM to send to a replica with a request
+// limit. The VMs get permits in turn by the time of day, so that all of them together
+// keep the limit without a message for each request, whatever the load of each VM is.
+type permitSchedule struct {
+	// lastTaken is the time of the last permit that was taken. Earlier ones are void.
+	lastTaken time.Time
+}
+
+// share is the part of one VM in a limit: a permit in each interval, at an offset from
+// the multiples of the interval since the Unix epoch.
+type share struct{ interval, offset time.Duration }
+
+// shareOf returns the part of a limit that the VM at the position has.
+func shareOf(limit RequestLimit, vms, position int) share {
+	vms = max(1, vms)
+	perSecond := usableLimitShare * max(minLimitPerSecond, limit.PerSecond)
+	interval := max(1, float64(vms)/perSecond*float64(time.Second))
+	return share{interval: time.Duration(interval), offset: time.Duration(interval * float64(position%vms) / float64(vms))}
+}
+
+// lastUntil returns the time of the last permit that is not later than t.
+func (s share) lastUntil(t time.Time) time.Time {
+	sinceOffset := t.UnixNano() - int64(s.offset)
+	return t.Add(-time.Duration(sinceOffset % int64(s.interval)))
+}
+
+// next returns the permit that would be taken at now, and whether its time has come.
+func (p *permitSchedule) next(now time.Time, s share) (time.Time, bool) {
+	after := now.Add(-permitLifetime)
+	if p.lastTaken.After(after) {
+		after = p.lastTaken
+	}
+	permit := s.lastUntil(after).Add(s.interval)
+	return permit, !permit.After(now)
+}
+
+// take takes a permit if there is one.
+func (p *permitSchedule) take(now time.Time, s share) bool {
+	permit, ok := p.next(now, s)
+	if ok {
+		p.lastTaken = permit
+	}
+	return ok
 }
 
 // RecordRequestLimit records the limit that an answer names, or that it names none.
@@ -54,6 +118,9 @@
 	if before == limit {
 		return before, sends, false
 	}
+	if !before.Named {
+		l.permits.lastTaken = now // permits of the time before are void
+	}
 	l.current, l.sends = limit, SendCounts{}
 	return before, sends, true
 }
@@ -65,9 +132,55 @@
 	return t.requestLimit.current
 }
 
+// SetVMs sets how many VMs share a request limit of the replica, and the position of
+// this VM among them.
+func (t *Tracker) SetVMs(vms, position int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.requestLimit.vms, t.requestLimit.position = vms, position
+}
+
 // CountSend counts a request that is sent to the replica.
 func (t *Tracker) CountSend(kind SendKind) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.requestLimit.sends[kind]++
 }
+
+// AllowProbe reports whether a health probe may be sent now, and counts it towards
+// the request limit.
+func (t *Tracker) AllowProbe(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.requestLimit.allow(now)
+}
+
+// WaitForPermit returns the time until the request limit of the replica allows this VM
+// a request, 0 if it allows one now.
+func (t *Tracker) WaitForPermit(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := &t.requestLimit
+	if !l.current.Named {
+		return 0
+	}
+	permit, _ := l.permits.next(now, l.share())
+	return max(0, permit.Sub(now))
+}
+
+// share returns the part of this VM in the limit.
+func (l *requestLimit) share() share { return shareOf(l.current, l.vms, l.position) }
+
+// hasRoom reports whether one more request may be sent now.
+func (l *requestLimit) hasRoom(now time.Time) bool {
+	if !l.current.Named {
+		return true
+	}
+	_, ok := l.permits.next(now, l.share())
+	return ok
+}
+
+// allow reports whether a request may be sent now and, if so, counts it.
+func (l *requestLimit) allow(now time.Time) bool {
+	return !l.current.Named || l.permits.take(now, l.share())
+}
--- a/pkg/wire/relay.go
+++ b/pkg/wire/relay.go
@@ -33,10 +33,22 @@
 	Records  []byte         `msgpack:"records"`
 	Answered []RelayAnswer  `msgpack:"answered"`
 	Failed   []RelayFailure `msgpack:"failed"`
+	// Limits holds the request limits that replicas of the services name.
+	Limits []RelayLimit `msgpack:"limits"`
 	// Done is set in the last reply.
 	Done bool `msgpack:"done"`
 }
 
+// RelayLimit is the request limit that a replica names in its answers.
+type RelayLimit struct {
+	// Service is the index of the service in the request.
+	Service int    `msgpack:"s"`
+	Replica string `msgpack:"replica"`
+	// PerSecond is the number of requests a second that the replica accepts from all
+	// VMs together.
+	PerSecond float64 `msgpack:"rate"`
+}
+
 // RelayAnswer says that a replica of a service has answered.
 type RelayAnswer struct {
 	// Service is the index of the service in the request.
