edge: share the request limits that replicas name among the VMs

A VM learned of a limit only from an answer to itself. The stated bound does not count VMs that were not told, but the limit is for all of them.

An own answer of the last second outweighs a report. The coordinator removes the reports of replicas that are gone. While the store is away each VM learns from its first answer, as before.

Ruled out: a report from subscribers to the VM that feeds them, which reaches the subscribers of that one only.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -218,6 +218,16 @@
 	Domain   string
 }
 
+// RequestLimit is the report of a VM that a replica names a request limit.
+type RequestLimit struct {
+	Replica string
+	// Born is the start time of the replica's process in Unix milliseconds.
+	Born int64
+	// PerSecond is the number of requests a second that the replica accepts from all
+	// VMs together.
+	PerSecond float64
+}
+
 // Crash reports an attempt of a request that was in flight at a replica when the
 // replica crashed.
 type Crash struct {
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -56,6 +56,9 @@
 	Crashes() storewatch.Source[discovery.Crash]
 	ReportCrash(ctx context.Context, name string, crash discovery.Crash) error
 	DeleteCrash(ctx context.Context, name string) error
+	RequestLimits() storewatch.Source[discovery.RequestLimit]
+	ReportRequestLimit(ctx context.Context, limit discovery.RequestLimit) error
+	DeleteRequestLimit(ctx context.Context, replica string) error
 }
 
 // Config holds what one VM needs to run.
@@ -134,6 +137,7 @@
 	forwarder  *forward.Forwarder
 	prober     *prober
 	crashes    *crashReporter
+	limits     *limitReporter
 }
 
 func newControllerService(c Config, ready *readiness) *controllerService {
@@ -155,6 +159,8 @@
 func (s *controllerService) Start(_ context.Context, scope *kernel.Scope) error {
 	s.crashes = newCrashReporter(s.controller, s.config.Store, s.config.Log.WithField("part", "crash"))
 	s.prober.onCrash = s.crashes.report
+	s.limits = newLimitReporter(s.controller, s.config.Store, s.config.Log.WithField("part", "limit"))
+	s.prober.onRequestLimit = s.limits.report
 	s.prober.start(scope.Context(), func(u *forward.Upstream, left time.Duration) {
 		s.controller.post(scope.Context(), func(now time.Time) bool { return s.controller.replicaBecameCold(now, u, left) })
 	})
@@ -164,6 +170,7 @@
 	}
 	scope.Go(func(ctx context.Context) error { s.register(ctx); return nil })
 	scope.Go(func(ctx context.Context) error { s.crashes.run(ctx); return nil })
+	scope.Go(func(ctx context.Context) error { s.limits.run(ctx); return nil })
 	scope.Go(func(ctx context.Context) error { s.applyUpdates(ctx); return nil })
 	return nil
 }
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -26,11 +26,12 @@
 // testStore has no objects; the tests update the topics directly.
 type testStore struct{ Store }
 
-func (testStore) Configs() storewatch.Source[*routes.Table]      { return nil }
-func (testStore) Replicas() storewatch.Source[discovery.Replica] { return nil }
-func (testStore) OutOfServiceDomains() storewatch.Source[string] { return nil }
-func (testStore) Crashes() storewatch.Source[discovery.Crash]    { return nil }
-func (testStore) VMs() storewatch.Source[discovery.VM]           { return nil }
+func (testStore) Configs() storewatch.Source[*routes.Table]                { return nil }
+func (testStore) Replicas() storewatch.Source[discovery.Replica]           { return nil }
+func (testStore) OutOfServiceDomains() storewatch.Source[string]           { return nil }
+func (testStore) Crashes() storewatch.Source[discovery.Crash]              { return nil }
+func (testStore) RequestLimits() storewatch.Source[discovery.RequestLimit] { return nil }
+func (testStore) VMs() storewatch.Source[discovery.VM]                     { return nil }
 
 func newTestController(t *testing.T) *controller {
 	t.Helper()
@@ -128,12 +129,16 @@
 	vmTopic(from).update(start, storewatch.Batch[discovery.VM]{Revision: 10, Items: []storewatch.Item[discovery.VM]{{Name: "vm2", Revision: 10, Value: vm}}}, true)
 	crash := discovery.Crash{Fingerprint: 7, Attempt: "a", At: start}
 	from.topics[4].(*topic[discovery.Crash]).update(start, storewatch.Batch[discovery.Crash]{Revision: 11, Items: []storewatch.Item[discovery.Crash]{{Name: "c", Revision: 11, Value: crash}}}, true)
+	limit := discovery.RequestLimit{Replica: "a", Born: 1, PerSecond: 2.5}
+	limitTopic(from).update(start, storewatch.Batch[discovery.RequestLimit]{Revision: 12, Items: []storewatch.Item[discovery.RequestLimit]{{Name: "a", Revision: 12, Value: limit}}}, true)
 	for i, sender := range from.topics {
 		snapshot, err := sender.snapshot(start)
 		assert.NilError(t, err)
-		// A crash report changes no view.
-		assert.Equal(t, to.topics[i].applyFeed(start, snapshot), sender.topicName() != topicCrashes, sender.topicName())
+		// A crash report and a request limit change no view.
+		changesView := sender.topicName() != topicCrashes && sender.topicName() != topicLimits
+		assert.Equal(t, to.topics[i].applyFeed(start, snapshot), changesView, sender.topicName())
 	}
+	assert.Equal(t, to.state.limits["a"], limit)
 	assert.Equal(t, to.ledger.Check(start, 7), poison.Suspect)
 	assert.Equal(t, to.state.table.Version, uint64(7))
 	assert.Assert(t, to.state.table.Match("h", "/x") != nil, "the received configuration has no usable routes")
--- a/pkg/edge/prober.go
+++ b/pkg/edge/prober.go
@@ -46,6 +46,8 @@
 	// with the requests that were in flight when a replica crashed.
 	onCold  func(u *forward.Upstream, left time.Duration)
 	onCrash func(u *forward.Upstream, suspects []forward.RequestAttempt)
+	// onRequestLimit is called when the request limit of a replica has changed.
+	onRequestLimit func(u *forward.Upstream)
 
 	mu   sync.Mutex
 	view *forward.View
@@ -111,6 +113,9 @@
 	p.startProbing(u, minProbeDelay)
 }
 
+// RequestLimitChanged implements forward.Observer.
+func (p *prober) RequestLimitChanged(u *forward.Upstream) { p.onRequestLimit(u) }
+
 // setDown marks a replica as unreachable. It reports whether it was not before.
 func (p *prober) setDown(u *forward.Upstream, refusal *errs.Refusal) bool {
 	changed := u.Tracker.SetDown(true)
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -67,7 +67,9 @@
 	// vms holds the entries of the VMs by name.
 	vms map[string]discovery.VM
 	// crashes holds the crash reports in the store by name.
-	crashes   map[string]discovery.Crash
+	crashes map[string]discovery.Crash
+	// limits holds the request limits in the store by the ID of the replica.
+	limits    map[string]discovery.RequestLimit
 	upstreams map[replicaKey]*forward.Upstream
 	// relayPeers holds the VMs to which requests are relayed.
 	relayPeers map[discovery.VM]*relay.Peer
@@ -91,6 +93,7 @@
 		registry:        discovery.NewRegistry(),
 		vms:             map[string]discovery.VM{},
 		crashes:         map[string]discovery.Crash{},
+		limits:          map[string]discovery.RequestLimit{},
 		upstreams:       map[replicaKey]*forward.Upstream{},
 		relayPeers:      map[discovery.VM]*relay.Peer{},
 		retryBudgets:    map[string]*hedge.Policy{},
@@ -223,6 +226,9 @@
 			Pool:    exchange.NewPool(s.dial, m.Addr, limit),
 		}
 		s.upstreams[k] = u
+		if limit, ok := s.limits[m.ID]; ok && limit.Born == m.Born {
+			u.Tracker.ShareRequestLimit(now, replica.RequestLimit{PerSecond: limit.PerSecond, Named: true})
+		}
 		s.log.WithFields(logrus.Fields{
 			"replica": m.ID, "service": m.Service, "addr": m.Addr, "domain": m.Domain, "revision": m.Revision,
 			"cold_ms": max(0, m.ColdUntil.Sub(now).Milliseconds()), "connections": limit,
--- a/pkg/edge/topics.go
+++ b/pkg/edge/topics.go
@@ -18,17 +18,18 @@
 	topicOutOfService = "domains taken out"
 	topicVMs          = "VMs"
 	topicCrashes      = "crashes"
+	topicLimits       = "request limits"
 )
 
 const (
 	// urgentWatchWait limits how long one watch call waits for changes of the
 	// configuration and of replicas, which must take effect within 3 s.
 	// defaultWatchWait is the limit for failure domains, which have 5 s, and crash
-	// reports. vmWatchWait is the limit for VMs, whose number only divides
-	// budgets.
+	// reports. longWatchWait is the limit for VMs, whose number only divides budgets,
+	// and for request limits, which the answers of replicas show as well.
 	urgentWatchWait  = 2 * time.Second
 	defaultWatchWait = 3500 * time.Millisecond
-	vmWatchWait      = 20 * time.Second
+	longWatchWait    = 20 * time.Second
 )
 
 // newTopics returns the topics of the objects in the store.
@@ -47,13 +48,17 @@
 			apply: c.applyOutOfService, removeAbsent: c.removeAbsentOutOfService, currentItems: c.currentOutOfService,
 		},
 		&topic[discovery.VM]{
-			name: topicVMs, controller: c, source: store.VMs(), maxWatchWait: vmWatchWait,
+			name: topicVMs, controller: c, source: store.VMs(), maxWatchWait: longWatchWait,
 			apply: c.applyVM, removeAbsent: c.removeAbsentVMs, currentItems: c.currentVMs,
 		},
 		&topic[discovery.Crash]{
 			name: topicCrashes, controller: c, source: store.Crashes(), maxWatchWait: defaultWatchWait, background: true,
 			apply: c.applyCrash, removeAbsent: ignoreAbsent, currentItems: c.currentCrashes,
 		},
+		&topic[discovery.RequestLimit]{
+			name: topicLimits, controller: c, source: store.RequestLimits(), maxWatchWait: longWatchWait, background: true,
+			apply: c.applyLimit, removeAbsent: c.removeAbsentLimits, currentItems: c.currentLimits,
+		},
 	}
 }
 
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -69,6 +69,9 @@
 	// RequestInterrupted reports that a request failed at a replica without a
 	// response after it may have run, for instance because the connection broke.
 	RequestInterrupted(u *Upstream, refusal *errs.Refusal, attempt RequestAttempt)
+	// RequestLimitChanged reports that answers of a replica to this VM show another
+	// request limit than before, or that there is none any more.
+	RequestLimitChanged(u *Upstream)
 }
 
 // RequestAttempt identifies one attempt of a caller's request, so that a request
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -64,6 +64,8 @@
 	tt.unresponsive = append(tt.unresponsive, u.Member.ID)
 }
 
+func (tt *testTier) RequestLimitChanged(*Upstream) {}
+
 func (tt *testTier) RequestInterrupted(u *Upstream, _ *errs.Refusal, attempt RequestAttempt) {
 	tt.mu.Lock()
 	defer tt.mu.Unlock()
--- a/pkg/forward/requestlimit.go
+++ b/pkg/forward/requestlimit.go
@@ -30,7 +30,9 @@
 	default:
 		limit = replica.RequestLimit{PerSecond: perSecond, Named: true}
 	}
-	f.applyRequestLimit(u, now, sentAt, limit, requestID)
+	if f.applyRequestLimit(u, now, sentAt, limit, requestID) {
+		f.observer.RequestLimitChanged(u)
+	}
 }
 
 // recordRelayedLimits records the request limits that another VM reports of replicas
@@ -51,15 +53,17 @@
 // validLimit reports whether a number can be a request limit.
 func validLimit(perSecond float64) bool { return perSecond >= 0 && !math.IsInf(perSecond, 0) }
 
-// applyRequestLimit records a request limit, and logs it if it has changed.
-func (f *Forwarder) applyRequestLimit(u *Upstream, now, sentAt time.Time, limit replica.RequestLimit, requestID string) {
+// applyRequestLimit records a request limit, and logs it if it has changed. It reports
+// whether it has.
+func (f *Forwarder) applyRequestLimit(u *Upstream, now, sentAt time.Time, limit replica.RequestLimit, requestID string) bool {
 	before, sends, changed := u.Tracker.RecordRequestLimit(now, sentAt, limit)
 	if !changed {
-		return
+		return false
 	}
 	f.log.WithFields(logrus.Fields{
 		"id": requestID, "replica": u.Member.ID, "service": u.Member.Service,
 		"limited": limit.Named, "per_second": limit.PerSecond, "before_per_second": before.PerSecond,
 		"first_sends": sends[replica.FirstSend], "extra_sends": sends[replica.ExtraSend], "relayed_sends": sends[replica.RelayedSend],
 	}).Info("request limit of a replica changed")
+	return true
 }
--- a/pkg/forward/virtual_test.go
+++ b/pkg/forward/virtual_test.go
@@ -82,6 +82,7 @@
 
 func (silentObserver) ReplicaUnreachable(*Upstream, *errs.Refusal)                 {}
 func (silentObserver) ReplicaUnresponsive(*Upstream)                               {}
+func (silentObserver) RequestLimitChanged(*Upstream)                               {}
 func (silentObserver) RequestInterrupted(*Upstream, *errs.Refusal, RequestAttempt) {}
 
 // addReplica adds a replica to a service, whose budget allows extraSends.
--- a/pkg/replica/requestlimit.go
+++ b/pkg/replica/requestlimit.go
@@ -15,6 +15,9 @@
 	// minLimitPerSecond is the least limit that is kept. A replica that gets no request
 	// could not tell that its limit has ended.
 	minLimitPerSecond = 0.5
+	// sharedLimitLag is how long a report of another VM may take. Answers to this VM
+	// that are not older outweigh a report.
+	sharedLimitLag = time.Second
 )
 
 // SendKind tells why a request is sent to a replica.
@@ -118,11 +121,30 @@
 	if before == limit {
 		return before, sends, false
 	}
-	if !before.Named {
-		l.permits.lastTaken = now // permits of the time before are void
+	l.set(now, limit)
+	return before, sends, true
+}
+
+// ShareRequestLimit applies a limit that another VM has reported, or that the report
+// was withdrawn. It reports whether the limit has changed.
+func (t *Tracker) ShareRequestLimit(now time.Time, limit RequestLimit) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := &t.requestLimit
+	if l.current == limit || (l.current.Named && now.Sub(l.namedAt) < sharedLimitLag) {
+		return false
+	}
+	l.namedAt = now
+	l.set(now, limit)
+	return true
+}
+
+// set replaces the limit. Permits of the time before it are void.
+func (l *requestLimit) set(now time.Time, limit RequestLimit) {
+	if !l.current.Named {
+		l.permits.lastTaken = now
 	}
 	l.current, l.sends = limit, SendCounts{}
-	return before, sends, true
 }
 
 // RequestLimit returns the limit that the replica names.
