edge, platform: log the lists and changes that are not applied

A VM that does not take over what the store says left no trace of it, and the era that the store sends in all its replies was not read. So it could not be told whether a confirmed configuration was refused because of its version or because of its revision. Which objects are applied is as before.

--- a/pkg/edge/topic.go
+++ b/pkg/edge/topic.go
@@ -105,13 +105,16 @@
 // behind changes nothing. It reports whether the view changes.
 func (t *topic[T]) update(now time.Time, batch storewatch.Batch[T], full bool) bool {
 	if batch.Revision < t.revision && full {
+		t.logIgnored("list of objects ignored: older than the known state", batch, len(batch.Items))
 		return false
 	}
 	changed := false
+	ignored := 0
 	listed := map[string]bool{}
 	for _, item := range batch.Items {
 		listed[item.Name] = true
 		if !full && item.Revision > 0 && item.Revision <= t.revision {
+			ignored++
 			continue
 		}
 		if item.Err != nil {
@@ -123,6 +126,9 @@
 		changed = t.removeAbsent(now, listed) || changed
 		t.controller.log.WithFields(logrus.Fields{"kind": t.name, "objects": len(batch.Items), "revision": batch.Revision, "before": t.revision}).Info("complete list of objects applied")
 	}
+	if ignored > 0 {
+		t.logIgnored("changes ignored: older than the known state", batch, ignored)
+	}
 	t.revision = max(t.revision, batch.Revision)
 	t.verifiedAt = now
 	t.controller.snapshots = nil
@@ -130,6 +136,11 @@
 	return changed
 }
 
+// logIgnored logs that objects are not applied.
+func (t *topic[T]) logIgnored(message string, batch storewatch.Batch[T], objects int) {
+	t.controller.log.WithFields(logrus.Fields{"kind": t.name, "objects": objects, "era": batch.Era, "revision": batch.Revision, "known_revision": t.revision}).Info(message)
+}
+
 // publish sends a change to the subscribers of this VM's feed.
 func (t *topic[T]) publish(batch storewatch.Batch[T], full bool) {
 	if t.controller.hub.Subscribers() == 0 {
--- a/pkg/storewatch/storewatch.go
+++ b/pkg/storewatch/storewatch.go
@@ -40,6 +40,9 @@
 type Batch[T any] struct {
 	Items    []Item[T]
 	Revision int64
+	// Era rises each time the store comes back from an older copy of itself. Revisions
+	// of different eras cannot be compared: the store counts on from that of the copy.
+	Era int64
 }
 
 // Source reads the objects of one kind. Its errors carry an *errs.Refusal,
