--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -88,6 +88,14 @@
 	return old == nil || old.Replica != entry || !old.missingSince.IsZero()
 }
 
+// StartEra records that the store has come back from an older copy: the revisions of
+// the known entries say nothing any more.
+func (r *Registry) StartEra() {
+	for _, m := range r.members {
+		m.Revision = 0
+	}
+}
+
 // removeFormerHolders removes the replicas with older entries for current's
 // address. An address belongs to one replica at a time.
 func (r *Registry) removeFormerHolders(current *Member) {
--- a/pkg/edge/controller.go
+++ b/pkg/edge/controller.go
@@ -93,7 +93,7 @@
 				changed = (<-c.events)(time.Now()) || changed
 			}
 		case now := <-ticker.C:
-			changed = c.state.registry.ExpireMissing(now)
+			changed = c.advance(now)
 		}
 		if changed {
 			c.publish(time.Now())
@@ -102,6 +102,16 @@
 	}
 }
 
+// advance makes the changes that depend only on time. It reports whether the view
+// changes.
+func (c *controller) advance(now time.Time) bool {
+	changed := c.state.registry.ExpireMissing(now)
+	for _, t := range c.topics {
+		changed = t.removeUnlisted(now) || changed
+	}
+	return c.takeRestoredConfig(now) || changed
+}
+
 // publish builds a new view and gives it to the prober and the forwarder. The
 // first complete one makes the VM ready.
 func (c *controller) publish(now time.Time) {
@@ -278,10 +288,10 @@
 // replicaBecameCold limits the requests to a replica that reports itself cold.
 // The view does not change.
 func (c *controller) replicaBecameCold(now time.Time, u *forward.Upstream, left time.Duration) bool {
-	if c.state.table == nil {
+	if c.state.table() == nil {
 		return false
 	}
-	service := c.state.table.Services[u.Member.Service]
+	service := c.state.table().Services[u.Member.Service]
 	if service == nil {
 		return false
 	}
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -65,7 +65,7 @@
 }
 
 func configBatch(table *routes.Table, revision int64) storewatch.Batch[*routes.Table] {
-	return storewatch.Batch[*routes.Table]{Revision: revision, Items: []storewatch.Item[*routes.Table]{{Name: "main", Revision: revision, Value: table}}}
+	return storewatch.Batch[*routes.Table]{Position: storewatch.Position{Revision: revision}, Items: []storewatch.Item[*routes.Table]{{Name: "main", Revision: revision, Value: table}}}
 }
 
 func replicaItem(id string, revision int64) storewatch.Item[discovery.Replica] {
@@ -75,7 +75,7 @@
 }
 
 func replicaBatch(revision int64, items ...storewatch.Item[discovery.Replica]) storewatch.Batch[discovery.Replica] {
-	return storewatch.Batch[discovery.Replica]{Revision: revision, Items: items}
+	return storewatch.Batch[discovery.Replica]{Position: storewatch.Position{Revision: revision}, Items: items}
 }
 
 func testVM(name string) discovery.VM { return discovery.VM{Name: name, Domain: "d2"} }
@@ -92,9 +92,9 @@
 	assert.Assert(t, configs.update(start, configBatch(testTable(t, 5), 50), true))
 	assert.Assert(t, !configs.update(start, configBatch(testTable(t, 4), 60), false))
 	assert.Assert(t, !configs.update(start, configBatch(testTable(t, 9), 40), true))
-	assert.Equal(t, c.state.table.Version, uint64(5))
+	assert.Equal(t, c.state.table().Version, uint64(5))
 	assert.Assert(t, configs.update(start, configBatch(testTable(t, 6), 61), false))
-	assert.Equal(t, c.state.table.Version, uint64(6))
+	assert.Equal(t, c.state.table().Version, uint64(6))
 }
 
 // Guards against a feed that lags behind and reverts changes that this VM knows
@@ -124,13 +124,13 @@
 	from, to := newTestController(t), newTestController(t)
 	configTopic(from).update(start, configBatch(testTable(t, 7), 7), true)
 	replicaTopic(from).update(start, replicaBatch(8, replicaItem("a", 3), replicaItem("b", 8)), true)
-	outOfServiceTopic(from).update(start, storewatch.Batch[string]{Revision: 9, Items: []storewatch.Item[string]{{Name: "d9", Revision: 9, Value: "d9"}}}, true)
+	outOfServiceTopic(from).update(start, storewatch.Batch[string]{Position: storewatch.Position{Revision: 9}, Items: []storewatch.Item[string]{{Name: "d9", Revision: 9, Value: "d9"}}}, true)
 	vm := discovery.VM{Name: "vm2", PeerAddr: "x", Domain: "d2"}
-	vmTopic(from).update(start, storewatch.Batch[discovery.VM]{Revision: 10, Items: []storewatch.Item[discovery.VM]{{Name: "vm2", Revision: 10, Value: vm}}}, true)
+	vmTopic(from).update(start, storewatch.Batch[discovery.VM]{Position: storewatch.Position{Revision: 10}, Items: []storewatch.Item[discovery.VM]{{Name: "vm2", Revision: 10, Value: vm}}}, true)
 	crash := discovery.Crash{Fingerprint: 7, Attempt: "a", At: start}
-	from.topics[4].(*topic[discovery.Crash]).update(start, storewatch.Batch[discovery.Crash]{Revision: 11, Items: []storewatch.Item[discovery.Crash]{{Name: "c", Revision: 11, Value: crash}}}, true)
+	from.topics[4].(*topic[discovery.Crash]).update(start, storewatch.Batch[discovery.Crash]{Position: storewatch.Position{Revision: 11}, Items: []storewatch.Item[discovery.Crash]{{Name: "c", Revision: 11, Value: crash}}}, true)
 	limit := discovery.RequestLimit{Replica: "a", Born: 1, PerSecond: 2.5}
-	limitTopic(from).update(start, storewatch.Batch[discovery.RequestLimit]{Revision: 12, Items: []storewatch.Item[discovery.RequestLimit]{{Name: "a", Revision: 12, Value: limit}}}, true)
+	limitTopic(from).update(start, storewatch.Batch[discovery.RequestLimit]{Position: storewatch.Position{Revision: 12}, Items: []storewatch.Item[discovery.RequestLimit]{{Name: "a", Revision: 12, Value: limit}}}, true)
 	for i, sender := range from.topics {
 		snapshot, err := sender.snapshot(start)
 		assert.NilError(t, err)
@@ -140,9 +140,9 @@
 	}
 	assert.Equal(t, to.state.limits["a"], limit)
 	assert.Equal(t, to.ledger.Check(start, 7), poison.Suspect)
-	assert.Equal(t, to.state.table.Version, uint64(7))
-	assert.Assert(t, to.state.table.Match("h", "/x") != nil, "the received configuration has no usable routes")
-	assert.Equal(t, to.state.table.Services["s"].MaxConns, 30)
+	assert.Equal(t, to.state.table().Version, uint64(7))
+	assert.Assert(t, to.state.table().Match("h", "/x") != nil, "the received configuration has no usable routes")
+	assert.Equal(t, to.state.table().Services["s"].MaxConns, 30)
 	assert.Equal(t, usableReplicas(to), 2)
 	assert.DeepEqual(t, to.state.registry.OutOfService(), []string{"d9"})
 	assert.Equal(t, to.state.vms["vm2"], vm)
@@ -261,7 +261,7 @@
 	report := func(revision int64, attempt string, at time.Time) {
 		crash := discovery.Crash{Fingerprint: 7, Attempt: attempt, At: at}
 		item := storewatch.Item[discovery.Crash]{Name: crashObjectName(crash), Revision: revision, Value: crash}
-		crashes.update(start, storewatch.Batch[discovery.Crash]{Revision: revision, Items: []storewatch.Item[discovery.Crash]{item}}, false)
+		crashes.update(start, storewatch.Batch[discovery.Crash]{Position: storewatch.Position{Revision: revision}, Items: []storewatch.Item[discovery.Crash]{item}}, false)
 	}
 	report(1, "a", start)
 	report(2, "a", start)
--- a/pkg/edge/fleet_test.go
+++ b/pkg/edge/fleet_test.go
@@ -142,7 +142,7 @@
 		return storewatch.Batch[T]{}, errs.Ambiguous(errs.PlatformDown, "down")
 	}
 	c := m.store.content
-	batch := storewatch.Batch[T]{Era: c.era, Revision: c.revision}
+	batch := storewatch.Batch[T]{Position: storewatch.Position{Era: c.era, Revision: c.revision}}
 	for name, o := range c.objects[m.kind] {
 		batch.Items = append(batch.Items, m.item(name, o, false))
 	}
@@ -156,7 +156,7 @@
 	for expired := false; ; {
 		m.store.mu.Lock()
 		c, down, changed := m.store.content, m.store.down, m.store.changed
-		batch := storewatch.Batch[T]{Era: c.era, Revision: c.revision}
+		batch := storewatch.Batch[T]{Position: storewatch.Position{Era: c.era, Revision: c.revision}}
 		for _, h := range c.history {
 			if h.kind == m.kind && h.object.revision > after {
 				batch.Items = append(batch.Items, m.item(h.name, h.object, h.deleted))
@@ -262,10 +262,12 @@
 	settings := c.state.settings
 	settings.VM, settings.PeersAddr, settings.Domain = name, name, "d1"
 	c.state.apply(settings)
+	c.state.dial = func(context.Context, string, string) (net.Conn, error) { return nil, context.DeadlineExceeded } // no replica runs
 	c.topics = c.newTopics(f.store)
 	vm := &controllerService{config: Config{Settings: settings, Store: f.store, Log: log}, controller: c, forwarder: c.forwarder, prober: c.prober}
 	vm.settings.Store(&settings)
 	vm.limits = newLimitReporter(c, f.store, log)
+	vm.crashes = newCrashReporter(c, f.store, log)
 	c.prober.onRequestLimit = vm.limits.report
 	f.vms = append(f.vms, vm)
 	updates := &updateSource{self: vm.self(), seeds: func() []string { return nil }, controller: c, dial: f.dial, log: log}
@@ -273,6 +275,7 @@
 	go updates.run(f.ctx)
 	go vm.register(f.ctx)
 	go vm.limits.run(f.ctx)
+	go vm.crashes.run(f.ctx)
 	return vm
 }
 
@@ -305,7 +308,7 @@
 			for _, m := range s.registry.View().Services["s"] {
 				replicas[m.ID] = true
 			}
-			return vmState{s.settings.VM, s.table.Version, s.vmNames(), replicas}
+			return vmState{s.settings.VM, s.table().Version, s.vmNames(), replicas}
 		})
 		assert.Assert(f.t, ok)
 		states = append(states, state)
--- a/pkg/edge/limits_test.go
+++ b/pkg/edge/limits_test.go
@@ -56,7 +56,7 @@
 	time.AfterFunc(30*time.Millisecond, func() {
 		for _, c := range s.vms {
 			c.events <- func(now time.Time) bool {
-				return limitTopic(c).update(now, storewatch.Batch[discovery.RequestLimit]{Revision: item.Revision, Items: []storewatch.Item[discovery.RequestLimit]{item}}, false)
+				return limitTopic(c).update(now, storewatch.Batch[discovery.RequestLimit]{Position: storewatch.Position{Revision: item.Revision}, Items: []storewatch.Item[discovery.RequestLimit]{item}}, false)
 			}
 		}
 	})
@@ -67,7 +67,7 @@
 func TestVMWithoutAnAnswerKeepsTheReportedRequestLimit(t *testing.T) {
 	limit := replica.RequestLimit{PerSecond: 12, Named: true}
 	informed := newTestController(t)
-	report := storewatch.Batch[discovery.RequestLimit]{Revision: 9, Items: []storewatch.Item[discovery.RequestLimit]{
+	report := storewatch.Batch[discovery.RequestLimit]{Position: storewatch.Position{Revision: 9}, Items: []storewatch.Item[discovery.RequestLimit]{
 		{Name: "a", Revision: 9, Value: discovery.RequestLimit{Replica: "a", Born: 1, PerSecond: 12}},
 		{Name: "b", Revision: 9, Value: discovery.RequestLimit{Replica: "b", Born: 0, PerSecond: 12}},
 	}}
@@ -87,7 +87,7 @@
 		upstreams := c.state.view(start).ReplicaSets["s"].Upstreams
 		assert.Equal(t, upstreams[0].Tracker.RequestLimit(), limit)
 		assert.Equal(t, upstreams[1].Tracker.RequestLimit(), replica.RequestLimit{}, "an earlier process of the replica was meant")
-		limitTopic(c).update(start.Add(2*time.Second), storewatch.Batch[discovery.RequestLimit]{Revision: 10}, true)
+		limitTopic(c).update(start.Add(2*time.Second), storewatch.Batch[discovery.RequestLimit]{Position: storewatch.Position{Revision: 10}}, true)
 		assert.Equal(t, upstreams[0].Tracker.RequestLimit(), replica.RequestLimit{}, "the report was withdrawn")
 	}
 }
--- a/pkg/edge/restored_test.go
+++ b/pkg/edge/restored_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/storewatch"
 )
 
 const (
@@ -100,3 +102,56 @@
 		assert.Equal(t, len(fleet.store.copied().objects[memVMs]), vms)
 	})
 }
+
+// Guards against requests to a failure domain that operators have taken out of service,
+// while the store has lost that, and against a domain that stays out when they do not
+// want it any more.
+func TestDomainStaysOutOfServiceAfterARestore(t *testing.T) {
+	for _, writtenAgain := range []bool{true, false} {
+		inVMFleet(t, 5, func(fleet *vmFleet) {
+			fleet.store.put(memReplicas, "a", replicaItem("a", 0).Value)
+			older := fleet.store.copied()
+			fleet.store.put(memOutOfService, "d1", "d1")
+			time.Sleep(configApplyTime)
+			out := func(d time.Duration) {
+				fleet.watch(d, func(s vmState) { assert.Equal(t, len(s.replicas), 0, s.vm) })
+			}
+			out(time.Second)
+			fleet.store.setDown(true)
+			out(2 * time.Second)
+			fleet.store.restore(older)
+			fleet.store.setDown(false)
+			if writtenAgain {
+				out(1500 * time.Millisecond)
+				fleet.store.put(memOutOfService, "d1", "d1")
+				out(10 * time.Second)
+			}
+			fleet.store.put(memOutOfService, "d1", nil)
+			time.Sleep(2 * storeUnstableTime)
+			for _, s := range fleet.states() {
+				assert.Equal(t, len(s.replicas), 1, s.vm)
+			}
+		})
+	}
+}
+
+// Guards against an older configuration of a restored store that is never taken though
+// operators leave it there, and against one that is taken while they write again.
+func TestOlderConfigurationIsTakenIfOperatorsLeaveIt(t *testing.T) {
+	entry := func(era int64, version uint64) configEntry {
+		return configEntry{table: testTable(t, version), at: storewatch.Position{Era: era, Revision: 5}}
+	}
+	h := configHistory{}
+	assert.Assert(t, h.offer(start, entry(1, 11)))
+	assert.Assert(t, !h.offer(start, entry(1, 10)))
+	assert.Assert(t, !h.takeRestored(start.Add(time.Hour)), "an older version of the same era")
+	assert.Assert(t, !h.offer(start, entry(2, 6)))
+	assert.Assert(t, !h.offer(start.Add(20*time.Second), entry(2, 6)), "listed again")
+	assert.Assert(t, !h.takeRestored(start.Add(restoredConfigGrace-time.Millisecond)))
+	assert.Assert(t, h.takeRestored(start.Add(restoredConfigGrace)))
+	assert.Equal(t, h.current.table.Version, uint64(6))
+	assert.Assert(t, h.offer(start, entry(2, 7)))
+	assert.Assert(t, !h.offer(start, entry(3, 5)))
+	assert.Assert(t, h.offer(start, entry(3, 7)), "the same version in a newer era is the operators' word")
+	assert.Assert(t, !h.takeRestored(start.Add(time.Hour)))
+}
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -62,8 +62,10 @@
 	log      logrus.FieldLogger
 	dial     exchange.DialFunc
 	registry *discovery.Registry
-	// table is the current configuration, nil before the first one.
-	table *routes.Table
+	// configs holds the configuration in force.
+	configs configHistory
+	// configEra is the era of the store in which configurations are read.
+	configEra int64
 	// vms holds the entries of the VMs by name.
 	vms map[string]discovery.VM
 	// crashes holds the crash reports in the store by name.
@@ -80,8 +82,6 @@
 	hedgePolicies map[string]*hedge.Policy
 	// replicasListed is set once the replicas have been listed.
 	replicasListed bool
-	// tableRevision is the store's revision of the configuration object.
-	tableRevision int64
 	// restoredDomains holds the failure domains that were put back into service
 	// since the last view was built.
 	restoredDomains map[string]bool
@@ -106,16 +106,14 @@
 func (s *state) apply(settings Settings) { s.settings = settings }
 
 // ready reports whether requests can be served.
-func (s *state) ready() bool { return s.table != nil && s.replicasListed }
+func (s *state) ready() bool { return s.table() != nil && s.replicasListed }
 
-// setTable replaces the configuration if the new one has a higher version. It
-// reports whether it did.
-func (s *state) setTable(t *routes.Table) bool {
-	if s.table != nil && t.Version <= s.table.Version {
-		return false
+// table returns the configuration in force, nil before the first one.
+func (s *state) table() *routes.Table {
+	if s.configs.current == nil {
+		return nil
 	}
-	s.table = t
-	return true
+	return s.configs.current.table
 }
 
 // vmNames returns the sorted names of all VMs, including this one.
@@ -131,15 +129,15 @@
 // view builds the view for requests, or returns nil without a configuration. It
 // closes the connections of replicas that are no longer in it.
 func (s *state) view(now time.Time) *forward.View {
-	if s.table == nil {
+	if s.table() == nil {
 		return nil
 	}
 	vms := s.vmNames()
 	position, _ := slices.BinarySearch(vms, s.settings.VM)
-	v := &forward.View{Table: s.table, ReplicaSets: map[string]*forward.ReplicaSet{}, HedgeDelays: map[string]*hedge.Policy{}, VMs: len(vms), RelayPeers: s.currentRelayPeers()}
+	v := &forward.View{Table: s.table(), ReplicaSets: map[string]*forward.ReplicaSet{}, HedgeDelays: map[string]*hedge.Policy{}, VMs: len(vms), RelayPeers: s.currentRelayPeers()}
 	current := map[replicaKey]bool{}
 	members := s.registry.View().Services
-	for name, service := range s.table.Services {
+	for name, service := range s.table().Services {
 		replicaSet := &forward.ReplicaSet{Service: name, Budget: s.retryBudget(name, len(vms))}
 		for _, m := range members[name] {
 			u := s.upstream(now, m, service, vms)
@@ -155,7 +153,7 @@
 			delete(s.upstreams, k)
 		}
 	}
-	for _, r := range s.table.Routes {
+	for _, r := range s.table().Routes {
 		policy, ok := s.hedgePolicies[r.Name]
 		if !ok {
 			policy = hedge.NewPolicy(hedge.Config{Groups: 1, TargetQuantile: hedgeTargetQuantile, ExtraLoad: hedgeExtraLoad})
--- a/pkg/edge/topic.go
+++ b/pkg/edge/topic.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/nutmeghitch/nutmeghitch/pkg/discovery"
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/storewatch"
 	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
@@ -23,20 +25,35 @@
 	maxWatchWait time.Duration
 	// urgent is set for topics whose changes must take effect within 3 s.
 	urgent bool
+	// single is set if the kind has one object, so that each change is a complete list.
+	single bool
 	// background is set for topics that a VM watches only after it has failed to
 	// subscribe to a feed. Other VMs get them from their feed early enough.
 	background bool
-	// revision is the store's revision up to which all changes are known, or 0
-	// if the objects were never listed.
-	revision int64
-	// verifiedAt is when the store or a feed last confirmed the revision.
+	// at is the position of the store up to which all changes are known; its revision
+	// is 0 if the objects were never listed.
+	at storewatch.Position
+	// verifiedAt is when the store or a feed last confirmed the position.
 	verifiedAt time.Time
+	// unlisted holds the objects that the first list of an era lacks. They are kept
+	// until unlistedUntil, so that their writers can write them again.
+	unlisted      map[string]bool
+	unlistedUntil time.Time
 	// apply applies one object to the state, removeAbsent removes the objects that
-	// a complete list does not name. Both report whether the view changes.
+	// a complete list does not name. Both report whether the view changes. removeAbsent
+	// is nil if such objects are kept: the configuration is never removed, and crash
+	// reports expire.
 	apply        func(now time.Time, item storewatch.Item[T]) bool
 	removeAbsent func(now time.Time, listed map[string]bool) bool
 	// currentItems returns all known objects.
 	currentItems func(now time.Time) []storewatch.Item[T]
+	// startEra is called before the first list of an era is applied. lost is called after
+	// it with the objects that it lacks and an older era had. Either may be nil.
+	startEra func(now time.Time, era int64)
+	lost     func(now time.Time, items []storewatch.Item[T])
+	// snapshotAt returns the position of the known objects if it is not that of the
+	// topic. It may be nil.
+	snapshotAt func() storewatch.Position
 }
 
 // anyTopic is a topic with objects of any type.
@@ -55,6 +72,13 @@
 	// whether the topic is urgent.
 	verified() (time.Time, bool)
 	inBackground() bool
+	// position returns the position of the store up to which all changes are known.
+	position() storewatch.Position
+	// publishAll sends all known objects to the subscribers of this VM's feed.
+	publishAll(now time.Time)
+	// removeUnlisted removes the objects that were not written again in time in a new
+	// era. It reports whether the view changes.
+	removeUnlisted(now time.Time) bool
 }
 
 func (t *topic[T]) topicName() string { return t.name }
@@ -63,10 +87,16 @@
 
 func (t *topic[T]) inBackground() bool { return t.background }
 
-// listAndWatch implements anyTopic. It starts at the revision of the topic, or with a
-// list if that is 0.
+func (t *topic[T]) position() storewatch.Position { return t.at }
+
+func (t *topic[T]) publishAll(now time.Time) {
+	t.publish(storewatch.Batch[T]{Position: t.at, Items: t.listedItems(now)}, true)
+}
+
+// listAndWatch implements anyTopic. It starts at the position of the topic, or with a
+// list if there is none.
 func (t *topic[T]) listAndWatch(ctx context.Context) {
-	if after, ok := t.knownRevision(ctx); ok {
+	if after, ok := t.knownPosition(ctx); ok {
 		storewatch.ListAndWatch(ctx, t.source, t.controller.storeBreaker, after, t.maxWatchWait, topicSink[T]{ctx: ctx, topic: t})
 	}
 }
@@ -78,67 +108,142 @@
 
 // check implements anyTopic.
 func (t *topic[T]) check(ctx context.Context) bool {
-	after, ok := t.knownRevision(ctx)
+	after, ok := t.knownPosition(ctx)
 	if !ok {
 		return false
 	}
-	if after == 0 {
+	if after.Revision == 0 {
 		return t.listOnce(ctx) == nil
 	}
 	return storewatch.Check(ctx, t.source, t.controller.storeBreaker, after, topicSink[T]{ctx: ctx, topic: t})
 }
 
-// knownRevision returns the revision of the topic, or false if ctx has ended.
-func (t *topic[T]) knownRevision(ctx context.Context) (int64, bool) {
-	revision := make(chan int64, 1)
-	t.controller.post(ctx, func(time.Time) bool { revision <- t.revision; return false })
-	select {
-	case after := <-revision:
-		return after, true
-	case <-ctx.Done():
-		return 0, false
-	}
+// knownPosition returns the position of the topic, or false if ctx has ended.
+func (t *topic[T]) knownPosition(ctx context.Context) (storewatch.Position, bool) {
+	return askState(ctx, t.controller, func(*state) storewatch.Position { return t.at })
 }
 
 // update applies a batch of objects, and with full set removes all others. It
-// skips what is older than the topic's revision, so that a source that lags
+// skips what is older than the topic's position, so that a source that lags
 // behind changes nothing. It reports whether the view changes.
+//
+// What a newer era says replaces what an older one said, whatever the revisions: the
+// store has lost the changes after its copy and gives their revisions out again. Only a
+// complete list can start an era.
 func (t *topic[T]) update(now time.Time, batch storewatch.Batch[T], full bool) bool {
-	if batch.Revision < t.revision && full {
+	if batch.Era == 0 {
+		batch.Era = t.at.Era // a VM of an older version does not know eras
+	}
+	newEra := batch.Era > t.at.Era && t.at.Revision > 0
+	switch {
+	case batch.Era < t.at.Era, batch.Era == t.at.Era && full && batch.Revision < t.at.Revision:
 		t.logIgnored("list of objects ignored: older than the known state", batch, len(batch.Items))
 		return false
+	case newEra && !full:
+		t.logIgnored("changes ignored: the objects of their era were not listed", batch, len(batch.Items))
+		return false
+	}
+	var known []storewatch.Item[T]
+	if newEra {
+		known = t.currentItems(now)
+		t.controller.log.WithFields(logrus.Fields{"kind": t.name, "era": batch.Era, "before": t.at.Era, "revision": batch.Revision, "known_revision": t.at.Revision}).Warn("store has come back from an older copy")
+		t.at = storewatch.Position{}
+	}
+	if batch.Era > t.at.Era && t.startEra != nil {
+		t.startEra(now, batch.Era)
+	}
+	changed := t.applyItems(now, batch, full)
+	if newEra {
+		t.keepUnlisted(now, known, batch)
+	}
+	if full {
+		if t.removeAbsent != nil {
+			changed = t.removeAbsent(now, t.listedOrKept(batch)) || changed
+		}
+		t.controller.log.WithFields(logrus.Fields{"kind": t.name, "objects": len(batch.Items), "era": batch.Era, "revision": batch.Revision, "before": t.at.Revision}).Info("complete list of objects applied")
 	}
+	t.at = storewatch.Position{Era: batch.Era, Revision: max(t.at.Revision, batch.Revision)}
+	t.verifiedAt = now
+	t.controller.snapshots = nil
+	t.publish(batch, full || t.single)
+	return changed
+}
+
+// applyItems applies the objects of a batch that are newer than the known ones. It
+// reports whether the view changes.
+func (t *topic[T]) applyItems(now time.Time, batch storewatch.Batch[T], full bool) bool {
 	changed := false
 	ignored := 0
-	listed := map[string]bool{}
 	for _, item := range batch.Items {
-		listed[item.Name] = true
-		if !full && item.Revision > 0 && item.Revision <= t.revision {
+		if !full && item.Revision > 0 && item.Revision <= t.at.Revision {
 			ignored++
 			continue
 		}
 		if item.Err != nil {
 			t.controller.log.WithFields(logrus.Fields{"kind": t.name, "name": item.Name, "revision": item.Revision, "error": item.Err}).Warn("object cannot be decoded")
 		}
+		delete(t.unlisted, item.Name)
 		changed = t.apply(now, item) || changed
 	}
-	if full {
-		changed = t.removeAbsent(now, listed) || changed
-		t.controller.log.WithFields(logrus.Fields{"kind": t.name, "objects": len(batch.Items), "revision": batch.Revision, "before": t.revision}).Info("complete list of objects applied")
-	}
 	if ignored > 0 {
 		t.logIgnored("changes ignored: older than the known state", batch, ignored)
 	}
-	t.revision = max(t.revision, batch.Revision)
-	t.verifiedAt = now
-	t.controller.snapshots = nil
-	t.publish(batch, full)
 	return changed
 }
 
+// keepUnlisted keeps the known objects that the first list of an era lacks.
+func (t *topic[T]) keepUnlisted(now time.Time, known []storewatch.Item[T], batch storewatch.Batch[T]) {
+	listed := namesOf(batch.Items)
+	lost := slices.DeleteFunc(known, func(item storewatch.Item[T]) bool { return listed[item.Name] })
+	if t.removeAbsent != nil {
+		t.unlisted, t.unlistedUntil = namesOf(lost), now.Add(discovery.ReregistrationGracePeriod)
+	}
+	if len(lost) > 0 && t.lost != nil {
+		t.lost(now, lost)
+	}
+}
+
+// listedOrKept returns the names of the objects of a list and of those that are kept
+// though it lacks them.
+func (t *topic[T]) listedOrKept(batch storewatch.Batch[T]) map[string]bool {
+	names := namesOf(batch.Items)
+	for name := range t.unlisted {
+		names[name] = true
+	}
+	return names
+}
+
+// removeUnlisted implements anyTopic.
+func (t *topic[T]) removeUnlisted(now time.Time) bool {
+	if len(t.unlisted) == 0 || now.Before(t.unlistedUntil) {
+		return false
+	}
+	listed := t.listedItems(now)
+	t.controller.log.WithFields(logrus.Fields{"kind": t.name, "objects": len(t.unlisted), "era": t.at.Era}).Info("objects were not written again in the new era: removed")
+	clear(t.unlisted)
+	t.controller.snapshots = nil
+	return t.removeAbsent(now, namesOf(listed))
+}
+
+// listedItems returns the known objects without those that are only kept: a VM that
+// learned of them from this one would believe that the store has them.
+func (t *topic[T]) listedItems(now time.Time) []storewatch.Item[T] {
+	return slices.DeleteFunc(t.currentItems(now), func(item storewatch.Item[T]) bool { return t.unlisted[item.Name] })
+}
+
+func namesOf[T any](items []storewatch.Item[T]) map[string]bool {
+	names := make(map[string]bool, len(items))
+	for _, item := range items {
+		names[item.Name] = true
+	}
+	return names
+}
+
 // logIgnored logs that objects are not applied.
 func (t *topic[T]) logIgnored(message string, batch storewatch.Batch[T], objects int) {
-	t.controller.log.WithFields(logrus.Fields{"kind": t.name, "objects": objects, "era": batch.Era, "revision": batch.Revision, "known_revision": t.revision}).Info(message)
+	t.controller.log.WithFields(logrus.Fields{
+		"kind": t.name, "objects": objects, "era": batch.Era, "revision": batch.Revision, "known_era": t.at.Era, "known_revision": t.at.Revision,
+	}).Info(message)
 }
 
 // publish sends a change to the subscribers of this VM's feed.
@@ -156,7 +261,11 @@
 
 // snapshot returns all objects for a new subscriber.
 func (t *topic[T]) snapshot(now time.Time) (wire.FeedTopic, error) {
-	return encodeTopic(t.name, storewatch.Batch[T]{Items: t.currentItems(now), Revision: t.revision}, true)
+	at := t.at
+	if t.snapshotAt != nil {
+		at = t.snapshotAt()
+	}
+	return encodeTopic(t.name, storewatch.Batch[T]{Items: t.listedItems(now), Position: at}, true)
 }
 
 // applyFeed applies objects that another VM has sent.
@@ -164,7 +273,7 @@
 	if in.Full && in.Revision == 0 {
 		return false // the other VM has not listed the objects yet
 	}
-	batch := storewatch.Batch[T]{Revision: in.Revision}
+	batch := storewatch.Batch[T]{Position: storewatch.Position{Era: in.Era, Revision: in.Revision}}
 	for _, i := range in.Items {
 		item := storewatch.Item[T]{Name: i.Name, Revision: i.Revision, Deleted: i.Gone}
 		if !i.Gone {
@@ -180,7 +289,7 @@
 // encodeTopic encodes a batch for a feed. An object that could not be decoded is
 // sent as deleted.
 func encodeTopic[T any](name string, batch storewatch.Batch[T], full bool) (wire.FeedTopic, error) {
-	out := wire.FeedTopic{Name: name, Full: full, Revision: batch.Revision}
+	out := wire.FeedTopic{Name: name, Full: full, Era: batch.Era, Revision: batch.Revision}
 	for _, item := range batch.Items {
 		i := wire.FeedItem{Name: item.Name, Revision: item.Revision, Gone: item.Deleted || item.Err != nil}
 		if !i.Gone {
@@ -218,13 +327,17 @@
 }
 
 // Synced implements storewatch.Sink.
-func (s topicSink[T]) Synced(revision int64) {
+func (s topicSink[T]) Synced(at storewatch.Position) {
 	s.topic.controller.post(s.ctx, func(now time.Time) bool {
-		if revision > s.topic.revision {
-			s.topic.revision, s.topic.controller.snapshots = revision, nil
+		t := s.topic
+		if at.Era != t.at.Era {
+			return false // a feed has brought a newer era meanwhile
+		}
+		if at.Revision > t.at.Revision {
+			t.at.Revision, t.controller.snapshots = at.Revision, nil
 		}
-		s.topic.verifiedAt = now
-		s.topic.controller.storeCallSucceeded(now, s.topic.name)
+		t.verifiedAt = now
+		t.controller.storeCallSucceeded(now, t.name)
 		return false
 	})
 }
--- a/pkg/edge/topics.go
+++ b/pkg/edge/topics.go
@@ -37,11 +37,13 @@
 	return []anyTopic{
 		&topic[*routes.Table]{
 			name: topicConfig, controller: c, source: store.Configs(), maxWatchWait: urgentWatchWait, urgent: true,
-			apply: c.applyConfig, removeAbsent: ignoreAbsent, currentItems: c.currentConfig,
+			apply: c.applyConfig, currentItems: c.currentConfig,
+			startEra: c.startConfigEra, snapshotAt: c.configPosition, single: true,
 		},
 		&topic[discovery.Replica]{
 			name: topicReplicas, controller: c, source: store.Replicas(), maxWatchWait: urgentWatchWait, urgent: true,
 			apply: c.applyReplica, removeAbsent: c.removeAbsentReplicas, currentItems: c.currentReplicas,
+			startEra: func(now time.Time, _ int64) { c.state.registry.StartEra() },
 		},
 		&topic[string]{
 			name: topicOutOfService, controller: c, source: store.OutOfServiceDomains(), maxWatchWait: defaultWatchWait,
@@ -49,11 +51,11 @@
 		},
 		&topic[discovery.VM]{
 			name: topicVMs, controller: c, source: store.VMs(), maxWatchWait: longWatchWait,
-			apply: c.applyVM, removeAbsent: c.removeAbsentVMs, currentItems: c.currentVMs,
+			apply: c.applyVM, removeAbsent: c.removeAbsentVMs, currentItems: c.currentVMs, lost: c.registerLostVM,
 		},
 		&topic[discovery.Crash]{
 			name: topicCrashes, controller: c, source: store.Crashes(), maxWatchWait: defaultWatchWait, background: true,
-			apply: c.applyCrash, removeAbsent: ignoreAbsent, currentItems: c.currentCrashes,
+			apply: c.applyCrash, currentItems: c.currentCrashes,
 		},
 		&topic[discovery.RequestLimit]{
 			name: topicLimits, controller: c, source: store.RequestLimits(), maxWatchWait: longWatchWait, background: true,
@@ -68,28 +70,59 @@
 	return c.topics[i]
 }
 
-// ignoreAbsent keeps objects that a complete list does not name: the
-// configuration is never removed, and crash reports expire.
-func ignoreAbsent(time.Time, map[string]bool) bool { return false }
-
-// applyConfig replaces the configuration if the object holds a higher version.
-func (c *controller) applyConfig(_ time.Time, item storewatch.Item[*routes.Table]) bool {
-	if item.Deleted || item.Err != nil || !c.state.setTable(item.Value) {
+// applyConfig replaces the configuration if the object holds a higher version. In a
+// new era of the store, a lower one is the older copy's, and is not in force unless the
+// operators leave it there.
+func (c *controller) applyConfig(now time.Time, item storewatch.Item[*routes.Table]) bool {
+	if item.Deleted || item.Err != nil {
 		return false
 	}
-	c.state.tableRevision = item.Revision
+	taken := c.state.configs.offer(now, configEntry{table: item.Value, at: storewatch.Position{Era: c.state.configEra, Revision: item.Revision}})
+	if taken {
+		c.logConfig("configuration applied")
+	} else if c.state.configs.restored != nil && c.state.configs.restored.table == item.Value {
+		c.log.WithFields(logrus.Fields{"version": item.Value.Version, "known_version": c.state.configs.current.table.Version, "era": c.state.configEra}).Warn("restored configuration is older than the known one: waiting for the operators")
+	}
+	return taken
+}
+
+func (c *controller) logConfig(message string) {
+	e := c.state.configs.current
 	c.log.WithFields(logrus.Fields{
-		"version": item.Value.Version, "revision": item.Revision, "routes": len(item.Value.Routes), "services": len(item.Value.Services),
-	}).Info("configuration applied")
+		"version": e.table.Version, "era": e.at.Era, "revision": e.at.Revision, "routes": len(e.table.Routes), "services": len(e.table.Services),
+	}).Info(message)
+}
+
+// startConfigEra records the era of the configurations that follow.
+func (c *controller) startConfigEra(_ time.Time, era int64) { c.state.configEra = era }
+
+// configPosition returns the position of the configuration in force.
+func (c *controller) configPosition() storewatch.Position {
+	if c.state.configs.restored != nil {
+		return c.state.configs.current.at
+	}
+	return c.topic(topicConfig).position()
+}
+
+// takeRestoredConfig applies the older configuration of a restored store if operators
+// have left it there. It reports whether the view changes.
+func (c *controller) takeRestoredConfig(now time.Time) bool {
+	if !c.state.configs.takeRestored(now) {
+		return false
+	}
+	c.logConfig("older configuration of the restored store applied: it was not written again")
+	c.snapshots = nil
+	c.topic(topicConfig).publishAll(now)
 	return true
 }
 
 // currentConfig returns the current configuration as one object.
 func (c *controller) currentConfig(time.Time) []storewatch.Item[*routes.Table] {
-	if c.state.table == nil {
+	e := c.state.configs.current
+	if e == nil {
 		return nil
 	}
-	return []storewatch.Item[*routes.Table]{{Name: topicConfig, Revision: c.state.tableRevision, Value: c.state.table}}
+	return []storewatch.Item[*routes.Table]{{Name: topicConfig, Revision: e.at.Revision, Value: e.table}}
 }
 
 // applyReplica adds, changes or removes a replica. An entry that cannot be
@@ -198,6 +231,16 @@
 	return changed
 }
 
+// registerLostVM makes this VM register again if the store has lost its entry. The
+// entries of the others are kept until they had time to do so.
+func (c *controller) registerLostVM(_ time.Time, lost []storewatch.Item[discovery.VM]) {
+	for _, item := range lost {
+		if item.Name == c.state.settings.VM {
+			c.removeVM(item.Name)
+		}
+	}
+}
+
 // removeVM removes a VM whose entry was deleted. If the entry is that of this
 // VM, which still runs, it makes the VM register again.
 func (c *controller) removeVM(name string) {
--- a/pkg/edge/updatesource.go
+++ b/pkg/edge/updatesource.go
@@ -188,6 +188,11 @@
 			s.log.WithFields(logrus.Fields{"vm": vm.Name, "error": err}).Info("subscribing to the feed of a VM failed")
 			continue
 		}
+		if s.isOlderEra(ctx, all) {
+			s.log.WithField("vm", vm.Name).Info("feed of a VM not used: it does not know that the store has come back from an older copy")
+			subscription.Close()
+			continue
+		}
 		s.confirmedAt = subscription.VerifiedAt()
 		s.log.WithField("vm", vm.Name).Info("subscribed to the feed of a VM")
 		s.controller.post(ctx, func(now time.Time) bool { return s.controller.applyFeed(now, all) })
@@ -196,6 +201,23 @@
 	return nil
 }
 
+// isOlderEra reports whether the state of another VM is of an older era of the store
+// than this VM knows.
+func (s *updateSource) isOlderEra(ctx context.Context, all []wire.FeedTopic) bool {
+	var newest int64
+	for _, t := range all {
+		newest = max(newest, t.Era)
+	}
+	known, _ := askState(ctx, s.controller, func(*state) int64 {
+		var known int64
+		for _, t := range s.controller.topics {
+			known = max(known, t.position().Era)
+		}
+		return known
+	})
+	return newest > 0 && newest < known // 0: a VM of an older version, which does not know eras
+}
+
 // consume applies the updates of a feed until it ends.
 func (s *updateSource) consume(ctx context.Context, subscription *feed.Subscription) {
 	defer subscription.Close()
--- a/pkg/edge/updatesource_test.go
+++ b/pkg/edge/updatesource_test.go
@@ -61,7 +61,7 @@
 		source.vms(ctx) // returns after what was posted before it
 		cancel()
 		assert.NilError(t, <-ended)
-		assert.Equal(t, starting.state.table.Version, uint64(2))
+		assert.Equal(t, starting.state.table().Version, uint64(2))
 		assert.Equal(t, usableReplicas(starting), 1)
 	}
 }
--- a/pkg/edge/vmcleaner_test.go
+++ b/pkg/edge/vmcleaner_test.go
@@ -81,7 +81,7 @@
 func TestRemovalOfOwnEntryIsNoticed(t *testing.T) {
 	c := newTestController(t)
 	item := func(name string, revision int64, deleted bool) storewatch.Batch[discovery.VM] {
-		return storewatch.Batch[discovery.VM]{Revision: revision, Items: []storewatch.Item[discovery.VM]{{Name: name, Revision: revision, Value: testVM(name), Deleted: deleted}}}
+		return storewatch.Batch[discovery.VM]{Position: storewatch.Position{Revision: revision}, Items: []storewatch.Item[discovery.VM]{{Name: name, Revision: revision, Value: testVM(name), Deleted: deleted}}}
 	}
 	vmTopic(c).update(start, item("vm1", 5, false), false)
 	vmTopic(c).update(start, item("vm2", 6, false), false)
--- a/pkg/storewatch/breaker.go
+++ b/pkg/storewatch/breaker.go
@@ -16,10 +16,23 @@
 	probing bool
 	// recheck is closed to make waiting calls read open and probing again.
 	recheck chan struct{}
+	// era is the newest era that a call has shown.
+	era int64
+	// waiting holds the watch calls that end when a newer era is shown: a call to the
+	// store of before may wait for changes that will never come.
+	waiting map[*waitingCall]bool
+}
+
+// waitingCall is a watch call after a position of an era.
+type waitingCall struct {
+	era    int64
+	cancel context.CancelFunc
 }
 
 // NewBreaker returns a closed breaker, which lets all calls pass.
-func NewBreaker() *Breaker { return &Breaker{recheck: make(chan struct{})} }
+func NewBreaker() *Breaker {
+	return &Breaker{recheck: make(chan struct{}), waiting: map[*waitingCall]bool{}}
+}
 
 // acquire waits until a call may be made. If probe is true, the call checks
 // whether the store answers again and should be short, because the other calls
@@ -64,3 +77,38 @@
 		b.recheck = make(chan struct{})
 	}
 }
+
+// observeEra records the era that a call has shown. If it is newer than any before, the
+// watch calls of older ones end.
+func (b *Breaker) observeEra(era int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if era <= b.era {
+		return
+	}
+	b.era = era
+	for call := range b.waiting {
+		if call.era < era {
+			call.cancel()
+		}
+	}
+}
+
+// untilNewerEra returns a context that ends with ctx, or when a call has shown a newer
+// era. It must be released.
+func (b *Breaker) untilNewerEra(ctx context.Context, era int64) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	call := &waitingCall{era: era, cancel: cancel}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.waiting[call] = true
+	if b.era > era {
+		cancel()
+	}
+	return ctx, func() {
+		cancel()
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		delete(b.waiting, call)
+	}
+}
--- a/pkg/storewatch/storewatch.go
+++ b/pkg/storewatch/storewatch.go
@@ -36,13 +36,18 @@
 	Err error
 }
 
-// Batch is a set of objects as of one revision of the store.
-type Batch[T any] struct {
-	Items    []Item[T]
-	Revision int64
+// Position is a point in the history of the store.
+type Position struct {
 	// Era rises each time the store comes back from an older copy of itself. Revisions
 	// of different eras cannot be compared: the store counts on from that of the copy.
-	Era int64
+	Era      int64
+	Revision int64
+}
+
+// Batch is a set of objects as of one position of the store.
+type Batch[T any] struct {
+	Position
+	Items []Item[T]
 }
 
 // Source reads the objects of one kind. Its errors carry an *errs.Refusal,
@@ -65,20 +70,20 @@
 	Changed(Batch[T])
 	// Failed gets the error of a call to the store.
 	Failed(error)
-	// Synced gets the revision up to which all changes have been passed on.
-	Synced(revision int64)
+	// Synced gets the position up to which all changes have been passed on.
+	Synced(Position)
 }
 
 // ListAndWatch passes all objects of the kind to the sink, and then every
-// change, until ctx ends. If after is not 0, the caller already knows all
-// changes up to that revision, and the first call watches for later ones. It returns
+// change, until ctx ends. If the revision of after is not 0, the caller already knows
+// all changes up to that position, and the first call watches for later ones. It returns
 // soon, because what the caller knows may not have been confirmed for a while. No
 // watch call waits longer than maxWait: when a store loses its history, a waiting
 // call may never get the changes before the loss, and only the next call reports
-// the gap.
-func ListAndWatch[T any](ctx context.Context, source Source[T], breaker *Breaker, after int64, maxWait time.Duration, sink Sink[T]) {
+// the gap. When the store is in another era, all objects are listed again.
+func ListAndWatch[T any](ctx context.Context, source Source[T], breaker *Breaker, after Position, maxWait time.Duration, sink Sink[T]) {
 	w := watcher[T]{source: source, breaker: breaker, sink: sink, maxWait: maxWait, retryPause: minRetryPause}
-	if after > 0 {
+	if after.Revision > 0 {
 		w.confirmSoon = true
 		w.watch(ctx, after)
 	}
@@ -103,13 +108,13 @@
 }
 
 // Check makes one call that waits for nothing, and passes what has changed after a
-// revision to the sink. It reports whether the store answered; a store without the
-// changes since the revision did.
-func Check[T any](ctx context.Context, source Source[T], breaker *Breaker, after int64, sink Sink[T]) bool {
+// position to the sink. It reports whether the store answered; a store that is in
+// another era, or without the changes since the revision, did.
+func Check[T any](ctx context.Context, source Source[T], breaker *Breaker, after Position, sink Sink[T]) bool {
 	w := watcher[T]{source: source, breaker: breaker, sink: sink}
 	var batch Batch[T]
 	err := w.call(ctx, func(bool) (err error) {
-		batch, err = source.Watch(ctx, after, maxProbeWait)
+		batch, err = w.watchOnce(ctx, after, maxProbeWait)
 		return err
 	})
 	switch {
@@ -124,7 +129,7 @@
 	if len(batch.Items) > 0 {
 		sink.Changed(batch)
 	}
-	sink.Synced(max(after, batch.Revision))
+	sink.Synced(Position{after.Era, max(after.Revision, batch.Revision)})
 	return true
 }
 
@@ -140,24 +145,44 @@
 	confirmSoon bool
 }
 
-// list passes all objects to the sink and returns their revision.
-func (w *watcher[T]) list(ctx context.Context) (int64, error) {
+// list passes all objects to the sink and returns their position.
+func (w *watcher[T]) list(ctx context.Context) (Position, error) {
 	var batch Batch[T]
 	err := w.call(ctx, func(bool) (err error) {
 		batch, err = w.source.List(ctx)
 		return err
 	})
 	if err != nil {
-		return 0, err
+		return Position{}, err
 	}
+	w.breaker.observeEra(batch.Era)
 	w.sink.Listed(batch)
-	w.synced(batch.Revision)
-	return batch.Revision, nil
+	w.synced(batch.Position)
+	return batch.Position, nil
+}
+
+// watchOnce makes one watch call. It fails with errs.PlatformWatchGap if the store is
+// in another era: it may have passed the known revision in its new history, of which
+// the changes up to that revision are not known.
+func (w *watcher[T]) watchOnce(ctx context.Context, after Position, maxWait time.Duration) (Batch[T], error) {
+	callCtx, release := w.breaker.untilNewerEra(ctx, after.Era)
+	defer release()
+	batch, err := w.source.Watch(callCtx, after.Revision, maxWait)
+	switch {
+	case err != nil && ctx.Err() == nil && callCtx.Err() != nil:
+		return Batch[T]{}, errs.Refuse(errs.PlatformWatchGap, "another call has shown a newer era than %d", after.Era)
+	case err != nil:
+		return Batch[T]{}, err
+	case batch.Era != after.Era:
+		w.breaker.observeEra(batch.Era)
+		return Batch[T]{}, errs.Refuse(errs.PlatformWatchGap, "the store is in era %d, after %d", batch.Era, after.Era)
+	}
+	return batch, nil
 }
 
 // watch passes changes to the sink until the store no longer has the changes
-// after the last revision, or ctx ends.
-func (w *watcher[T]) watch(ctx context.Context, after int64) {
+// after the last position, or ctx ends.
+func (w *watcher[T]) watch(ctx context.Context, after Position) {
 	for ctx.Err() == nil {
 		var batch Batch[T]
 		err := w.call(ctx, func(probe bool) (err error) {
@@ -165,7 +190,7 @@
 			if probe || w.confirmSoon {
 				maxWait = min(maxWait, maxProbeWait)
 			}
-			batch, err = w.source.Watch(ctx, after, maxWait)
+			batch, err = w.watchOnce(ctx, after, maxWait)
 			return err
 		})
 		switch {
@@ -175,7 +200,7 @@
 		case err != nil:
 			w.failed(ctx, err)
 		default:
-			after = max(after, batch.Revision)
+			after.Revision = max(after.Revision, batch.Revision)
 			if len(batch.Items) > 0 {
 				w.sink.Changed(batch)
 			}
@@ -201,10 +226,10 @@
 }
 
 // synced reports a successful call.
-func (w *watcher[T]) synced(revision int64) {
+func (w *watcher[T]) synced(at Position) {
 	w.confirmSoon = false
 	w.retryPause = minRetryPause
-	w.sink.Synced(revision)
+	w.sink.Synced(at)
 }
 
 // failed reports err to the sink and waits before the next call. The pause is
--- a/pkg/storewatch/storewatch_test.go
+++ b/pkg/storewatch/storewatch_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/wait"
 )
 
 // scriptedSource answers the calls to the store from a list of steps, and stops
@@ -49,10 +50,10 @@
 	r.lines = append(r.lines, fmt.Sprint("changed ", b.Revision))
 }
 func (r *recordingSink) Failed(err error) { r.lines = append(r.lines, string(errs.As(err).Code)) }
-func (r *recordingSink) Synced(int64)     {}
+func (r *recordingSink) Synced(Position) {}
 
 func batch(revision int64, names ...string) func() (Batch[string], error) {
-	b := Batch[string]{Revision: revision}
+	b := Batch[string]{Position: Position{Revision: revision}}
 	for _, n := range names {
 		b.Items = append(b.Items, Item[string]{Name: n})
 	}
@@ -73,7 +74,7 @@
 			batch(12, "c"), refusal(errs.PlatformWatchGap), batch(20), batch(21, "d"),
 		}}
 		sink := &recordingSink{}
-		ListAndWatch(ctx, source, NewBreaker(), 0, 2*time.Second, sink)
+		ListAndWatch(ctx, source, NewBreaker(), Position{Revision: 0}, 2*time.Second, sink)
 		assert.DeepEqual(t, source.calls, []string{
 			"list", "list", "watch 5", "watch 7", "watch 9", "watch 9", "watch 12", "list", "watch 20", "watch 21",
 		})
@@ -93,7 +94,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		source := &scriptedSource{stop: stop, steps: []func() (Batch[string], error){batch(5), batch(5), batch(5)}}
-		ListAndWatch(ctx, source, NewBreaker(), 5, 2*time.Second, &recordingSink{})
+		ListAndWatch(ctx, source, NewBreaker(), Position{Revision: 5}, 2*time.Second, &recordingSink{})
 		assert.DeepEqual(t, source.calls[:3], []string{"watch 5", "watch 5", "watch 5"})
 		assert.DeepEqual(t, source.maxWaits[:3], []time.Duration{maxProbeWait, 2 * time.Second, 2 * time.Second})
 	})
@@ -108,13 +109,13 @@
 		breaker := NewBreaker()
 		source := &scriptedSource{stop: stop, steps: []func() (Batch[string], error){
 			batch(5), batch(5), refusal(errs.PlatformDown),
-			func() (Batch[string], error) { return Batch[string]{Revision: 5}, nil }, batch(5),
+			func() (Batch[string], error) { return Batch[string]{Position: Position{Revision: 5}}, nil }, batch(5),
 		}}
 		go func() {
 			time.Sleep(20 * time.Millisecond) // another topic's call succeeds first
 			breaker.release(false, false, false)
 		}()
-		ListAndWatch(ctx, source, breaker, 5, 20*time.Second, &recordingSink{})
+		ListAndWatch(ctx, source, breaker, Position{Revision: 5}, 20*time.Second, &recordingSink{})
 		assert.DeepEqual(t, source.maxWaits[:5], []time.Duration{maxProbeWait, 20 * time.Second, 20 * time.Second, maxProbeWait, 20 * time.Second})
 	})
 }
@@ -144,3 +145,69 @@
 		assert.Assert(t, !<-acquired)
 	})
 }
+
+// Guards against a watch that goes on in the history of another era and misses the
+// changes up to the revision that is known from the era before.
+func TestAnotherEraIsListedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		inEra := func(era, revision int64, names ...string) func() (Batch[string], error) {
+			return func() (Batch[string], error) {
+				b, err := batch(revision, names...)()
+				b.Era = era
+				return b, err
+			}
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		source := &scriptedSource{stop: stop, steps: []func() (Batch[string], error){
+			inEra(1, 5), inEra(1, 6, "a"), inEra(2, 9, "b"), inEra(2, 9), inEra(2, 10, "c"),
+		}}
+		sink := &recordingSink{}
+		ListAndWatch(ctx, source, NewBreaker(), Position{}, 2*time.Second, sink)
+		assert.DeepEqual(t, source.calls, []string{"list", "watch 5", "watch 6", "list", "watch 9", "watch 10"})
+		assert.DeepEqual(t, sink.lines, []string{"listed 5", "changed 6", "platform_watch_gap", "listed 9", "changed 10"})
+
+		ctx, stop = context.WithCancel(t.Context())
+		source = &scriptedSource{stop: stop, steps: []func() (Batch[string], error){inEra(2, 9, "b")}}
+		sink = &recordingSink{}
+		assert.Assert(t, Check(ctx, source, NewBreaker(), Position{Era: 1, Revision: 6}, sink), "the store has answered")
+		assert.Equal(t, len(sink.lines), 0)
+	})
+}
+
+// blockingSource waits in each watch call for the longest time.
+type blockingSource struct{ lists int }
+
+func (s *blockingSource) List(context.Context) (Batch[string], error) {
+	s.lists++
+	return Batch[string]{Position: Position{Era: int64(s.lists), Revision: 5}}, nil
+}
+
+func (s *blockingSource) Watch(ctx context.Context, _ int64, maxWait time.Duration) (Batch[string], error) {
+	wait.Sleep(ctx, maxWait)
+	return Batch[string]{Position: Position{Era: int64(s.lists), Revision: 5}}, ctx.Err()
+}
+
+// Guards against a kind with long watch calls that learns of a new era only when its
+// call ends, long after another kind has.
+func TestNewerEraEndsWaitingWatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		breaker, source, sink := NewBreaker(), &blockingSource{}, &recordingSink{}
+		ended := make(chan struct{})
+		go func() {
+			ListAndWatch(ctx, source, breaker, Position{}, 20*time.Second, sink)
+			close(ended)
+		}()
+		time.Sleep(time.Second)
+		assert.Equal(t, source.lists, 1)
+		breaker.observeEra(1)
+		time.Sleep(time.Second)
+		assert.Equal(t, source.lists, 1)
+		breaker.observeEra(2)
+		time.Sleep(time.Millisecond)
+		assert.Equal(t, source.lists, 2)
+		stop()
+		<-ended
+		assert.DeepEqual(t, sink.lines, []string{"listed 5", "platform_watch_gap", "listed 5"})
+	})
+}
--- a/pkg/wire/feed.go
+++ b/pkg/wire/feed.go
@@ -30,9 +30,12 @@
 	Name string `msgpack:"name"`
 	// Full is set if Items lists every object of the kind, so that any other
 	// object does not exist.
-	Full     bool       `msgpack:"full"`
-	Revision int64      `msgpack:"revision"`
-	Items    []FeedItem `msgpack:"items"`
+	Full     bool  `msgpack:"full"`
+	Revision int64 `msgpack:"revision"`
+	// Era is the era of the store that gave the revision. VMs of older versions do not
+	// send it.
+	Era   int64      `msgpack:"era"`
+	Items []FeedItem `msgpack:"items"`
 }
 
 // FeedItem is the state of one object.
