discovery: do not use replicas that have left because a restored store lists them

A copy of the store from before a replica drained or left holds its entry as ready. Once the VMs take over the lists of a new era, they would send requests to it again until it has written its entry once more, or the store has noticed its silence: seconds after its drain timeout.

VMs remember for a minute which processes of replicas have left. For 5 s after the start of an era a ready entry of a process that is known to drain or to have left is withheld; an entry that is still there then counts. An entry of the copy also no longer removes a newer holder of its address.

TestReplicasThatHaveLeftStayUnusedAfterARestore fails without this: the draining replica gets requests within a second of the return.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -16,6 +16,17 @@
 // are for the delivery of the event.
 const ReregistrationGracePeriod = 2200 * time.Millisecond
 
+const (
+	// restoredEntryDoubt is how long, after the store has come back from an older copy,
+	// a ready entry does not count whose replica is known to have left or to drain. By
+	// then the replica has written its entry again, or the store has removed it after
+	// three silent heartbeat intervals of 1.2 s.
+	restoredEntryDoubt = 5 * time.Second
+	// maxDepartureAge is how long a replica that has left is remembered. The store's
+	// copies are some seconds old.
+	maxDepartureAge = time.Minute
+)
+
 // Replica is the entry that a replica writes to the store.
 type Replica struct {
 	ID      string
@@ -41,6 +52,9 @@
 	ColdUntil time.Time
 	// Revision is the version of the entry in the store.
 	Revision int64
+	// withheld is set while the entry comes from an older copy of the store and the
+	// replica is known to have left or to drain.
+	withheld bool
 	// missingSince is when the entry was found missing. It is zero unless the
 	// replica is kept although its entry is missing, because the store was
 	// unreachable when the entry lapsed.
@@ -65,11 +79,21 @@
 	// entries are missing are kept.
 	storeUnreachable bool
 	storeRecoveredAt time.Time
+	// departed holds the replicas that have left, by ID.
+	departed map[string]departure
+	// doubtUntil is when the restored entries of such replicas count again.
+	doubtUntil time.Time
+}
+
+// departure records that the process of a replica has left.
+type departure struct {
+	born int64
+	at   time.Time
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{members: map[string]*Member{}, outOfService: map[string]bool{}}
+	return &Registry{members: map[string]*Member{}, outOfService: map[string]bool{}, departed: map[string]departure{}}
 }
 
 // Put applies an entry with its revision in the store, and ignores it if it is older
@@ -79,29 +103,73 @@
 	if old != nil && (revision < old.Revision || entry.Born < old.Born) {
 		return false
 	}
-	m := &Member{Replica: entry, Revision: revision}
+	m := &Member{Replica: entry, Revision: revision, withheld: r.hasLeft(now, entry)}
 	if entry.WarmupLeft > 0 {
 		m.ColdUntil = now.Add(entry.WarmupLeft)
 	}
 	r.members[entry.ID] = m
-	r.removeFormerHolders(m)
+	if !m.withheld {
+		delete(r.departed, entry.ID)
+		r.removeFormerHolders(now, m)
+	}
 	return old == nil || old.Replica != entry || !old.missingSince.IsZero()
 }
 
+// hasLeft reports whether a ready entry, which may come from an older copy of the
+// store, is that of a replica that is known to have left or to drain.
+func (r *Registry) hasLeft(now time.Time, entry Replica) bool {
+	if entry.Draining || !now.Before(r.doubtUntil) {
+		return false
+	}
+	if old := r.members[entry.ID]; old != nil && old.Born == entry.Born && (old.Draining || old.withheld) {
+		return true
+	}
+	d, left := r.departed[entry.ID]
+	return left && d.born == entry.Born
+}
+
+// remove deletes a replica and remembers that it has left.
+func (r *Registry) remove(now time.Time, m *Member) {
+	delete(r.members, m.ID)
+	for id, d := range r.departed {
+		if now.Sub(d.at) > maxDepartureAge {
+			delete(r.departed, id)
+		}
+	}
+	r.departed[m.ID] = departure{born: m.Born, at: now}
+}
+
 // StartEra records that the store has come back from an older copy: the revisions of
-// the known entries say nothing any more.
-func (r *Registry) StartEra() {
+// the known entries say nothing any more, and entries may be those of replicas that
+// have left since the copy was made.
+func (r *Registry) StartEra(now time.Time) {
 	for _, m := range r.members {
 		m.Revision = 0
 	}
+	r.doubtUntil = now.Add(restoredEntryDoubt)
+}
+
+// EndDoubt makes the restored entries count that are still there when their time is
+// over. It reports whether the view changes.
+func (r *Registry) EndDoubt(now time.Time) bool {
+	if now.Before(r.doubtUntil) {
+		return false
+	}
+	changed := false
+	for _, m := range r.members {
+		if m.withheld {
+			m.withheld, changed = false, true
+		}
+	}
+	return changed
 }
 
 // removeFormerHolders removes the replicas with older entries for current's
 // address. An address belongs to one replica at a time.
-func (r *Registry) removeFormerHolders(current *Member) {
+func (r *Registry) removeFormerHolders(now time.Time, current *Member) {
 	for id, m := range r.members {
 		if id != current.ID && m.Addr == current.Addr && m.Revision < current.Revision {
-			delete(r.members, id)
+			r.remove(now, m)
 		}
 	}
 }
@@ -121,7 +189,7 @@
 		}
 		return false
 	}
-	delete(r.members, id)
+	r.remove(now, m)
 	return true
 }
 
@@ -160,9 +228,9 @@
 		return false
 	}
 	changed := false
-	for id, m := range r.members {
+	for _, m := range r.members {
 		if !m.missingSince.IsZero() {
-			delete(r.members, id)
+			r.remove(now, m)
 			changed = true
 		}
 	}
@@ -190,7 +258,7 @@
 func (r *Registry) View() *View {
 	v := &View{Services: map[string][]*Member{}, OutOfService: maps.Clone(r.outOfService)}
 	for _, m := range r.members {
-		if !m.Draining && !r.outOfService[m.Domain] {
+		if !m.Draining && !m.withheld && !r.outOfService[m.Domain] {
 			copied := *m
 			v.Services[m.Service] = append(v.Services[m.Service], &copied)
 		}
--- a/pkg/edge/restored_test.go
+++ b/pkg/edge/restored_test.go
@@ -103,6 +103,45 @@
 	})
 }
 
+// Guards against requests to a replica that has left, or drains, because the older copy
+// of the store holds its ready entry, and against replicas that are dropped because the
+// copy lacks them.
+func TestReplicasThatHaveLeftStayUnusedAfterARestore(t *testing.T) {
+	inVMFleet(t, 5, func(fleet *vmFleet) {
+		put := func(id string, draining bool) {
+			r := replicaItem(id, 0).Value
+			r.Draining = draining
+			fleet.store.put(memReplicas, id, r)
+		}
+		put("stays", false)
+		put("left", false)
+		put("drains", false)
+		put("dead", false)
+		older := fleet.store.copied()
+		put("joined", false)
+		fleet.store.put(memReplicas, "left", nil)
+		put("drains", true)
+		time.Sleep(configApplyTime)
+		check := func(d time.Duration) {
+			fleet.watch(d, func(s vmState) {
+				assert.DeepEqual(t, s.replicas, map[string]bool{"stays": true, "joined": true, "dead": true})
+			})
+		}
+		check(time.Second)
+		fleet.store.setDown(true)
+		check(2 * time.Second)
+		fleet.store.restore(older)
+		fleet.store.setDown(false)
+		check(time.Second)
+		put("joined", false) // the replicas write their entries again
+		put("drains", true)
+		check(storeUnstableTime)
+		fleet.store.put(memReplicas, "left", nil) // its entry lapses
+		fleet.store.put(memReplicas, "drains", nil)
+		check(5 * time.Second)
+	})
+}
+
 // Guards against requests to a failure domain that operators have taken out of service,
 // while the store has lost that, and against a domain that stays out when they do not
 // want it any more.
--- a/pkg/edge/topics.go
+++ b/pkg/edge/topics.go
@@ -43,7 +43,7 @@
 		&topic[discovery.Replica]{
 			name: topicReplicas, controller: c, source: store.Replicas(), maxWatchWait: urgentWatchWait, urgent: true,
 			apply: c.applyReplica, removeAbsent: c.removeAbsentReplicas, currentItems: c.currentReplicas,
-			startEra: func(now time.Time, _ int64) { c.state.registry.StartEra() },
+			startEra: func(now time.Time, _ int64) { c.state.registry.StartEra(now) },
 		},
 		&topic[string]{
 			name: topicOutOfService, controller: c, source: store.OutOfServiceDomains(), maxWatchWait: defaultWatchWait,
