edge: report crashes and request limits again that the store has lost

What the tier itself has written to the store since its copy is gone after a restore. Entries of VMs were written again; reports of requests that crash replicas and of request limits were not, so a VM that starts later, or all of them after a loss of power, would run such a request again or exceed a limit until its first answer.

After the first list of an era the coordinator writes the crash reports that it lacks, and VMs to which a replica still names its limit report it in the usual order. TestLostReportsAreWrittenAgainAfterARestore failed before.

--- a/pkg/edge/controller.go
+++ b/pkg/edge/controller.go
@@ -60,6 +60,10 @@
 	// snapshots caches the encoded objects of all topics for new subscribers. It
 	// is nil after a change.
 	snapshots []wire.FeedTopic
+	// onLostCrash and onLostLimit are called for reports that the store has lost. They
+	// may be nil.
+	onLostCrash func(discovery.Crash)
+	onLostLimit func(*forward.Upstream)
 	// status is the latest feed status, for use by other goroutines.
 	status atomic.Pointer[feed.Status]
 }
--- a/pkg/edge/crash.go
+++ b/pkg/edge/crash.go
@@ -54,11 +54,16 @@
 		crash := discovery.Crash{Fingerprint: s.Fingerprint, Attempt: s.RequestID, At: now}
 		r.controller.recordCrash(now, crash)
 		r.log.WithFields(logrus.Fields{"id": s.RequestID, "replica": u.Member.ID, "fingerprint": fmt.Sprintf("%016x", s.Fingerprint)}).Info("request was in flight when a replica crashed")
-		select {
-		case r.queue <- crash:
-		default:
-			r.log.WithField("id", s.RequestID).Warn("crash report dropped: queue is full")
-		}
+		r.enqueue(crash)
+	}
+}
+
+// enqueue queues a report for the store.
+func (r *crashReporter) enqueue(crash discovery.Crash) {
+	select {
+	case r.queue <- crash:
+	default:
+		r.log.WithField("id", crash.Attempt).Warn("crash report dropped: queue is full")
 	}
 }
 
@@ -144,6 +149,19 @@
 	return false
 }
 
+// reportLostCrashes reports the crashes again that the store has lost. Only the
+// coordinator does this.
+func (c *controller) reportLostCrashes(now time.Time, lost []storewatch.Item[discovery.Crash]) {
+	if c.onLostCrash == nil || !c.isCoordinator.Load() {
+		return
+	}
+	for _, item := range lost {
+		if now.Sub(item.Value.At) < crashReportTTL {
+			c.onLostCrash(item.Value)
+		}
+	}
+}
+
 // currentCrashes returns the reports in the store.
 func (c *controller) currentCrashes(time.Time) []storewatch.Item[discovery.Crash] {
 	var items []storewatch.Item[discovery.Crash]
--- a/pkg/edge/fleet_test.go
+++ b/pkg/edge/fleet_test.go
@@ -269,6 +269,7 @@
 	vm.limits = newLimitReporter(c, f.store, log)
 	vm.crashes = newCrashReporter(c, f.store, log)
 	c.prober.onRequestLimit = vm.limits.report
+	c.onLostCrash, c.onLostLimit = vm.crashes.enqueue, vm.limits.report
 	f.vms = append(f.vms, vm)
 	updates := &updateSource{self: vm.self(), seeds: func() []string { return nil }, controller: c, dial: f.dial, log: log}
 	go func() { _ = c.run(f.ctx) }() // ends with ctx
--- a/pkg/edge/limits.go
+++ b/pkg/edge/limits.go
@@ -108,7 +108,7 @@
 		attempts++
 		limit := u.Tracker.RequestLimit()
 		reported, ok := askState(ctx, r.controller, func(s *state) *discovery.RequestLimit {
-			if l, ok := s.limits[u.Member.ID]; ok && l.Born == u.Member.Born {
+			if l, ok := s.limits[u.Member.ID]; ok && l.Born == u.Member.Born && !s.lostLimits[u.Member.ID] {
 				return &l
 			}
 			return nil
@@ -182,6 +182,7 @@
 		c.withdrawLimit(now, item.Name)
 	case item.Err == nil:
 		c.state.limits[item.Name] = item.Value
+		delete(c.state.lostLimits, item.Name)
 		c.state.shareLimit(now, item.Value, replica.RequestLimit{PerSecond: item.Value.PerSecond, Named: true})
 	}
 	return false
@@ -190,6 +191,7 @@
 func (c *controller) withdrawLimit(now time.Time, id string) {
 	if reported, ok := c.state.limits[id]; ok {
 		delete(c.state.limits, id)
+		delete(c.state.lostLimits, id)
 		c.state.shareLimit(now, reported, replica.RequestLimit{})
 	}
 }
@@ -204,6 +206,22 @@
 	return false
 }
 
+// reportLostLimits reports the limits again that the store has lost and that the
+// replicas still name to this VM.
+func (c *controller) reportLostLimits(_ time.Time, lost []storewatch.Item[discovery.RequestLimit]) {
+	if c.onLostLimit == nil {
+		return
+	}
+	for _, item := range lost {
+		c.state.lostLimits[item.Name] = true
+		for k, u := range c.state.upstreams {
+			if k.id == item.Name && k.bornUnixMS == item.Value.Born && u.Tracker.RequestLimit().Named {
+				c.onLostLimit(u)
+			}
+		}
+	}
+}
+
 // currentLimits returns the reported limits.
 func (c *controller) currentLimits(time.Time) []storewatch.Item[discovery.RequestLimit] {
 	var items []storewatch.Item[discovery.RequestLimit]
--- a/pkg/edge/restored_test.go
+++ b/pkg/edge/restored_test.go
@@ -7,6 +7,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/nutmeghitch/nutmeghitch/pkg/discovery"
+	"github.com/nutmeghitch/nutmeghitch/pkg/forward"
+	"github.com/nutmeghitch/nutmeghitch/pkg/replica"
 	"github.com/nutmeghitch/nutmeghitch/pkg/storewatch"
 )
 
@@ -174,6 +177,41 @@
 	}
 }
 
+// Guards against reports that stay lost, so that a VM that starts later does not know
+// them.
+func TestLostReportsAreWrittenAgainAfterARestore(t *testing.T) {
+	inVMFleet(t, 5, func(fleet *vmFleet) {
+		fleet.store.put(memReplicas, "a", replicaItem("a", 0).Value)
+		older := fleet.store.copied()
+		time.Sleep(time.Second)
+		now := time.Now()
+		crash := discovery.Crash{Fingerprint: 7, Attempt: "x", At: now}
+		fleet.store.put(memCrashes, crashObjectName(crash), crash)
+		var named []*forward.Upstream
+		for _, vm := range fleet.vms {
+			vm.controller.isCoordinator.Store(vm == fleet.vms[0])
+			u, _ := askState(fleet.ctx, vm.controller, func(s *state) *forward.Upstream { return s.view(now).ReplicaSets["s"].Upstreams[0] })
+			named = append(named, u)
+		}
+		limit := replica.RequestLimit{PerSecond: 9, Named: true}
+		named[2].Tracker.RecordRequestLimit(now, now, limit)
+		fleet.vms[2].limits.report(named[2])
+		time.Sleep(4 * time.Second)
+		limits := func() int { return len(fleet.store.copied().objects[memLimits]) }
+		assert.Equal(t, limits(), 1)
+		fleet.store.setDown(true)
+		time.Sleep(2 * time.Second)
+		fleet.store.restore(older)
+		fleet.store.setDown(false)
+		time.Sleep(2 * storeUnstableTime)
+		assert.Equal(t, limits(), 1)
+		assert.Equal(t, len(fleet.store.copied().objects[memCrashes]), 1)
+		for i, u := range named {
+			assert.Equal(t, u.Tracker.RequestLimit(), limit, "VM %d", i)
+		}
+	})
+}
+
 // Guards against an older configuration of a restored store that is never taken though
 // operators leave it there, and against one that is taken while they write again.
 func TestOlderConfigurationIsTakenIfOperatorsLeaveIt(t *testing.T) {
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -71,8 +71,10 @@
 	// crashes holds the crash reports in the store by name.
 	crashes map[string]discovery.Crash
 	// limits holds the request limits in the store by the ID of the replica.
-	limits    map[string]discovery.RequestLimit
-	upstreams map[replicaKey]*forward.Upstream
+	limits map[string]discovery.RequestLimit
+	// lostLimits holds the IDs of those that the store has lost.
+	lostLimits map[string]bool
+	upstreams  map[replicaKey]*forward.Upstream
 	// relayPeers holds the VMs to which requests are relayed.
 	relayPeers map[discovery.VM]*relay.Peer
 	// retryBudgets holds the budget for extra sends of each service by name.
@@ -94,6 +96,7 @@
 		vms:             map[string]discovery.VM{},
 		crashes:         map[string]discovery.Crash{},
 		limits:          map[string]discovery.RequestLimit{},
+		lostLimits:      map[string]bool{},
 		upstreams:       map[replicaKey]*forward.Upstream{},
 		relayPeers:      map[discovery.VM]*relay.Peer{},
 		retryBudgets:    map[string]*hedge.Policy{},
--- a/pkg/edge/topics.go
+++ b/pkg/edge/topics.go
@@ -55,11 +55,11 @@
 		},
 		&topic[discovery.Crash]{
 			name: topicCrashes, controller: c, source: store.Crashes(), maxWatchWait: defaultWatchWait, background: true,
-			apply: c.applyCrash, currentItems: c.currentCrashes,
+			apply: c.applyCrash, currentItems: c.currentCrashes, lost: c.reportLostCrashes,
 		},
 		&topic[discovery.RequestLimit]{
 			name: topicLimits, controller: c, source: store.RequestLimits(), maxWatchWait: longWatchWait, background: true,
-			apply: c.applyLimit, removeAbsent: c.removeAbsentLimits, currentItems: c.currentLimits,
+			apply: c.applyLimit, removeAbsent: c.removeAbsentLimits, currentItems: c.currentLimits, lost: c.reportLostLimits,
 		},
 	}
 }
