soak: play request limits and a store that comes back from an older copy

The stand-ins of store and replica now do both, the plan draws them beside the other faults, and each run ends with the check that every VM uses a configuration that is written then.

--- a/pkg/soak/plan.go
+++ b/pkg/soak/plan.go
@@ -29,7 +29,9 @@
 // play draws and plays the faults of the plan, and returns when all have ended.
 func (s *site) play(ctx context.Context) {
 	var running sync.WaitGroup
+	s.olderStore = s.store.Copy()
 	for i := range s.config.Faults {
+		older := s.store.Copy()
 		f := s.draw()
 		lasts := faultMin + time.Duration(s.random.Int64N(int64(faultMax-faultMin)))
 		fmt.Fprintf(s.config.Out, "seed %d fault %d: %s for %s\n", s.config.Seed, i, f.name, lasts.Round(time.Millisecond))
@@ -38,6 +40,7 @@
 			wait.Sleep(ctx, lasts)
 			end()
 		})
+		s.olderStore = older
 		wait.Sleep(ctx, s.config.Gap/2+time.Duration(s.random.Int64N(int64(s.config.Gap))))
 	}
 	running.Wait()
@@ -58,7 +61,8 @@
 		func() fault { return s.replicaMode(s.replicas[r]) },
 		func() fault { return s.replicaMode(s.replicas[r]) },
 		func() fault { return s.replace(r) },
-		s.storeAway, s.change, s.reshard,
+		s.storeAway, s.change, s.reshard, s.storeRestored,
+		func() fault { return s.limitRequests(s.replicas[r]) },
 	}
 	return kinds[s.random.IntN(len(kinds))]()
 }
@@ -158,6 +162,38 @@
 	}}
 }
 
+// storeRestored brings the store back from the copy that was made before the fault
+// before. Operators and replicas write again what they wrote since; entries of replicas
+// that have left lapse.
+func (s *site) storeRestored() fault {
+	return fault{"store back from an older copy", func() func() {
+		s.store.SetMode(standin.Reset, false)
+		s.store.Restore(s.olderStore)
+		s.writeConfig()
+		left := map[string]bool{}
+		for _, id := range s.olderStore.Names("servers") {
+			left[id] = true
+		}
+		for _, r := range s.replicas {
+			delete(left, r.ID)
+			r.Register(s.store, false)
+		}
+		s.store.SetMode(standin.Healthy, false)
+		return func() {
+			for id := range left {
+				s.store.Delete("servers", id)
+			}
+		}
+	}}
+}
+
+func (s *site) limitRequests(r *standin.Replica) fault {
+	return fault{"request limit of replica " + r.ID, func() func() {
+		r.SetRequestLimit(1 + 20*s.random.Float64())
+		return func() { r.SetRequestLimit(0) }
+	}}
+}
+
 func (s *site) change() fault {
 	return fault{"change of the configuration", func() func() { s.configure(); return func() {} }}
 }
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -8,11 +8,13 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/platform"
 	"github.com/nutmeghitch/nutmeghitch/platform/standin"
 )
 
@@ -68,6 +70,8 @@
 	version  int
 	set      int
 	next     int
+	// olderStore is what the store held some time ago.
+	olderStore standin.Copy
 }
 
 // shardSets are the sets that the fan-out route alternates between.
@@ -101,6 +105,7 @@
 	if !s.await(ctx, recoverAnswers) {
 		s.checker.breach("no %d answers within %s after the faults had ended", recoverAnswers, readyTimeout)
 	}
+	s.checkConfiguration(ctx)
 	for _, v := range s.vms {
 		if peak := v.peakMemoryBytes(); peak > maxPeakMemoryBytes {
 			s.checker.breach("%s has held %d MB", v.Name, peak>>20)
@@ -195,14 +200,55 @@
 // configure writes the next configuration.
 func (s *site) configure() {
 	s.version++
+	s.writeConfig()
+}
+
+// writeConfig writes the newest configuration. Its last route has the version in its
+// prefix, so that it shows which configuration a VM uses.
+func (s *site) writeConfig() {
 	routes := []standin.Route{
 		{Name: "read", Host: siteHost, Prefix: "/read/", Idempotent: true, Service: singleService},
 		{Name: "book", Host: siteHost, Prefix: "/book/", Service: singleService},
 		{Name: "all", Host: siteHost, Prefix: "/all/", Idempotent: true, Shards: shardSets[s.set], MinCoverage: minCoverage},
+		{Name: "version", Host: siteHost, Prefix: versionPrefix(s.version), Idempotent: true, Service: singleService},
 	}
 	standin.PutConfig(s.store, s.version, routes, append([]string{singleService}, append(shardSets[0], shardSets[1]...)...))
 }
 
+func versionPrefix(version int) string { return fmt.Sprintf("/version/%d/", version) }
+
+// checkConfiguration checks that each VM takes a configuration that is written now, and
+// does not fall back to an older one.
+func (s *site) checkConfiguration(ctx context.Context) {
+	s.configure()
+	for _, v := range s.vms {
+		inForce := false
+		for deadline := time.Now().Add(readyTimeout); !inForce && time.Now().Before(deadline) && ctx.Err() == nil; time.Sleep(20 * time.Millisecond) {
+			status, err := getStatus(ctx, v, versionPrefix(s.version)+"x")
+			inForce = err == nil && status != http.StatusNotFound
+		}
+		if !inForce {
+			s.checker.breach("%s does not use version %d of the configuration", v.Name, s.version)
+		}
+	}
+}
+
+// getStatus sends a request to a VM and returns the status of the answer.
+func getStatus(ctx context.Context, v *vm, path string) (int, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+v.CallersAddr+path, nil)
+	if err != nil {
+		return 0, err
+	}
+	request.Host = siteHost
+	request.Header.Set(platform.Headers.RequestID, "version"+path)
+	request.Header.Set(platform.Headers.Deadline, strconv.FormatInt(callerDeadline.Milliseconds(), 10))
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	return response.StatusCode, response.Body.Close()
+}
+
 func (s *site) close() {
 	for _, v := range s.vms {
 		if v.cmd != nil && v.cmd.Process != nil {
--- a/pkg/soak/soak_test.go
+++ b/pkg/soak/soak_test.go
@@ -12,6 +12,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/wait"
+	"github.com/nutmeghitch/nutmeghitch/platform/standin"
 )
 
 // regressions are the seeds that once broke a promise, each with its cause.
@@ -82,6 +85,66 @@
 	check(t, r, err)
 }
 
+// Guards against VMs that together send a replica more than the request limit that it
+// names to any of them.
+func TestRequestLimitIsKeptByAllVMs(t *testing.T) {
+	const (
+		perSecond = 3.0
+		notice    = 2 * time.Second // one VM may hear of the limit from another
+		window    = 4 * time.Second
+	)
+	c := config(t, 3, 0)
+	c.Callers = 8
+	r, err := run(t.Context(), c, func(s *site, ctx context.Context) {
+		var limited []*standin.Replica
+		for _, r := range s.replicas {
+			if r.Service == shardSets[0][0] || r.Service == shardSets[0][1] {
+				r.SetRequestLimit(perSecond)
+				limited = append(limited, r)
+			}
+		}
+		since := time.Now().Add(notice)
+		wait.Sleep(ctx, notice+2*window)
+		for _, r := range limited {
+			arrivals := r.LimitedArrivals()
+			for i, at := range arrivals {
+				n := 0
+				for _, other := range arrivals[i:] {
+					if at.After(since) && other.Sub(at) < window {
+						n++
+					}
+				}
+				if float64(n) > 1.5*perSecond*window.Seconds()+5 {
+					s.checker.breach("%s got %d requests in %s", r.ID, n, window)
+					break
+				}
+			}
+			r.SetRequestLimit(0)
+		}
+	})
+	check(t, r, err)
+}
+
+// Guards against VMs that use an older configuration than the newest one after the
+// store has come back from an older copy, twice, while VMs restart.
+func TestRestoredStoreLosesNoConfiguration(t *testing.T) {
+	r, err := run(t.Context(), config(t, 4, 0), func(s *site, ctx context.Context) {
+		for _, v := range s.vms[:2] {
+			s.olderStore = s.store.Copy()
+			for range 2 * len(s.replicas) { // more than what is written again
+				s.configure()
+			}
+			wait.Sleep(ctx, time.Second)
+			end := s.storeRestored().do()
+			s.kill(v).do()()
+			wait.Sleep(ctx, time.Second)
+			end()
+			s.checkConfiguration(ctx)
+		}
+	})
+	check(t, r, err)
+}
+
 // Guards against a check that never fails: a merge that lacks a part, a second
 // run, and a refusal of a request that ran are each told.
 func TestCheckerTellsBrokenPromises(t *testing.T) {
--- a/pkg/storewatch/storewatch_test.go
+++ b/pkg/storewatch/storewatch_test.go
@@ -50,7 +50,7 @@
 	r.lines = append(r.lines, fmt.Sprint("changed ", b.Revision))
 }
 func (r *recordingSink) Failed(err error) { r.lines = append(r.lines, string(errs.As(err).Code)) }
-func (r *recordingSink) Synced(Position) {}
+func (r *recordingSink) Synced(Position)  {}
 
 func batch(revision int64, names ...string) func() (Batch[string], error) {
 	b := Batch[string]{Position: Position{Revision: revision}}
