edge: ask for control state in one way

Three places posted a function to the controller and waited for its result, each in its own words; they use the one that came with the reports of limits. The registry no longer walks all replicas ten times a second when no restored entry is in doubt. The test of waiting watches counted lists without synchronisation, which the race detector showed; the code under test is not affected.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -152,9 +152,10 @@
 // EndDoubt makes the restored entries count that are still there when their time is
 // over. It reports whether the view changes.
 func (r *Registry) EndDoubt(now time.Time) bool {
-	if now.Before(r.doubtUntil) {
+	if r.doubtUntil.IsZero() || now.Before(r.doubtUntil) {
 		return false
 	}
+	r.doubtUntil = time.Time{}
 	changed := false
 	for _, m := range r.members {
 		if m.withheld {
--- a/pkg/edge/controller.go
+++ b/pkg/edge/controller.go
@@ -162,6 +162,20 @@
 	}
 }
 
+// askState runs f on the controller's goroutine and returns its result, false if ctx
+// has ended.
+func askState[T any](ctx context.Context, c *controller, f func(s *state) T) (T, bool) {
+	result := make(chan T, 1)
+	c.post(ctx, func(time.Time) bool { result <- f(c.state); return false })
+	select {
+	case r := <-result:
+		return r, true
+	case <-ctx.Done():
+		var zero T
+		return zero, false
+	}
+}
+
 // storeCallFailed records a failed store call. Until the store answers again,
 // and for a grace period after that, replicas whose entries are deleted stay
 // usable. A gap in the watch history does not count, because the store did
@@ -259,18 +273,9 @@
 // up to ownEntryWait for the entry to become known.
 func (c *controller) isRegistered(ctx context.Context, vm discovery.VM) bool {
 	for deadline := time.Now().Add(ownEntryWait); time.Now().Before(deadline); {
-		entry := make(chan bool, 1)
-		c.post(ctx, func(time.Time) bool {
-			entry <- c.state.vms[vm.Name] == vm
-			return false
-		})
-		select {
-		case same := <-entry:
-			if same || !wait.Sleep(ctx, tickInterval) {
-				return same
-			}
-		case <-ctx.Done():
-			return false
+		same, _ := askState(ctx, c, func(s *state) bool { return s.vms[vm.Name] == vm })
+		if same || !wait.Sleep(ctx, tickInterval) {
+			return same
 		}
 	}
 	return false
--- a/pkg/edge/crash.go
+++ b/pkg/edge/crash.go
@@ -114,19 +114,11 @@
 	if !r.controller.isCoordinator.Load() {
 		return
 	}
-	expired := make(chan []string, 1)
-	r.controller.post(ctx, func(now time.Time) bool {
-		expired <- r.controller.expiredCrashes(now)
-		return false
-	})
-	select {
-	case names := <-expired:
-		for _, name := range names {
-			if err := r.store.DeleteCrash(ctx, name); err != nil {
-				r.log.WithFields(logrus.Fields{"name": name, "error": err}).Warn("removing an expired crash report from the store failed")
-			}
+	expired, _ := askState(ctx, r.controller, func(*state) []string { return r.controller.expiredCrashes(time.Now()) })
+	for _, name := range expired {
+		if err := r.store.DeleteCrash(ctx, name); err != nil {
+			r.log.WithFields(logrus.Fields{"name": name, "error": err}).Warn("removing an expired crash report from the store failed")
 		}
-	case <-ctx.Done():
 	}
 }
 
--- a/pkg/edge/limits.go
+++ b/pkg/edge/limits.go
@@ -230,17 +230,3 @@
 	}
 	return items
 }
-
-// askState runs f on the controller's goroutine and returns its result, false if ctx
-// has ended.
-func askState[T any](ctx context.Context, c *controller, f func(s *state) T) (T, bool) {
-	result := make(chan T, 1)
-	c.post(ctx, func(time.Time) bool { result <- f(c.state); return false })
-	select {
-	case r := <-result:
-		return r, true
-	case <-ctx.Done():
-		var zero T
-		return zero, false
-	}
-}
--- a/pkg/edge/updatesource.go
+++ b/pkg/edge/updatesource.go
@@ -238,14 +238,8 @@
 
 // vms returns the known VMs by name, or nil when ctx ends.
 func (s *updateSource) vms(ctx context.Context) map[string]discovery.VM {
-	known := make(chan map[string]discovery.VM, 1)
-	s.controller.post(ctx, func(time.Time) bool { known <- maps.Clone(s.controller.state.vms); return false })
-	select {
-	case vms := <-known:
-		return vms
-	case <-ctx.Done():
-		return nil
-	}
+	known, _ := askState(ctx, s.controller, func(s *state) map[string]discovery.VM { return maps.Clone(s.vms) })
+	return known
 }
 
 // bootstrap asks the seed VMs repeatedly until this VM has become ready.
--- a/pkg/storewatch/storewatch_test.go
+++ b/pkg/storewatch/storewatch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -175,16 +176,15 @@
 }
 
 // blockingSource waits in each watch call for the longest time.
-type blockingSource struct{ lists int }
+type blockingSource struct{ lists atomic.Int64 }
 
 func (s *blockingSource) List(context.Context) (Batch[string], error) {
-	s.lists++
-	return Batch[string]{Position: Position{Era: int64(s.lists), Revision: 5}}, nil
+	return Batch[string]{Position: Position{Era: s.lists.Add(1), Revision: 5}}, nil
 }
 
 func (s *blockingSource) Watch(ctx context.Context, _ int64, maxWait time.Duration) (Batch[string], error) {
 	wait.Sleep(ctx, maxWait)
-	return Batch[string]{Position: Position{Era: int64(s.lists), Revision: 5}}, ctx.Err()
+	return Batch[string]{Position: Position{Era: s.lists.Load(), Revision: 5}}, ctx.Err()
 }
 
 // Guards against a kind with long watch calls that learns of a new era only when its
@@ -199,13 +199,13 @@
 			close(ended)
 		}()
 		time.Sleep(time.Second)
-		assert.Equal(t, source.lists, 1)
+		assert.Equal(t, source.lists.Load(), int64(1))
 		breaker.observeEra(1)
 		time.Sleep(time.Second)
-		assert.Equal(t, source.lists, 1)
+		assert.Equal(t, source.lists.Load(), int64(1))
 		breaker.observeEra(2)
 		time.Sleep(time.Millisecond)
-		assert.Equal(t, source.lists, 2)
+		assert.Equal(t, source.lists.Load(), int64(2))
 		stop()
 		<-ended
 		assert.DeepEqual(t, sink.lines, []string{"listed 5", "platform_watch_gap", "listed 5"})
