replica, discovery: rename what a newcomer stumbles over

The limit that was reported last was called told, and the time in which restored entries do not count was called doubt. Names and comments only.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -17,11 +17,11 @@
 const ReregistrationGracePeriod = 2200 * time.Millisecond
 
 const (
-	// restoredEntryDoubt is how long, after the store has come back from an older copy,
+	// restoredEntryDelay is how long, after the store has come back from an older copy,
 	// a ready entry does not count whose replica is known to have left or to drain. By
 	// then the replica has written its entry again, or the store has removed it after
 	// three silent heartbeat intervals of 1.2 s.
-	restoredEntryDoubt = 5 * time.Second
+	restoredEntryDelay = 5 * time.Second
 	// maxDepartureAge is how long a replica that has left is remembered. The store's
 	// copies are some seconds old.
 	maxDepartureAge = time.Minute
@@ -81,8 +81,8 @@
 	storeRecoveredAt time.Time
 	// departed holds the replicas that have left, by ID.
 	departed map[string]departure
-	// doubtUntil is when the restored entries of such replicas count again.
-	doubtUntil time.Time
+	// withholdUntil is when the restored entries of such replicas count again.
+	withholdUntil time.Time
 }
 
 // departure records that the process of a replica has left.
@@ -118,7 +118,7 @@
 // hasLeft reports whether a ready entry, which may come from an older copy of the
 // store, is that of a replica that is known to have left or to drain.
 func (r *Registry) hasLeft(now time.Time, entry Replica) bool {
-	if entry.Draining || !now.Before(r.doubtUntil) {
+	if entry.Draining || !now.Before(r.withholdUntil) {
 		return false
 	}
 	if old := r.members[entry.ID]; old != nil && old.Born == entry.Born && (old.Draining || old.withheld) {
@@ -146,16 +146,16 @@
 	for _, m := range r.members {
 		m.Revision = 0
 	}
-	r.doubtUntil = now.Add(restoredEntryDoubt)
+	r.withholdUntil = now.Add(restoredEntryDelay)
 }
 
-// EndDoubt makes the restored entries count that are still there when their time is
-// over. It reports whether the view changes.
-func (r *Registry) EndDoubt(now time.Time) bool {
-	if r.doubtUntil.IsZero() || now.Before(r.doubtUntil) {
+// ReleaseWithheld makes the withheld entries count that are still there after
+// restoredEntryDelay. It reports whether the view changes.
+func (r *Registry) ReleaseWithheld(now time.Time) bool {
+	if r.withholdUntil.IsZero() || now.Before(r.withholdUntil) {
 		return false
 	}
-	r.doubtUntil = time.Time{}
+	r.withholdUntil = time.Time{}
 	changed := false
 	for _, m := range r.members {
 		if m.withheld {
--- a/pkg/edge/controller.go
+++ b/pkg/edge/controller.go
@@ -110,7 +110,7 @@
 // changes.
 func (c *controller) advance(now time.Time) bool {
 	changed := c.state.registry.ExpireMissing(now)
-	changed = c.state.registry.EndDoubt(now) || changed
+	changed = c.state.registry.ReleaseWithheld(now) || changed
 	for _, t := range c.topics {
 		changed = t.removeUnlisted(now) || changed
 	}
--- a/pkg/replica/requestlimit.go
+++ b/pkg/replica/requestlimit.go
@@ -19,8 +19,8 @@
 	// sharedLimitLag is how long a report of another VM may take. Answers to this VM
 	// that are not older outweigh a report.
 	sharedLimitLag = time.Second
-	// minLimitChange is the relative change of a limit that is told and changes the times
-	// of the permits. A replica may name a slightly different limit in each answer.
+	// minLimitChange is the relative change of a limit that is reported and changes the
+	// schedule of permits. A replica may name a slightly different limit in each answer.
 	minLimitChange = 0.1
 	// limitStep is the ratio of the limits for which permits are scheduled. VMs that were
 	// named slightly different limits then have a common schedule.
@@ -55,11 +55,11 @@
 // requestLimit is what a Tracker knows of the limit of its replica.
 type requestLimit struct {
 	current RequestLimit
-	// told is the limit at the last change that was told.
-	told RequestLimit
+	// reported is the limit that was reported last. It sets the schedule of permits.
+	reported RequestLimit
 	// namedAt is when an answer named the limit last.
 	namedAt time.Time
-	// sends counts the requests of this VM since that change.
+	// sends counts the requests of this VM since that report.
 	sends SendCounts
 	// vms is the number of VMs that share the limit, and position that of this VM
 	// among them.
@@ -123,7 +123,7 @@
 // if its request was sent after the limit was last named: an earlier one may have
 // been answered before the replica was in need. The result is the limit before,
 // with the sends of this VM while it was in force, and whether it has changed by so
-// much that it should be told.
+// much that it should be reported.
 func (t *Tracker) RecordRequestLimit(now, sentAt time.Time, limit RequestLimit) (before RequestLimit, sends SendCounts, changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -133,12 +133,12 @@
 	} else if !sentAt.After(l.namedAt) {
 		return l.current, l.sends, false
 	}
-	before, sends = l.told, l.sends
+	before, sends = l.reported, l.sends
 	l.current = limit
 	if before.Named == limit.Named && math.Abs(limit.PerSecond-before.PerSecond) <= minLimitChange*before.PerSecond {
 		return before, sends, false
 	}
-	l.tell(now)
+	l.follow(now)
 	return before, sends, true
 }
 
@@ -152,14 +152,14 @@
 		return false
 	}
 	l.namedAt, l.current = now, limit
-	l.tell(now)
+	l.follow(now)
 	return true
 }
 
-// tell takes over the current limit. Permits of the time without one are void.
-func (l *requestLimit) tell(now time.Time) {
-	started := l.current.Named && !l.told.Named
-	l.told, l.sends = l.current, SendCounts{}
+// follow makes the schedule follow the current limit. Permits of the time without one are void.
+func (l *requestLimit) follow(now time.Time) {
+	started := l.current.Named && !l.reported.Named
+	l.reported, l.sends = l.current, SendCounts{}
 	if started {
 		l.permits.lastTaken = now.Add(-l.share().interval)
 	}
@@ -209,7 +209,7 @@
 }
 
 // share returns the part of this VM in the limit.
-func (l *requestLimit) share() share { return shareOf(l.told, l.vms, l.position) }
+func (l *requestLimit) share() share { return shareOf(l.reported, l.vms, l.position) }
 
 // hasRoom reports whether one more request may be sent now.
 func (l *requestLimit) hasRoom(now time.Time) bool {
--- a/pkg/replica/requestlimit_test.go
+++ b/pkg/replica/requestlimit_test.go
@@ -113,17 +113,17 @@
 
 // Guards against a log line and a report to the store for each answer of a replica
 // whose limit changes a little with each.
-func TestSmallChangesOfARequestLimitAreNotTold(t *testing.T) {
+func TestSmallChangesOfARequestLimitAreNotReported(t *testing.T) {
 	tr := NewTracker(true, 3)
-	told := 0
+	reported := 0
 	for i := range 100 {
 		limit := RequestLimit{PerSecond: 20 + 0.01*float64(i%10), Named: true}
 		if _, _, changed := tr.RecordRequestLimit(start, start, limit); changed {
-			told++
+			reported++
 		}
 		assert.Equal(t, tr.RequestLimit(), limit)
 	}
-	assert.Equal(t, told, 1)
+	assert.Equal(t, reported, 1)
 	_, _, changed := tr.RecordRequestLimit(start, start, RequestLimit{PerSecond: 15, Named: true})
 	assert.Assert(t, changed)
 }
