--- a/pkg/edge/crash.go
+++ b/pkg/edge/crash.go
@@ -88,18 +88,27 @@
 // report is of little use.
 const maxReportAttempts = 3
 
-// write writes a report to the store, with up to maxReportAttempts attempts.
-func (r *crashReporter) write(ctx context.Context, crash discovery.Crash) {
+// writeReport calls write until it succeeds, ctx ends, or it has failed
+// maxReportAttempts times.
+func writeReport(ctx context.Context, write func() error) {
 	attempts := 0
 	storewatch.Retry(ctx, func() error {
 		attempts++
+		err := write()
+		if attempts >= maxReportAttempts {
+			return nil
+		}
+		return err
+	})
+}
+
+// write writes a report to the store.
+func (r *crashReporter) write(ctx context.Context, crash discovery.Crash) {
+	writeReport(ctx, func() error {
 		err := r.store.ReportCrash(ctx, crashObjectName(crash), crash)
 		if err != nil {
 			r.log.WithFields(logrus.Fields{"id": crash.Attempt, "error": err}).Warn("writing a crash report to the store failed")
 		}
-		if attempts >= maxReportAttempts {
-			return nil
-		}
 		return err
 	})
 }
--- a/pkg/edge/limits.go
+++ b/pkg/edge/limits.go
@@ -101,11 +101,9 @@
 }
 
 // write writes the limit of a replica to the store, or removes it there, unless the
-// store has it already. It makes up to maxReportAttempts attempts.
+// store has it already.
 func (r *limitReporter) write(ctx context.Context, u *forward.Upstream) {
-	attempts := 0
-	storewatch.Retry(ctx, func() error {
-		attempts++
+	writeReport(ctx, func() error {
 		limit := u.Tracker.RequestLimit()
 		reported, ok := askState(ctx, r.controller, func(s *state) *discovery.RequestLimit {
 			if l, ok := s.limits[u.Member.ID]; ok && l.Born == u.Member.Born && !s.lostLimits[u.Member.ID] {
@@ -128,9 +126,6 @@
 			return nil
 		}
 		r.log.WithFields(fields).WithField("error", err).Warn("reporting a request limit to the store failed")
-		if attempts >= maxReportAttempts {
-			return nil
-		}
 		return err
 	})
 }
--- a/pkg/forward/relaysend.go
+++ b/pkg/forward/relaysend.go
@@ -73,12 +73,12 @@
 		replicaSets[i] = s.replicas
 	}
 	go func() {
-		t := relayTracking{start: now, upstreams: g.upstreams, replicaSets: replicaSets, ended: make([]bool, len(g.upstreams))}
+		t := relayTracking{start: now, upstreams: g.upstreams, ended: make([]bool, len(g.upstreams))}
 		defer t.endOpen()
 		refusal := g.peer.Do(q.ctx, request, func(reply *wire.RelayReply) {
 			now := time.Now()
 			t.record(now, reply)
-			q.forwarder.recordRelayedLimits(now, t.replicaSets, reply, q.id)
+			q.forwarder.recordRelayedLimits(now, replicaSets, reply, q.id)
 			q.results <- sendResult{relay: &relayOutcome{group: g, reply: reply}}
 		})
 		if refusal == nil {
@@ -158,8 +158,6 @@
 type relayTracking struct {
 	start     time.Time
 	upstreams []*Upstream
-	// replicaSets are the replicas of the services.
-	replicaSets []*ReplicaSet
 	// ended is set for the replicas whose outcome is recorded.
 	ended []bool
 }
