edge: log requests that a replica breaks off, and those that are not counted

Nothing told whether a request that crashes replicas was not recognized, not counted, or counted and not reported. One line now tells of each broken-off request with its fingerprint and the state of the probe, one of requests that are not counted with the outcome of the probe.

Logic is unchanged.

--- a/pkg/edge/prober.go
+++ b/pkg/edge/prober.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"sync"
@@ -127,13 +128,18 @@
 
 // RequestInterrupted implements forward.Observer. The replica may have crashed
 // and may be cold after its restart, so it is probed at once.
-func (p *prober) RequestInterrupted(u *forward.Upstream, _ *errs.Refusal, suspect forward.RequestAttempt) {
+func (p *prober) RequestInterrupted(u *forward.Upstream, refusal *errs.Refusal, suspect forward.RequestAttempt) {
 	p.mu.Lock()
 	if len(p.suspects[u]) < maxSuspectsPerReplica {
 		p.suspects[u] = append(p.suspects[u], suspect)
 	}
 	recent := time.Since(p.lastAnswer[u]) < minReprobeInterval
+	kept, running := len(p.suspects[u]), p.probing[u]
 	p.mu.Unlock()
+	p.log.WithFields(logrus.Fields{
+		"id": suspect.RequestID, "replica": u.Member.ID, "fingerprint": fmt.Sprintf("%016x", suspect.Fingerprint),
+		"code": refusal.Code, "kept": kept, "probe_running": running, "answered_probe_lately": recent,
+	}).Info("replica broke off a request")
 	if !recent {
 		p.startProbing(u, 0)
 	}
@@ -211,9 +217,18 @@
 	suspects := p.suspects[u]
 	delete(p.suspects, u)
 	p.mu.Unlock()
-	if len(suspects) > 0 && refusal != nil && refusal.ConnectionRefused {
+	if len(suspects) == 0 {
+		return
+	}
+	if refusal != nil && refusal.ConnectionRefused {
 		p.onCrash(u, suspects)
+		return
+	}
+	fields := logrus.Fields{"replica": u.Member.ID, "requests": len(suspects), "first_id": suspects[0].RequestID, "probe": "answered"}
+	if refusal != nil {
+		fields["probe"] = refusal.Error()
 	}
+	p.log.WithFields(fields).Info("requests that a replica broke off are not counted: the probe does not show that it crashed")
 }
 
 // provesUnreachable reports whether a failed probe shows that the replica cannot
