--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -41,10 +41,10 @@
 		VM: "vm1", Domain: "d1",
 		Bounds: Bounds{RetryRatio: 0.2, RetrySlack: 50, ColdRateFactor: 1.5, ColdSlackPerSecond: 5},
 	}, log, (&net.Dialer{}).DialContext)
-	p := newProber(forward.HeaderNames{}, log)
+	p := newProber(testHeaders, log)
 	p.start(t.Context(), func(*forward.Upstream, time.Duration) {})
 	ledger := poison.NewLedger(poison.Config{LossLimit: maxCrashAttempts})
-	f := forward.New(forward.Config{Observer: p, Ledger: ledger, Memory: exchange.NewMemory(0), Log: log, Scope: tally.NoopScope, Buckets: tally.DefaultBuckets})
+	f := forward.New(forward.Config{Headers: testHeaders, Observer: p, Ledger: ledger, Memory: exchange.NewMemory(0), Log: log, Scope: tally.NoopScope, Buckets: tally.DefaultBuckets})
 	return newController(s, f, p, newReadiness(), ledger, testStore{}, log)
 }
 
--- a/pkg/edge/fleet_test.go
+++ b/pkg/edge/fleet_test.go
@@ -16,6 +16,8 @@
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/discovery"
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/exchange"
+	"github.com/nutmeghitch/nutmeghitch/pkg/forward"
 	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
 	"github.com/nutmeghitch/nutmeghitch/pkg/storewatch"
 	"github.com/nutmeghitch/nutmeghitch/pkg/wait"
@@ -235,6 +237,8 @@
 	store *memoryStore
 	vms   []*controllerService
 	ctx   context.Context
+	// dialReplica connects to the replica at an address; nil if no replica runs.
+	dialReplica exchange.DialFunc
 }
 
 // inVMFleet runs f with a fleet that has started and in which all VMs are registered.
@@ -262,12 +266,19 @@
 	settings := c.state.settings
 	settings.VM, settings.PeersAddr, settings.Domain = name, name, "d1"
 	c.state.apply(settings)
-	c.state.dial = func(context.Context, string, string) (net.Conn, error) { return nil, context.DeadlineExceeded } // no replica runs
+	c.state.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if f.dialReplica == nil {
+			return nil, context.DeadlineExceeded
+		}
+		return f.dialReplica(ctx, network, addr)
+	}
 	c.topics = c.newTopics(f.store)
 	vm := &controllerService{config: Config{Settings: settings, Store: f.store, Log: log}, controller: c, forwarder: c.forwarder, prober: c.prober}
 	vm.settings.Store(&settings)
 	vm.limits = newLimitReporter(c, f.store, log)
 	vm.crashes = newCrashReporter(c, f.store, log)
+	c.prober.onCrash = vm.crashes.report
+	c.prober.start(f.ctx, func(*forward.Upstream, time.Duration) {})
 	c.prober.onRequestLimit = vm.limits.report
 	c.onLostCrash, c.onLostLimit = vm.crashes.enqueue, vm.limits.report
 	f.vms = append(f.vms, vm)
--- a/pkg/exchange/socket.go
+++ b/pkg/exchange/socket.go
@@ -22,7 +22,10 @@
 		return errNotIdle
 	}
 	if c.socket == nil {
-		_, err := c.Write(request)
+		n, err := c.Write(request)
+		if c.reused && n == 0 && err != nil {
+			return errNotIdle
+		}
 		return err
 	}
 	var (
