forward: recognize a crashing request by its path, whatever its query string

Callers saw a request that crashes replicas refused only if it came again with the same query string. Each other one counted as a new request, so it was never refused.

Cause: the fingerprint covered the whole request target.

Ruled out: the caller's address.

--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
@@ -152,7 +153,7 @@
 		holding:     f.memory.NewHolding(),
 	}
 	q.cutoff = cutoffAfter(route, nextRequestRoundTrips(r.Context()))
-	q.attempt = RequestAttempt{Fingerprint: fingerprint(r, q.caller, body), RequestID: id}
+	q.attempt = RequestAttempt{Fingerprint: fingerprint(r, route, q.caller, body), RequestID: id}
 	q.head = f.requestHead(r)
 	services := route.Shards
 	if !route.FanOut() {
@@ -166,10 +167,12 @@
 	return q
 }
 
-// fingerprint returns a hash of what all attempts of a request have in common: the
-// host, the caller's address, the method, the target and the body.
-func fingerprint(r *http.Request, caller string, body []byte) uint64 {
-	return poison.Fingerprint(model.ServiceID(r.Host+" "+caller), r.Method+" "+r.RequestURI, body)
+// fingerprint returns a hash of what all attempts of a request have in common: the host
+// of its route, the caller's address, the method, the path and the body. The query
+// string may differ between attempts.
+func fingerprint(r *http.Request, route *routes.Route, caller string, body []byte) uint64 {
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return poison.Fingerprint(model.ServiceID(route.Host+" "+caller), r.Method+" "+path, body)
 }
 
 // callerAddr returns the address of a caller without its port.
