edge: decide by evidence under which requests a replica has crashed

Callers saw a request that ends each replica that runs it go on for ever where the replicas fell silent, and sometimes count once less where their connections were closed.

Cause: the requests that a replica broke off were dropped unless the very next probe was refused. A probe on a connection that died with the replica, one that timed out, or one that met the next process was taken for a proof that the replica had not crashed. Requests without an answer until their end were not looked at. The class: absence of a proof taken for a proof of absence.

Now poison.Unanswered, pure code, keeps these requests until something decides: an answer to a later request clears them; a refused dial, while another replica of the failure domain answers, another process at the address or under the ID, or the lapse of the entry of a replica that cannot be reached reports them. A failed network, which may refuse connections too, no longer counts as a crash. After an answer the probe of a replica that breaks off requests is delayed instead of left out.

--- a/pkg/edge/prober.go
+++ b/pkg/edge/prober.go
@@ -10,9 +10,11 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/nutmeghitch/nutmeghitch/pkg/discovery"
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/exchange"
 	"github.com/nutmeghitch/nutmeghitch/pkg/forward"
+	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
 	"github.com/nutmeghitch/nutmeghitch/pkg/wait"
 )
 
@@ -27,9 +29,6 @@
 	// minReprobeInterval is the least time between two probes of a replica that
 	// closes connections during requests but answers its probes.
 	minReprobeInterval = 500 * time.Millisecond
-	// maxSuspectsPerReplica limits the broken-off requests remembered for one
-	// replica until its next probe.
-	maxSuspectsPerReplica = 8
 	// defaultHealthPath is used if the configuration has none for the service.
 	defaultHealthPath = "/healthz"
 )
@@ -56,15 +55,15 @@
 	probing map[*forward.Upstream]bool
 	// lastAnswer holds when each replica last answered a probe.
 	lastAnswer map[*forward.Upstream]time.Time
-	// suspects holds the requests that each replica broke off since its last
-	// probe.
-	suspects map[*forward.Upstream][]forward.RequestAttempt
+	// unanswered holds, for each replica, the requests that it did not answer and may
+	// have crashed under.
+	unanswered map[*forward.Upstream]*poison.Unanswered
 }
 
 func newProber(headers forward.HeaderNames, log logrus.FieldLogger) *prober {
 	return &prober{
 		headers: headers, log: log,
-		probing: map[*forward.Upstream]bool{}, lastAnswer: map[*forward.Upstream]time.Time{}, suspects: map[*forward.Upstream][]forward.RequestAttempt{},
+		probing: map[*forward.Upstream]bool{}, lastAnswer: map[*forward.Upstream]time.Time{}, unanswered: map[*forward.Upstream]*poison.Unanswered{},
 	}
 }
 
@@ -85,9 +84,9 @@
 			delete(p.lastAnswer, u)
 		}
 	}
-	for u := range p.suspects {
-		if !inView(view, u) {
-			delete(p.suspects, u)
+	for u, unanswered := range p.unanswered {
+		if !inView(view, u) && unanswered.Expired(time.Now()) {
+			delete(p.unanswered, u)
 		}
 	}
 }
@@ -111,6 +110,7 @@
 	if p.setDown(u, refusal) {
 		u.Pool.CloseIdle()
 	}
+	p.judge(u, time.Now(), refusal)
 	p.startProbing(u, minProbeDelay)
 }
 
@@ -128,29 +128,51 @@
 
 // RequestInterrupted implements forward.Observer. The replica may have crashed
 // and may be cold after its restart, so it is probed at once.
-func (p *prober) RequestInterrupted(u *forward.Upstream, refusal *errs.Refusal, suspect forward.RequestAttempt) {
+func (p *prober) RequestInterrupted(u *forward.Upstream, sentAt time.Time, refusal *errs.Refusal, attempt forward.RequestAttempt) {
+	p.addUnanswered(u, sentAt, attempt)
 	p.mu.Lock()
-	if len(p.suspects[u]) < maxSuspectsPerReplica {
-		p.suspects[u] = append(p.suspects[u], suspect)
-	}
-	recent := time.Since(p.lastAnswer[u]) < minReprobeInterval
-	kept, running := len(p.suspects[u]), p.probing[u]
+	running, reprobeIn := p.probing[u], p.reprobeIn(u)
 	p.mu.Unlock()
 	p.log.WithFields(logrus.Fields{
-		"id": suspect.RequestID, "replica": u.Member.ID, "fingerprint": fmt.Sprintf("%016x", suspect.Fingerprint),
-		"code": refusal.Code, "kept": kept, "probe_running": running, "answered_probe_lately": recent,
+		"id": attempt.RequestID, "replica": u.Member.ID, "fingerprint": fmt.Sprintf("%016x", attempt.Fingerprint),
+		"code": refusal.Code, "probe_running": running, "probe_in_ms": reprobeIn.Milliseconds(),
 	}).Info("replica broke off a request")
-	if !recent {
-		p.startProbing(u, 0)
+	p.startProbing(u, reprobeIn)
+}
+
+// RequestUnanswered implements forward.Observer.
+func (p *prober) RequestUnanswered(u *forward.Upstream, sentAt time.Time, attempt forward.RequestAttempt) {
+	p.addUnanswered(u, sentAt, attempt)
+}
+
+// addUnanswered records a request that a replica did not answer.
+func (p *prober) addUnanswered(u *forward.Upstream, sentAt time.Time, attempt forward.RequestAttempt) {
+	p.mu.Lock()
+	unanswered := p.unanswered[u]
+	if unanswered == nil {
+		unanswered = &poison.Unanswered{}
+		p.unanswered[u] = unanswered
+	}
+	unanswered.Answered(u.Tracker.AnsweredSentAt())
+	ended := unanswered.Add(time.Now(), sentAt, attempt)
+	p.mu.Unlock()
+	if ended {
+		p.onCrash(u, []forward.RequestAttempt{attempt})
 	}
 }
 
+// reprobeIn returns the time until a replica may be probed that has answered a probe
+// lately. p.mu is held.
+func (p *prober) reprobeIn(u *forward.Upstream) time.Duration {
+	return max(0, minReprobeInterval-time.Since(p.lastAnswer[u]))
+}
+
 // ReplicaUnresponsive implements forward.Observer. With the idle connections
 // closed, the probe has to open a new one, which fails if the network path is
 // broken.
 func (p *prober) ReplicaUnresponsive(u *forward.Upstream) {
 	p.mu.Lock()
-	recent := time.Since(p.lastAnswer[u]) < minReprobeInterval
+	recent := p.reprobeIn(u) > 0
 	p.mu.Unlock()
 	if !recent {
 		u.Pool.CloseIdle()
@@ -192,7 +214,7 @@
 			continue
 		}
 		refusal := p.probe(u)
-		p.reportSuspects(u, refusal)
+		p.judge(u, now, refusal)
 		if refusal == nil {
 			p.mu.Lock()
 			p.lastAnswer[u] = time.Now()
@@ -209,26 +231,99 @@
 	}
 }
 
-// reportSuspects reports the requests that a replica broke off if it has
-// crashed. A refused connection shows this: nothing listens at its address any
-// more. Otherwise the requests are dropped.
-func (p *prober) reportSuspects(u *forward.Upstream, refusal *errs.Refusal) {
+// judge decides what an answer of a replica, or the failure to get one, says of the
+// requests that it did not answer, and reports those under which it has crashed. at is
+// when the probe was sent, or the dial has failed.
+func (p *prober) judge(u *forward.Upstream, at time.Time, refusal *errs.Refusal) {
+	p.decide(u, func(unanswered *poison.Unanswered, now time.Time) []forward.RequestAttempt {
+		unanswered.Answered(u.Tracker.AnsweredSentAt())
+		switch {
+		case refusal == nil:
+			unanswered.Answered(at)
+		case refusal.Code == errs.NotOwner:
+			return unanswered.Ended(now)
+		case refusal.ConnectionRefused:
+			return unanswered.Refused(now, p.domainAnsweredAt(u))
+		case refusal.Code == errs.UpstreamLost && refusal.RunState == errs.DidNotRun:
+			unanswered.Unreachable()
+		}
+		return nil
+	})
+}
+
+// replicaStarted tells that a replica has started. Another one at its address, or an
+// earlier process of it, has ended.
+func (p *prober) replicaStarted(started discovery.Replica) {
+	for _, u := range p.undecided(func(m *discovery.Member) bool {
+		return m.Born < started.Born && (m.Addr == started.Addr || m.ID == started.ID)
+	}) {
+		p.decide(u, func(unanswered *poison.Unanswered, now time.Time) []forward.RequestAttempt {
+			return unanswered.Ended(now)
+		})
+	}
+}
+
+// entryLapsed tells that the entry of a replica is gone.
+func (p *prober) entryLapsed(id string) {
+	for _, u := range p.undecided(func(m *discovery.Member) bool { return m.ID == id }) {
+		p.decide(u, func(unanswered *poison.Unanswered, now time.Time) []forward.RequestAttempt {
+			return unanswered.Lapsed(now)
+		})
+	}
+}
+
+// undecided returns the replicas with unanswered requests to which match applies.
+func (p *prober) undecided(match func(*discovery.Member) bool) []*forward.Upstream {
 	p.mu.Lock()
-	suspects := p.suspects[u]
-	delete(p.suspects, u)
-	p.mu.Unlock()
-	if len(suspects) == 0 {
-		return
+	defer p.mu.Unlock()
+	var found []*forward.Upstream
+	for u := range p.unanswered {
+		if match(u.Member) {
+			found = append(found, u)
+		}
 	}
-	if refusal != nil && refusal.ConnectionRefused {
-		p.onCrash(u, suspects)
+	return found
+}
+
+// decide applies a decision to the unanswered requests of a replica, and reports those
+// under which it has crashed.
+func (p *prober) decide(u *forward.Upstream, decision func(*poison.Unanswered, time.Time) []forward.RequestAttempt) {
+	p.mu.Lock()
+	unanswered := p.unanswered[u]
+	if unanswered == nil {
+		p.mu.Unlock()
 		return
 	}
-	fields := logrus.Fields{"replica": u.Member.ID, "requests": len(suspects), "first_id": suspects[0].RequestID, "probe": "answered"}
-	if refusal != nil {
-		fields["probe"] = refusal.Error()
+	before := unanswered.Len()
+	crashed := decision(unanswered, time.Now())
+	left := unanswered.Len()
+	p.mu.Unlock()
+	if len(crashed) > 0 {
+		p.onCrash(u, crashed)
+	}
+	if before != left {
+		p.log.WithFields(logrus.Fields{"replica": u.Member.ID, "crashed": len(crashed), "cleared": before - left - len(crashed), "undecided": left}).Info("unanswered requests of a replica decided")
+	}
+}
+
+// domainAnsweredAt returns when the last request was sent that another replica in the
+// failure domain of u has answered. p.mu is held.
+func (p *prober) domainAnsweredAt(u *forward.Upstream) time.Time {
+	var last time.Time
+	if p.view == nil {
+		return last
+	}
+	for _, replicaSet := range p.view.ReplicaSets {
+		for _, other := range replicaSet.Upstreams {
+			if other == u || other.Member.Domain != u.Member.Domain {
+				continue
+			}
+			if at := other.Tracker.AnsweredSentAt(); at.After(last) {
+				last = at
+			}
+		}
 	}
-	p.log.WithFields(fields).Info("requests that a replica broke off are not counted: the probe does not show that it crashed")
+	return last
 }
 
 // provesUnreachable reports whether a failed probe shows that the replica cannot
--- a/pkg/edge/topics.go
+++ b/pkg/edge/topics.go
@@ -131,12 +131,19 @@
 	if item.Deleted || item.Err != nil {
 		removed := c.state.registry.Remove(now, item.Name, item.Revision)
 		c.log.WithFields(logrus.Fields{"replica": item.Name, "revision": item.Revision, "removed": removed}).Info("replica entry deleted or unreadable")
+		if removed {
+			c.prober.entryLapsed(item.Name)
+		}
 		return removed
 	}
 	if item.Value.Draining {
 		c.log.WithFields(logrus.Fields{"replica": item.Name, "service": item.Value.Service, "revision": item.Revision}).Info("replica is draining")
 	}
-	return c.state.registry.Put(now, item.Value, item.Revision)
+	changed := c.state.registry.Put(now, item.Value, item.Revision)
+	if changed {
+		c.prober.replicaStarted(item.Value)
+	}
+	return changed
 }
 
 // removeAbsentReplicas removes the replicas that a complete list does not name.
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -66,22 +66,20 @@
 	// ReplicaUnresponsive reports that a replica has not answered a request for
 	// so long that the network path to it may be broken.
 	ReplicaUnresponsive(u *Upstream)
-	// RequestInterrupted reports that a request failed at a replica without a
-	// response after it may have run, for instance because the connection broke.
-	RequestInterrupted(u *Upstream, refusal *errs.Refusal, attempt RequestAttempt)
+	// RequestInterrupted reports that a request sent at sentAt failed at a replica
+	// without a response after it may have run, for instance because the connection
+	// broke.
+	RequestInterrupted(u *Upstream, sentAt time.Time, refusal *errs.Refusal, attempt RequestAttempt)
+	// RequestUnanswered reports that this VM stopped waiting for the response to a
+	// request sent at sentAt, which may have run.
+	RequestUnanswered(u *Upstream, sentAt time.Time, attempt RequestAttempt)
 	// RequestLimitChanged reports that answers of a replica to this VM show another
 	// request limit than before, or that there is none any more.
 	RequestLimitChanged(u *Upstream)
 }
 
-// RequestAttempt identifies one attempt of a caller's request, so that a request
-// that crashes the replicas that run it is recognized when it is sent again.
-type RequestAttempt struct {
-	// Fingerprint is the same for all attempts of a request.
-	Fingerprint uint64
-	// RequestID is new for each attempt.
-	RequestID string
-}
+// RequestAttempt identifies one attempt of a caller's request.
+type RequestAttempt = poison.Attempt
 
 // Forwarder is the HTTP handler that forwards callers' requests. It is safe for
 // concurrent use.
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -66,7 +66,9 @@
 
 func (tt *testTier) RequestLimitChanged(*Upstream) {}
 
-func (tt *testTier) RequestInterrupted(u *Upstream, _ *errs.Refusal, attempt RequestAttempt) {
+func (tt *testTier) RequestUnanswered(*Upstream, time.Time, RequestAttempt) {}
+
+func (tt *testTier) RequestInterrupted(u *Upstream, _ time.Time, _ *errs.Refusal, attempt RequestAttempt) {
 	tt.mu.Lock()
 	defer tt.mu.Unlock()
 	tt.interrupted = append(tt.interrupted, u.Member.ID)
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -122,6 +122,7 @@
 // the observer about a replica that may have failed.
 func (f *Forwarder) recordOutcome(u *Upstream, now, start time.Time, reply exchange.Reply, refusal *errs.Refusal, attempt RequestAttempt) {
 	if refusal == nil {
+		u.Tracker.RecordAnswer(start)
 		f.recordRequestLimit(u, now, start, reply, attempt.RequestID)
 	}
 	switch {
@@ -137,8 +138,11 @@
 		u.Tracker.End(now, start, replica.Served)
 	case refusal.Code == errs.Canceled || refusal.Code == errs.DeadlineExceeded || refusal.Code == errs.QueueFull:
 		u.Tracker.End(now, start, replica.Abandoned)
-		if refusal.RunState == errs.MayHaveRun && now.Sub(start) > unresponsiveAfter {
-			f.observer.ReplicaUnresponsive(u)
+		if refusal.RunState == errs.MayHaveRun {
+			f.observer.RequestUnanswered(u, start, attempt)
+			if now.Sub(start) > unresponsiveAfter {
+				f.observer.ReplicaUnresponsive(u)
+			}
 		}
 	case refusal.Code == errs.MemoryLimit:
 		u.Tracker.End(now, start, replica.Abandoned)
@@ -148,7 +152,7 @@
 		f.observer.ReplicaUnreachable(u, refusal)
 	default:
 		u.Tracker.End(now, start, replica.Failed)
-		f.observer.RequestInterrupted(u, refusal, attempt)
+		f.observer.RequestInterrupted(u, start, refusal, attempt)
 	}
 }
 
--- a/pkg/forward/virtual_test.go
+++ b/pkg/forward/virtual_test.go
@@ -80,10 +80,11 @@
 // silentObserver ignores what requests reveal of replicas.
 type silentObserver struct{}
 
-func (silentObserver) ReplicaUnreachable(*Upstream, *errs.Refusal)                 {}
-func (silentObserver) ReplicaUnresponsive(*Upstream)                               {}
-func (silentObserver) RequestLimitChanged(*Upstream)                               {}
-func (silentObserver) RequestInterrupted(*Upstream, *errs.Refusal, RequestAttempt) {}
+func (silentObserver) ReplicaUnreachable(*Upstream, *errs.Refusal)                            {}
+func (silentObserver) ReplicaUnresponsive(*Upstream)                                          {}
+func (silentObserver) RequestLimitChanged(*Upstream)                                          {}
+func (silentObserver) RequestUnanswered(*Upstream, time.Time, RequestAttempt)                 {}
+func (silentObserver) RequestInterrupted(*Upstream, time.Time, *errs.Refusal, RequestAttempt) {}
 
 // addReplica adds a replica to a service, whose budget allows extraSends.
 func (v *virtualTier) addReplica(service, id string, extraSends int, work func(requestID string) time.Duration) *virtualReplica {
--- /dev/null
+++ b/pkg/poison/unanswered.go
@@ -0,0 +1,129 @@
+package poison
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// unansweredRetention is how long a request counts that a replica did not answer. A
+	// replica that has crashed is back, or its entry has lapsed, some seconds later.
+	unansweredRetention = 15 * time.Second
+	// maxUnanswered limits the requests that are remembered of one replica.
+	maxUnanswered = 64
+)
+
+// Attempt identifies one attempt of a caller's request, so that a request that crashes
+// the replicas that run it is recognized when it is sent again.
+type Attempt struct {
+	// Fingerprint is the same for all attempts of a request.
+	Fingerprint uint64
+	// RequestID is new for each attempt.
+	RequestID string
+}
+
+// Unanswered holds the requests that one process of a replica did not answer, until it
+// is known whether the process has ended under them. Most signs leave that open: a
+// connection may break, or a dial time out, because of the network, and a probe may
+// fail on a connection that died with the process or meet the next one. Only what
+// shows that the process runs or has ended decides.
+//
+// It is not safe for concurrent use.
+type Unanswered struct {
+	requests []unanswered
+	// endedAt is when the process was found to have ended; zero while it may run.
+	endedAt time.Time
+}
+
+// unanswered is a request without an answer.
+type unanswered struct {
+	attempt  Attempt
+	failedAt time.Time
+	// unreachable is set once no connection could be opened after the request had
+	// failed. Later answers may be those of the next process.
+	unreachable bool
+}
+
+// Add records that a request sent at sentAt was not answered. It reports whether the
+// process is known to have ended since then; the request is not kept in this case.
+func (u *Unanswered) Add(now, sentAt time.Time, a Attempt) (ended bool) {
+	if sentAt.Before(u.endedAt) {
+		return true
+	}
+	u.prune(now)
+	if len(u.requests) >= maxUnanswered {
+		u.requests = u.requests[1:]
+	}
+	u.requests = append(u.requests, unanswered{attempt: a, failedAt: now})
+	return false
+}
+
+// Answered records that a request sent at sentAt was answered: the process did not end
+// under those that had failed before, unless it could not be reached in between.
+func (u *Unanswered) Answered(sentAt time.Time) {
+	if sentAt.After(u.endedAt) {
+		u.endedAt = time.Time{}
+	}
+	u.requests = slices.DeleteFunc(u.requests, func(r unanswered) bool { return !r.unreachable && r.failedAt.Before(sentAt) })
+}
+
+// Unreachable records that no connection to the replica could be opened.
+func (u *Unanswered) Unreachable() {
+	for i := range u.requests {
+		u.requests[i].unreachable = true
+	}
+}
+
+// Refused records that nothing listened at the address. networkWorked is the latest time
+// at which the network to the replica's failure domain is known to have worked: a
+// network that fails may refuse connections too. The result holds the requests under
+// which the process has ended.
+func (u *Unanswered) Refused(now, networkWorked time.Time) []Attempt {
+	u.Unreachable()
+	return u.take(now, func(r unanswered) bool { return r.failedAt.Before(networkWorked) })
+}
+
+// Lapsed records that the replica's entry has lapsed. A process that neither this VM nor
+// the store has heard of any more has ended.
+func (u *Unanswered) Lapsed(now time.Time) []Attempt {
+	return u.take(now, func(r unanswered) bool { return r.unreachable })
+}
+
+// Ended records that the process has certainly ended, for instance because another one
+// has its address.
+func (u *Unanswered) Ended(now time.Time) []Attempt {
+	u.endedAt = now
+	return u.take(now, func(unanswered) bool { return true })
+}
+
+// take removes the requests for which ended holds and returns them. If there is one,
+// the process has ended.
+func (u *Unanswered) take(now time.Time, ended func(unanswered) bool) []Attempt {
+	u.prune(now)
+	var taken []Attempt
+	u.requests = slices.DeleteFunc(u.requests, func(r unanswered) bool {
+		if !ended(r) {
+			return false
+		}
+		taken = append(taken, r.attempt)
+		return true
+	})
+	if len(taken) > 0 {
+		u.endedAt = now
+	}
+	return taken
+}
+
+// prune drops the requests that no longer count.
+func (u *Unanswered) prune(now time.Time) {
+	u.requests = slices.DeleteFunc(u.requests, func(r unanswered) bool { return now.Sub(r.failedAt) > unansweredRetention })
+}
+
+// Len returns the number of requests that are undecided.
+func (u *Unanswered) Len() int { return len(u.requests) }
+
+// Expired reports whether nothing is left to remember.
+func (u *Unanswered) Expired(now time.Time) bool {
+	u.prune(now)
+	return len(u.requests) == 0 && now.Sub(u.endedAt) > unansweredRetention
+}
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -63,9 +63,12 @@
 	meanFailureRate      float64
 	failureRateUpdatedAt time.Time
 	shedUntil            time.Time
-	down                 bool
-	coldLimit            coldLimiter
-	requestLimit         requestLimit
+	// answeredSentAt is when the last request that this VM sent, and that was answered,
+	// was sent.
+	answeredSentAt time.Time
+	down           bool
+	coldLimit      coldLimiter
+	requestLimit   requestLimit
 }
 
 // NewTracker returns the tracker of a replica of which nothing has been observed.
@@ -143,6 +146,24 @@
 	t.failureRateUpdatedAt = now
 }
 
+// RecordAnswer records that the replica has answered a request that this VM sent to it
+// at sentAt.
+func (t *Tracker) RecordAnswer(sentAt time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if sentAt.After(t.answeredSentAt) {
+		t.answeredSentAt = sentAt
+	}
+}
+
+// AnsweredSentAt returns when the last answered request was sent to the replica by this
+// VM, and the zero time if there was none.
+func (t *Tracker) AnsweredSentAt() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.answeredSentAt
+}
+
 // FailureRate returns the fraction of recent requests that failed or were shed.
 func (t *Tracker) FailureRate(now time.Time) float64 {
 	t.mu.Lock()
