edge: report each attempt under which replicas crash once, until it is written

A VM that learned of crashes late let a crashing request through for seconds.

- a query over 90 shards was reported 180 times for two attempts, ten a second, in a queue of 64; the reports of later crashes waited or were dropped.
Now an attempt is reported once.
- a report was given up after three tries, about half a second into an outage of the store.
Now it waits until the store has taken or rejected it; a later report of a request that comes again goes first.
- the name of a report held the request ID, which callers choose, so the store could reject it.
Now it holds a hash.

--- a/pkg/edge/crash.go
+++ b/pkg/edge/crash.go
@@ -3,12 +3,17 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/discovery"
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/forward"
+	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
 	"github.com/nutmeghitch/nutmeghitch/pkg/storewatch"
 	"github.com/nutmeghitch/nutmeghitch/pkg/wait"
 )
@@ -20,11 +25,14 @@
 	// crashReportTTL is how long a report counts. It is minutes, because a caller
 	// may send the same request again that late.
 	crashReportTTL = 10 * time.Minute
-	// crashQueueSize and crashWriteInterval limit the waiting reports and the rate
+	// maxWaitingReports and crashWriteInterval limit the waiting reports and the rate
 	// of writes to the store: many replicas may be lost at once for reasons that
 	// have nothing to do with the requests in flight.
-	crashQueueSize     = 64
+	maxWaitingReports  = 512
 	crashWriteInterval = 100 * time.Millisecond
+	// maxKnownReports limits the reports of which this VM remembers that it has made
+	// them.
+	maxKnownReports = 4096
 	// pruneInterval is the interval at which expired reports are removed from the
 	// store.
 	pruneInterval = time.Minute
@@ -37,33 +45,100 @@
 	controller *controller
 	store      Store
 	log        logrus.FieldLogger
-	// queue holds the reports that wait to be written to the store.
-	queue chan discovery.Crash
+	// wake receives a value when a report is added.
+	wake chan struct{}
+
+	mu sync.Mutex
+	// waiting holds the reports that are to be written to the store, known the names of
+	// those that this VM has made: an attempt counts once, however many replicas crash
+	// under it.
+	waiting []waitingReport
+	known   map[string]bool
+}
+
+// waitingReport is a report that is to be written to the store.
+type waitingReport struct {
+	crash discovery.Crash
+	// recurring is set if the request was in flight at a crash before. Its report is
+	// written first: most requests are in flight at a crash by chance.
+	recurring bool
 }
 
 func newCrashReporter(c *controller, store Store, log logrus.FieldLogger) *crashReporter {
-	return &crashReporter{controller: c, store: store, log: log, queue: make(chan discovery.Crash, crashQueueSize)}
+	return &crashReporter{controller: c, store: store, log: log, wake: make(chan struct{}, 1), known: map[string]bool{}}
 }
 
 // report records the requests that were in flight when a replica crashed and
-// queues a report of each for the store. It never blocks: when the queue is
-// full, reports are dropped.
+// queues a report of each for the store. It never blocks.
 func (r *crashReporter) report(u *forward.Upstream, suspects []forward.RequestAttempt) {
 	now := time.Now()
 	for _, s := range suspects {
 		crash := discovery.Crash{Fingerprint: s.Fingerprint, Attempt: s.RequestID, At: now}
+		if !r.isNew(crash) {
+			continue
+		}
+		recurring := r.controller.ledger.Check(now, s.Fingerprint) == poison.Suspect
 		r.controller.recordCrash(now, crash)
-		r.log.WithFields(logrus.Fields{"id": s.RequestID, "replica": u.Member.ID, "fingerprint": fmt.Sprintf("%016x", s.Fingerprint)}).Info("request was in flight when a replica crashed")
-		r.enqueue(crash)
+		verdict := r.controller.ledger.Check(now, s.Fingerprint)
+		r.log.WithFields(logrus.Fields{
+			"id": s.RequestID, "replica": u.Member.ID, "fingerprint": fmt.Sprintf("%016x", s.Fingerprint), "recurring": recurring, "refused_from_now": verdict == poison.Blocked,
+		}).Info("request was in flight when a replica crashed")
+		r.add(waitingReport{crash: crash, recurring: recurring})
 	}
 }
 
-// enqueue queues a report for the store.
-func (r *crashReporter) enqueue(crash discovery.Crash) {
+// isNew reports whether this VM has not reported the attempt yet.
+func (r *crashReporter) isNew(crash discovery.Crash) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	name := crashObjectName(crash)
+	if r.known[name] {
+		return false
+	}
+	if len(r.known) >= maxKnownReports {
+		clear(r.known) // a report that is made again only costs a call
+	}
+	r.known[name] = true
+	return true
+}
+
+// reportAgain queues a report that the store has lost.
+func (r *crashReporter) reportAgain(crash discovery.Crash) { r.add(waitingReport{crash: crash}) }
+
+// add queues a report for the store. Beyond maxWaitingReports, the oldest one of a
+// request that was in flight at one crash only is dropped.
+func (r *crashReporter) add(report waitingReport) {
+	r.mu.Lock()
+	r.waiting = append(r.waiting, report)
+	if len(r.waiting) > maxWaitingReports {
+		i := max(0, slices.IndexFunc(r.waiting, func(w waitingReport) bool { return !w.recurring }))
+		r.log.WithField("id", r.waiting[i].crash.Attempt).Warn("crash report dropped: too many wait for the store")
+		r.waiting = slices.Delete(r.waiting, i, i+1)
+	}
+	r.mu.Unlock()
 	select {
-	case r.queue <- crash:
+	case r.wake <- struct{}{}:
 	default:
-		r.log.WithField("id", crash.Attempt).Warn("crash report dropped: queue is full")
+	}
+}
+
+// next returns the report that is to be written next.
+func (r *crashReporter) next() (waitingReport, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.waiting) == 0 {
+		return waitingReport{}, false
+	}
+	i := max(0, slices.IndexFunc(r.waiting, func(w waitingReport) bool { return w.recurring }))
+	return r.waiting[i], true
+}
+
+// done removes a report that need not be written any more.
+func (r *crashReporter) done(report waitingReport) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if i := slices.Index(r.waiting, report); i >= 0 {
+		r.waiting = slices.Delete(r.waiting, i, i+1)
 	}
 }
 
@@ -75,47 +150,51 @@
 		select {
 		case <-ctx.Done():
 			return
-		case crash := <-r.queue:
-			r.write(ctx, crash)
-			wait.Sleep(ctx, crashWriteInterval)
+		case <-r.wake:
+			r.writeWaiting(ctx)
 		case <-prune.C:
 			r.prune(ctx)
 		}
 	}
 }
 
-// maxReportAttempts limits the attempts to write one report, because a late
-// report is of little use.
-const maxReportAttempts = 3
-
-// writeReport calls write until it succeeds, ctx ends, or it has failed
-// maxReportAttempts times.
-func writeReport(ctx context.Context, write func() error) {
-	attempts := 0
-	storewatch.Retry(ctx, func() error {
-		attempts++
-		err := write()
-		if attempts >= maxReportAttempts {
+// writeWaiting writes the waiting reports to the store, each until the store has taken
+// or rejected it.
+func (r *crashReporter) writeWaiting(ctx context.Context) {
+	for {
+		written := false
+		storewatch.Retry(ctx, func() error {
+			report, ok := r.next() // another one may be more urgent after a failed call
+			if !ok {
+				return nil
+			}
+			err := r.write(ctx, report.crash)
+			if errs.Is(err, errs.PlatformDown) || errs.Is(err, errs.PlatformThrottled) {
+				return err
+			}
+			written = true
+			r.done(report)
 			return nil
+		})
+		if !written || !wait.Sleep(ctx, crashWriteInterval) {
+			return
 		}
-		return err
-	})
+	}
 }
 
 // write writes a report to the store.
-func (r *crashReporter) write(ctx context.Context, crash discovery.Crash) {
-	writeReport(ctx, func() error {
-		err := r.store.ReportCrash(ctx, crashObjectName(crash), crash)
-		if err != nil {
-			r.log.WithFields(logrus.Fields{"id": crash.Attempt, "error": err}).Warn("writing a crash report to the store failed")
-		}
-		return err
-	})
+func (r *crashReporter) write(ctx context.Context, crash discovery.Crash) error {
+	err := r.store.ReportCrash(ctx, crashObjectName(crash), crash)
+	if err != nil {
+		r.log.WithFields(logrus.Fields{"id": crash.Attempt, "error": err}).Warn("writing a crash report to the store failed")
+	}
+	return err
 }
 
-// crashObjectName returns the name of a report in the store.
+// crashObjectName returns the name of a report in the store. It holds a hash of the
+// attempt, because callers choose the ID of a request.
 func crashObjectName(c discovery.Crash) string {
-	return fmt.Sprintf("%016x-%s", c.Fingerprint, c.Attempt)
+	return fmt.Sprintf("%016x-%016x", c.Fingerprint, xxhash.Sum64String(c.Attempt))
 }
 
 // prune removes expired reports from the store. Only the coordinator does this.
--- /dev/null
+++ b/pkg/edge/crash_test.go
@@ -0,0 +1,141 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/discovery"
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/forward"
+)
+
+// crashStore is the part of a store that takes crash reports.
+type crashStore struct {
+	Store
+	mu sync.Mutex
+	// err is what writes fail with.
+	err error
+	// written holds the names of the reports in the order of their writes, deleted those
+	// of the deleted ones.
+	written, deleted []string
+}
+
+func (s *crashStore) setErr(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.err = err
+}
+
+func (s *crashStore) ReportCrash(_ context.Context, name string, crash discovery.Crash) error {
+	time.Sleep(storeLatency)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.err == nil {
+		s.written = append(s.written, fmt.Sprint(crash.Fingerprint, " ", crash.Attempt))
+	}
+	return s.err
+}
+
+func (s *crashStore) DeleteCrash(_ context.Context, name string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deleted = append(s.deleted, name)
+	return nil
+}
+
+// takeWritten returns the reports that were written since the last call.
+func (s *crashStore) takeWritten() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	written := s.written
+	s.written = nil
+	return written
+}
+
+// inCrashReporter runs f in virtual time with a reporter that writes to a crashStore.
+func inCrashReporter(t *testing.T, f func(r *crashReporter, store *crashStore)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		store := &crashStore{}
+		r := newCrashReporter(newTestController(t), store, log)
+		go r.run(ctx)
+		f(r, store)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against reports of a query over many shards that keep those of other requests
+// waiting for seconds, or push them out.
+func TestCrashesUnderOneAttemptAreReportedOnce(t *testing.T) {
+	inCrashReporter(t, func(r *crashReporter, store *crashStore) {
+		for shard := range 90 {
+			u := testUpstream(fmt.Sprint("r", shard), "d1")
+			r.report(u, []forward.RequestAttempt{{Fingerprint: 1, RequestID: "a"}, {Fingerprint: 2, RequestID: "b"}})
+		}
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, store.takeWritten(), []string{"1 a", "2 b"})
+		r.report(testUpstream("r1", "d1"), []forward.RequestAttempt{{Fingerprint: 1, RequestID: "c"}})
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, store.takeWritten(), []string{"1 c"})
+	})
+}
+
+// Guards against a report that is lost because the store was away.
+func TestCrashReportsAreWrittenAfterAnOutage(t *testing.T) {
+	inCrashReporter(t, func(r *crashReporter, store *crashStore) {
+		store.setErr(errs.Ambiguous(errs.PlatformDown, "down"))
+		for i := range 12 {
+			r.report(testUpstream("r", "d1"), []forward.RequestAttempt{{Fingerprint: uint64(i), RequestID: "a"}})
+		}
+		time.Sleep(8 * time.Second)
+		assert.Equal(t, len(store.takeWritten()), 0)
+		store.setErr(nil)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, len(store.takeWritten()), 12)
+	})
+}
+
+// Guards against the report of a request that comes again waiting behind those of
+// requests that were in flight by chance.
+func TestReportsOfRecurringRequestsGoFirst(t *testing.T) {
+	inCrashReporter(t, func(r *crashReporter, store *crashStore) {
+		r.controller.recordCrash(time.Now(), discovery.Crash{Fingerprint: 7, Attempt: "earlier", At: time.Now()})
+		for i := range 30 {
+			r.report(testUpstream("r", "d1"), []forward.RequestAttempt{{Fingerprint: uint64(100 + i), RequestID: "a"}})
+		}
+		time.Sleep(crashWriteInterval / 2) // no write is under way
+		store.takeWritten()
+		r.report(testUpstream("r", "d1"), []forward.RequestAttempt{{Fingerprint: 7, RequestID: "b"}})
+		time.Sleep(2*crashWriteInterval + 2*storeLatency)
+		assert.Equal(t, store.takeWritten()[0], "7 b")
+	})
+}
+
+// Guards against a report that the store rejects and that keeps all others waiting.
+func TestRejectedCrashReportIsDropped(t *testing.T) {
+	inCrashReporter(t, func(r *crashReporter, store *crashStore) {
+		store.setErr(errs.Refuse(errs.InvalidRequest, "rejected"))
+		r.report(testUpstream("r", "d1"), []forward.RequestAttempt{{Fingerprint: 1, RequestID: "a"}})
+		time.Sleep(time.Second)
+		store.setErr(nil)
+		r.report(testUpstream("r", "d1"), []forward.RequestAttempt{{Fingerprint: 2, RequestID: "b"}})
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, store.takeWritten(), []string{"2 b"})
+	})
+}
+
+// testUpstream returns a replica that does not run.
+func testUpstream(id, domain string) *forward.Upstream {
+	return &forward.Upstream{Member: &discovery.Member{Replica: discovery.Replica{ID: id, Service: "s", Addr: id + ":1", Domain: domain}}}
+}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -161,7 +161,7 @@
 	s.prober.onCrash = s.crashes.report
 	s.limits = newLimitReporter(s.controller, s.config.Store, s.config.Log.WithField("part", "limit"))
 	s.prober.onRequestLimit = s.limits.report
-	s.controller.onLostCrash, s.controller.onLostLimit = s.crashes.enqueue, s.limits.report
+	s.controller.onLostCrash, s.controller.onLostLimit = s.crashes.reportAgain, s.limits.report
 	s.prober.start(scope.Context(), func(u *forward.Upstream, left time.Duration) {
 		s.controller.post(scope.Context(), func(now time.Time) bool { return s.controller.replicaBecameCold(now, u, left) })
 	})
--- a/pkg/edge/fleet_test.go
+++ b/pkg/edge/fleet_test.go
@@ -280,7 +280,7 @@
 	c.prober.onCrash = vm.crashes.report
 	c.prober.start(f.ctx, func(*forward.Upstream, time.Duration) {})
 	c.prober.onRequestLimit = vm.limits.report
-	c.onLostCrash, c.onLostLimit = vm.crashes.enqueue, vm.limits.report
+	c.onLostCrash, c.onLostLimit = vm.crashes.reportAgain, vm.limits.report
 	f.vms = append(f.vms, vm)
 	updates := &updateSource{self: vm.self(), seeds: func() []string { return nil }, controller: c, dial: f.dial, log: log}
 	go func() { _ = c.run(f.ctx) }() // ends with ctx
--- a/pkg/edge/limits.go
+++ b/pkg/edge/limits.go
@@ -27,6 +27,10 @@
 	limitReportInterval = 30 * time.Millisecond
 )
 
+// maxReportAttempts limits the attempts to write one report, because a late
+// report is of little use.
+const maxReportAttempts = 3
+
 // limitReporter tells the other VMs the request limits that replicas name in their
 // answers to this one. A VM that has not had such an answer, or that just started,
 // then keeps the limit too.
@@ -100,6 +104,20 @@
 	}
 }
 
+// writeReport calls write until it succeeds, ctx ends, or it has failed
+// maxReportAttempts times.
+func writeReport(ctx context.Context, write func() error) {
+	attempts := 0
+	storewatch.Retry(ctx, func() error {
+		attempts++
+		err := write()
+		if attempts >= maxReportAttempts {
+			return nil
+		}
+		return err
+	})
+}
+
 // write writes the limit of a replica to the store, or removes it there, unless the
 // store has it already.
 func (r *limitReporter) write(ctx context.Context, u *forward.Upstream) {
