forward: ask again whether a request crashes replicas before each later send

A request whose crashes other VMs had reported while it waited, or after it was relayed, still reached replicas: the verdict was taken once, when the request arrived.

Now it is asked for after admission, before each retry, hedge and shard that was left out, and by the VM that serves a relayed request, which refuses it at once for all shards; the sender does not try those shards itself. The refusal says that nothing ran where nothing did.

The two tests added failed before with 3 sends in place of 1, and with a relayed request that was answered. Ruled out: taking suspicion afresh as well, since then the retry of a request whose replica has just crashed by chance would be lost.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -186,6 +186,11 @@
 		f.refuse(w, id, match.Name, start, refusal)
 		return
 	}
+	if q.isBlocked(time.Now()) { // it may have waited
+		q.releaseAdmission()
+		f.refuse(w, id, match.Name, start, crashRefusal())
+		return
+	}
 	defer q.cancelSends()
 	response, refusal := q.run(r.Context())
 	q.releaseAdmission()
@@ -236,12 +241,17 @@
 	}
 	q := f.newQuery(r, id, body, match.view, match.Route, start)
 	if q.poisonVerdict = f.ledger.Check(start, q.attempt.Fingerprint); q.poisonVerdict == poison.Blocked {
-		return nil, errs.Refuse(errs.Poisoned, "replicas crashed when they ran this request")
+		return nil, crashRefusal()
 	}
 	q.recordPrimarySends()
 	return q, nil
 }
 
+// crashRefusal returns the refusal of a request that crashes replicas.
+func crashRefusal() *errs.Refusal {
+	return errs.Refuse(errs.Poisoned, "replicas crashed when they ran this request")
+}
+
 // refuse logs and answers a request that was not sent to any replica.
 func (f *Forwarder) refuse(w http.ResponseWriter, id, route string, start time.Time, refusal *errs.Refusal) {
 	f.log.WithFields(logrus.Fields{
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -266,6 +266,30 @@
 	assert.Equal(t, status, http.StatusOK)
 }
 
+// blockRequest makes other VMs report that replicas crashed under the request of the
+// test's caller to a path.
+func (tt *testTier) blockRequest(fp uint64) {
+	for _, id := range []string{"x", "y", "z"} {
+		tt.ledger.RecordLoss(time.Now(), "", id, []uint64{fp})
+	}
+}
+
+// Guards against a request that goes on to further replicas after other VMs have
+// reported that it crashes them.
+func TestRequestIsNotSentAgainOnceItIsKnownToCrashReplicas(t *testing.T) {
+	tier := newTestTier(t, singleRoute(true))
+	replicas := tier.addService("s", 100)
+	for _, id := range []string{"r1", "r2", "r3"} {
+		tier.addReplica(replicas, id, func(w http.ResponseWriter, r *http.Request) {
+			tier.blockRequest(fingerprint(r, tier.table.Routes[0], "127.0.0.1", nil))
+			refuseNotRun(w, r)
+		})
+	}
+	status, _, _ := tier.send("GET", "/p/x", "1", "")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Equal(t, len(tier.received()), 1)
+}
+
 // Guards against a query that fails because one shard was skipped and another one
 // failed, although querying the skipped shard would reach the coverage.
 func TestSkippedShardIsQueriedWhenAnotherFails(t *testing.T) {
--- a/pkg/forward/outcome.go
+++ b/pkg/forward/outcome.go
@@ -80,6 +80,12 @@
 	if s.answered || s.openSendCount > 0 || s.attempts >= q.route.Attempts {
 		return
 	}
+	if q.isBlocked(now) {
+		if !s.mayHaveRun {
+			s.refusal = crashRefusal()
+		}
+		return
+	}
 	if reachedReplica {
 		s.failuresAtReplica++
 	}
--- a/pkg/forward/plan.go
+++ b/pkg/forward/plan.go
@@ -190,7 +190,7 @@
 // querySkippedShards queries skipped shards when others have failed and the
 // required coverage cannot be reached without them.
 func (q *query) querySkippedShards(now time.Time) {
-	if q.skippedShards == 0 {
+	if q.skippedShards == 0 || q.isBlocked(now) {
 		return
 	}
 	possible := q.answeredOrWaitingShards()
--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -198,6 +198,12 @@
 	return min(limit, time.Duration(ms*float64(time.Millisecond)))
 }
 
+// isBlocked reports whether the request is known to crash replicas. Other VMs may report
+// that at any time, so each later send asks again.
+func (q *query) isBlocked(now time.Time) bool {
+	return q.forwarder.ledger.Check(now, q.attempt.Fingerprint) == poison.Blocked
+}
+
 // hopByHopHeaders concern a single connection and are not forwarded.
 var hopByHopHeaders = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
@@ -354,7 +360,7 @@
 // hedge sends the request of each shard that has not answered to a second replica,
 // and returns the time until the next hedges.
 func (q *query) hedge() time.Duration {
-	if !q.route.Idempotent || q.poisonVerdict == poison.Suspect {
+	if !q.route.Idempotent || q.poisonVerdict == poison.Suspect || q.isBlocked(time.Now()) {
 		return q.hedgeDelay() // a request that may crash replicas is not sent to more of them
 	}
 	now := time.Now()
--- a/pkg/forward/relay_test.go
+++ b/pkg/forward/relay_test.go
@@ -339,3 +339,21 @@
 		assert.Assert(t, got[d] > 300*40/6 && got[d] < 300*40/2, "%v", got)
 	}
 }
+
+// Guards against a request that is relayed by a VM that does not know yet that it
+// crashes replicas, to one that does.
+func TestRelayedRequestThatCrashesReplicasIsRefused(t *testing.T) {
+	inRelayFleet(t, 0.5, func(r *relayFleet) {
+		request := httptest.NewRequest("GET", "http://h.example/a/x", nil)
+		fp := fingerprint(request, r.view.Table.Routes[0], callerAddr(request.RemoteAddr), nil)
+		for _, id := range []string{"x", "y", "z"} {
+			r.far.forwarder.ledger.RecordLoss(time.Now(), "", id, []uint64{fp})
+		}
+		answer := r.send(nil, "/a/x", "1")
+		assert.Equal(t, answer.Code, 503)
+		assert.Equal(t, r.relayed.Load(), int64(1))
+		for _, u := range append(r.own, r.remote...) {
+			assert.Equal(t, u.requests.Load(), int64(0), u.Member.ID)
+		}
+	})
+}
--- a/pkg/forward/relaysend.go
+++ b/pkg/forward/relaysend.go
@@ -207,6 +207,9 @@
 	} else {
 		s.mayHaveRun = true
 	}
+	if refusal.Code == errs.Poisoned {
+		return // the other VM knows that the request crashes replicas
+	}
 	q.retry(now, s, reachedReplica)
 }
 
--- a/pkg/forward/relayserve.go
+++ b/pkg/forward/relayserve.go
@@ -9,6 +9,7 @@
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/exchange"
+	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
 	"github.com/nutmeghitch/nutmeghitch/pkg/replica"
 	"github.com/nutmeghitch/nutmeghitch/pkg/topk"
 	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
@@ -47,6 +48,10 @@
 		return
 	}
 	start := time.Now()
+	if f.ledger.Check(start, request.Fingerprint) == poison.Blocked {
+		f.refuseRelayed(request, reply)
+		return
+	}
 	holding := f.memory.NewHolding()
 	defer holding.End()
 	// The sends may go on for a while after the last reply, so that their
@@ -70,6 +75,16 @@
 	}).Info("relayed request ended")
 }
 
+// refuseRelayed refuses a relayed request that is known to crash replicas.
+func (f *Forwarder) refuseRelayed(request *wire.RelayRequest, reply func(*wire.RelayReply) error) {
+	refused := &wire.RelayReply{Done: true}
+	for i := range request.Services {
+		refused.Failed = append(refused.Failed, wire.RelayFailure{Service: i, Failure: *wire.FailureOf(crashRefusal())})
+	}
+	f.log.WithFields(logrus.Fields{"id": request.RequestID, "code": errs.Poisoned}).Info("relayed request refused")
+	_ = reply(refused) // the connection then ends
+}
+
 // startRelayed starts the sends of a relayed request and returns their number. What
 // cannot be sent is put into parts at once, and counts too.
 func (f *Forwarder) startRelayed(ctx context.Context, start time.Time, request *wire.RelayRequest, holding *exchange.Holding, parts chan<- relayedPart) int {
