edge: withdraw the crash reports of a request that succeeds

An error response of a replica that was passed on counted as a success.

Now a success withdraws the reports of the same request, query string included, in the store, from where all VMs learn it; a request that has succeeded within the last ten seconds is not reported at all. A response counts as a success only if it is none of an error, and no replica broke the request off.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -309,6 +309,8 @@
 // replica crashed.
 type Crash struct {
 	Fingerprint uint64
+	// Exact identifies the request with its query string.
+	Exact uint64
 	// Attempt is the request ID of the attempt.
 	Attempt string
 	// At is the time of the report by the clock of the VM that wrote it.
--- a/pkg/edge/crash.go
+++ b/pkg/edge/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -38,6 +39,18 @@
 	pruneInterval = time.Minute
 )
 
+// successMemory is how long a request that has succeeded is not blamed for a crash. It is
+// short, because a change of the index may make a request crash replicas that did not.
+const successMemory = 10 * time.Second
+
+// newCrashLedger returns the ledger of the requests that were in flight when replicas
+// crashed.
+func newCrashLedger() *poison.Ledger {
+	return poison.NewLedger(poison.Config{
+		LossLimit: maxCrashAttempts, BlockDuration: crashReportTTL, SuspectDuration: crashReportTTL, ProvenDuration: successMemory,
+	})
+}
+
 // crashReporter tells the other VMs which requests were in flight when a replica
 // crashed. A request that crashes every replica that runs it is then refused by
 // all VMs.
@@ -54,6 +67,8 @@
 	// under it.
 	waiting []waitingReport
 	known   map[string]bool
+	// succeeded holds the requests whose reports are to be withdrawn.
+	succeeded []forward.RequestAttempt
 }
 
 // waitingReport is a report that is to be written to the store.
@@ -73,10 +88,14 @@
 func (r *crashReporter) report(u *forward.Upstream, suspects []forward.RequestAttempt) {
 	now := time.Now()
 	for _, s := range suspects {
-		crash := discovery.Crash{Fingerprint: s.Fingerprint, Attempt: s.RequestID, At: now}
+		crash := discovery.Crash{Fingerprint: s.Fingerprint, Exact: s.Exact, Attempt: s.RequestID, At: now}
 		if !r.isNew(crash) {
 			continue
 		}
+		if r.controller.ledger.Check(now, s.Exact) == poison.Proven {
+			r.log.WithFields(logrus.Fields{"id": s.RequestID, "replica": u.Member.ID}).Info("request was in flight when a replica crashed: not counted, it has succeeded lately")
+			continue
+		}
 		recurring := r.controller.ledger.Check(now, s.Fingerprint) == poison.Suspect
 		r.controller.recordCrash(now, crash)
 		verdict := r.controller.ledger.Check(now, s.Fingerprint)
@@ -87,6 +106,61 @@
 	}
 }
 
+// withdraw queues the withdrawal of the reports of a request that has succeeded: it was
+// in flight at crashes by chance. It never blocks.
+func (r *crashReporter) withdraw(attempt forward.RequestAttempt) {
+	r.mu.Lock()
+	if len(r.succeeded) < maxWaitingReports {
+		r.succeeded = append(r.succeeded, attempt)
+	}
+	r.mu.Unlock()
+	r.wakeUp()
+}
+
+// wakeUp makes run look at what is queued.
+func (r *crashReporter) wakeUp() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// withdrawSucceeded withdraws the reports of the requests that have succeeded, here and
+// in the store.
+func (r *crashReporter) withdrawSucceeded(ctx context.Context) {
+	r.mu.Lock()
+	succeeded := r.succeeded
+	r.succeeded = nil
+	r.mu.Unlock()
+	for _, attempt := range succeeded {
+		matches := func(c discovery.Crash) bool { return c.Fingerprint == attempt.Fingerprint && c.Exact == attempt.Exact }
+		r.mu.Lock()
+		unwritten := slices.DeleteFunc(slices.Clone(r.waiting), func(w waitingReport) bool { return !matches(w.crash) })
+		r.waiting = slices.DeleteFunc(r.waiting, func(w waitingReport) bool { return matches(w.crash) })
+		r.mu.Unlock()
+		for _, w := range unwritten {
+			r.controller.clearCrash(time.Now(), w.crash)
+		}
+		written, _ := askState(ctx, r.controller, func(s *state) []discovery.Crash {
+			return slices.DeleteFunc(slices.Collect(maps.Values(s.crashes)), func(c discovery.Crash) bool { return !matches(c) })
+		})
+		for _, crash := range written {
+			r.controller.clearCrash(time.Now(), crash)
+			r.deleteReport(ctx, crashObjectName(crash), "withdrawing a crash report from the store failed")
+		}
+		if n := len(unwritten) + len(written); n > 0 {
+			r.log.WithFields(logrus.Fields{"id": attempt.RequestID, "fingerprint": fmt.Sprintf("%016x", attempt.Fingerprint), "reports": n}).Info("crash reports of a request withdrawn: it has succeeded")
+		}
+	}
+}
+
+// deleteReport removes a report from the store.
+func (r *crashReporter) deleteReport(ctx context.Context, name, failure string) {
+	if err := r.store.DeleteCrash(ctx, name); err != nil {
+		r.log.WithFields(logrus.Fields{"name": name, "error": err}).Warn(failure)
+	}
+}
+
 // isNew reports whether this VM has not reported the attempt yet.
 func (r *crashReporter) isNew(crash discovery.Crash) bool {
 	r.mu.Lock()
@@ -116,10 +190,7 @@
 		r.waiting = slices.Delete(r.waiting, i, i+1)
 	}
 	r.mu.Unlock()
-	select {
-	case r.wake <- struct{}{}:
-	default:
-	}
+	r.wakeUp()
 }
 
 // next returns the report that is to be written next.
@@ -151,6 +222,7 @@
 		case <-ctx.Done():
 			return
 		case <-r.wake:
+			r.withdrawSucceeded(ctx)
 			r.writeWaiting(ctx)
 		case <-prune.C:
 			r.prune(ctx)
@@ -204,9 +276,7 @@
 	}
 	expired, _ := askState(ctx, r.controller, func(*state) []string { return r.controller.expiredCrashes(time.Now()) })
 	for _, name := range expired {
-		if err := r.store.DeleteCrash(ctx, name); err != nil {
-			r.log.WithFields(logrus.Fields{"name": name, "error": err}).Warn("removing an expired crash report from the store failed")
-		}
+		r.deleteReport(ctx, name, "removing an expired crash report from the store failed")
 	}
 }
 
@@ -215,10 +285,18 @@
 	c.ledger.RecordLoss(now, "", crash.Attempt, []uint64{crash.Fingerprint})
 }
 
+// clearCrash clears an attempt that recordCrash has counted.
+func (c *controller) clearCrash(now time.Time, crash discovery.Crash) {
+	c.ledger.ClearLoss(now, "", crash.Attempt, crash.Fingerprint)
+}
+
 // applyCrash applies a changed or removed report. It changes no view.
 func (c *controller) applyCrash(now time.Time, item storewatch.Item[discovery.Crash]) bool {
 	switch {
 	case item.Deleted:
+		if crash, known := c.state.crashes[item.Name]; known {
+			c.clearCrash(now, crash)
+		}
 		delete(c.state.crashes, item.Name)
 	case item.Err == nil:
 		c.state.crashes[item.Name] = item.Value
--- a/pkg/edge/crash_test.go
+++ b/pkg/edge/crash_test.go
@@ -15,6 +15,7 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/discovery"
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/forward"
+	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
 )
 
 // crashStore is the part of a store that takes crash reports.
@@ -135,6 +136,43 @@
 	})
 }
 
+// Guards against a request that stays refused, or becomes refused, because it was in
+// flight by chance when replicas crashed, though it succeeds.
+func TestSuccessWithdrawsCrashReports(t *testing.T) {
+	inVMFleet(t, 3, func(fleet *vmFleet) {
+		u := testUpstream("r", "d1")
+		verdicts := func() (all []poison.Verdict) {
+			for _, vm := range fleet.vms {
+				all = append(all, vm.controller.ledger.Check(time.Now(), 7))
+			}
+			return all
+		}
+		for i, vm := range fleet.vms {
+			vm.crashes.report(u, []forward.RequestAttempt{{Fingerprint: 7, Exact: 70, RequestID: fmt.Sprint("a", i)}})
+			time.Sleep(time.Second)
+		}
+		assert.DeepEqual(t, verdicts(), []poison.Verdict{poison.Blocked, poison.Blocked, poison.Blocked})
+		other, same := forward.RequestAttempt{Fingerprint: 7, Exact: 71}, forward.RequestAttempt{Fingerprint: 7, Exact: 70}
+		fleet.vms[1].crashes.withdraw(other)
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, verdicts(), []poison.Verdict{poison.Blocked, poison.Blocked, poison.Blocked}) // another query string has succeeded
+		fleet.vms[1].crashes.withdraw(same)
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, verdicts(), []poison.Verdict{poison.Unknown, poison.Unknown, poison.Unknown})
+		assert.Equal(t, len(fleet.store.copied().objects[memCrashes]), 0)
+
+		vm := fleet.vms[2]
+		vm.controller.ledger.RecordSuccess(time.Now(), 70)
+		vm.crashes.report(u, []forward.RequestAttempt{{Fingerprint: 7, Exact: 70, RequestID: "b"}, {Fingerprint: 7, Exact: 71, RequestID: "c"}})
+		time.Sleep(time.Second)
+		assert.Equal(t, len(fleet.store.copied().objects[memCrashes]), 1, "only the one that has not succeeded lately")
+		time.Sleep(successMemory)
+		vm.crashes.report(u, []forward.RequestAttempt{{Fingerprint: 7, Exact: 70, RequestID: "d"}})
+		time.Sleep(time.Second)
+		assert.Equal(t, len(fleet.store.copied().objects[memCrashes]), 2)
+	})
+}
+
 // testUpstream returns a replica that does not run.
 func testUpstream(id, domain string) *forward.Upstream {
 	return &forward.Upstream{Member: &discovery.Member{Replica: discovery.Replica{ID: id, Service: "s", Addr: id + ":1", Domain: domain}}}
--- a/pkg/edge/crashfleet_test.go
+++ b/pkg/edge/crashfleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -415,10 +416,9 @@
 
 // Guards against the same failure in other mixes of faults.
 func TestDrawnCrashPlans(t *testing.T) {
-	for seed := range uint64(crashPlans) {
+	for seed := range uint64(*crashPlans) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { drawCrashPlan(seed).play(t).check(t) })
 	}
 }
 
-// crashPlans is the number of plans that TestDrawnCrashPlans plays.
-const crashPlans = 24
+var crashPlans = flag.Int("crash.plans", 24, "number of plans that TestDrawnCrashPlans plays")
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -16,7 +16,6 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/kernel"
 	"github.com/nutmeghitch/nutmeghitch/pkg/metrics"
 	"github.com/nutmeghitch/nutmeghitch/pkg/netconn"
-	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
 	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
 	"github.com/nutmeghitch/nutmeghitch/pkg/storewatch"
 )
@@ -143,7 +142,7 @@
 func newControllerService(c Config, ready *readiness) *controllerService {
 	probeLog := c.Log.WithField("part", "probe")
 	p := newProber(c.Headers, probeLog)
-	ledger := poison.NewLedger(poison.Config{LossLimit: maxCrashAttempts, BlockDuration: crashReportTTL, SuspectDuration: crashReportTTL})
+	ledger := newCrashLedger()
 	f := forward.New(forward.Config{
 		Headers: c.Headers, Observer: p, Ledger: ledger, Memory: exchange.NewMemory(int64(bufferedShare * float64(c.Settings.MemoryBytes))),
 		Log: c.Log.WithField("part", "forward"), Scope: c.Metrics.Scope, Buckets: metrics.LatencyBuckets,
@@ -158,7 +157,7 @@
 // Start implements kernel.Starter.
 func (s *controllerService) Start(_ context.Context, scope *kernel.Scope) error {
 	s.crashes = newCrashReporter(s.controller, s.config.Store, s.config.Log.WithField("part", "crash"))
-	s.prober.onCrash = s.crashes.report
+	s.prober.onCrash, s.prober.onSuspectSucceeded = s.crashes.report, s.crashes.withdraw
 	s.limits = newLimitReporter(s.controller, s.config.Store, s.config.Log.WithField("part", "limit"))
 	s.prober.onRequestLimit = s.limits.report
 	s.controller.onLostCrash, s.controller.onLostLimit = s.crashes.reportAgain, s.limits.report
--- a/pkg/edge/prober.go
+++ b/pkg/edge/prober.go
@@ -46,6 +46,9 @@
 	// with the requests that were in flight when a replica crashed.
 	onCold  func(u *forward.Upstream, left time.Duration)
 	onCrash func(u *forward.Upstream, suspects []forward.RequestAttempt)
+	// onSuspectSucceeded is called with a request that succeeded though it was in flight
+	// at a crash.
+	onSuspectSucceeded func(forward.RequestAttempt)
 	// onRequestLimit is called when the request limit of a replica has changed.
 	onRequestLimit func(u *forward.Upstream)
 
@@ -114,6 +117,9 @@
 	p.startProbing(u, minProbeDelay)
 }
 
+// SuspectSucceeded implements forward.Observer.
+func (p *prober) SuspectSucceeded(attempt forward.RequestAttempt) { p.onSuspectSucceeded(attempt) }
+
 // RequestLimitChanged implements forward.Observer.
 func (p *prober) RequestLimitChanged(u *forward.Upstream) { p.onRequestLimit(u) }
 
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -73,6 +73,9 @@
 	// RequestUnanswered reports that this VM stopped waiting for the response to a
 	// request sent at sentAt, which may have run.
 	RequestUnanswered(u *Upstream, sentAt time.Time, attempt RequestAttempt)
+	// SuspectSucceeded reports that a request succeeded that was in flight when replicas
+	// crashed.
+	SuspectSucceeded(attempt RequestAttempt)
 	// RequestLimitChanged reports that answers of a replica to this VM show another
 	// request limit than before, or that there is none any more.
 	RequestLimitChanged(u *Upstream)
@@ -199,7 +202,7 @@
 		f.writeRefusal(w, id, refusal)
 		return
 	}
-	f.ledger.RecordSuccess(time.Now(), q.attempt.Fingerprint)
+	q.recordSuccess(response)
 	f.metrics.requestLatency.RecordDuration(time.Since(start))
 	response.write(w)
 	if response.stream != nil {
@@ -247,6 +250,19 @@
 	return q, nil
 }
 
+// recordSuccess records that the request has succeeded, unless a replica has failed it or
+// not answered it.
+func (q *query) recordSuccess(r *response) {
+	if r.status >= http.StatusInternalServerError || q.brokenOff > 0 {
+		return
+	}
+	now := time.Now()
+	q.forwarder.ledger.RecordSuccess(now, q.attempt.Exact)
+	if v := q.forwarder.ledger.Check(now, q.attempt.Fingerprint); v == poison.Suspect || v == poison.Blocked {
+		q.forwarder.observer.SuspectSucceeded(q.attempt)
+	}
+}
+
 // crashRefusal returns the refusal of a request that crashes replicas.
 func crashRefusal() *errs.Refusal {
 	return errs.Refuse(errs.Poisoned, "replicas crashed when they ran this request")
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"slices"
 	"strconv"
@@ -12,6 +13,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
 )
 
 // Guards against changes to a forwarded request (method, escaped path, query,
@@ -274,6 +277,26 @@
 	}
 }
 
+// Guards against a failure that is passed on to the caller and counts as a success of a
+// request that was in flight when replicas crashed.
+func TestOnlySuccessesClearARequest(t *testing.T) {
+	tier := newTestTier(t, singleRoute(true))
+	tier.addReplica(tier.addService("s", 0), "r1", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Receipt", "x")
+		if r.URL.Path == "/p/fails" {
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+	})
+	for _, path := range []string{"/p/fails", "/p/succeeds"} {
+		request := httptest.NewRequest("GET", path, nil)
+		attempt := requestAttempt(request, tier.table.Routes[0], "127.0.0.1", nil, "")
+		tier.ledger.RecordLoss(time.Now(), "", "x", []uint64{attempt.Fingerprint})
+		tier.send("GET", path, "1", "")
+		assert.Equal(t, tier.ledger.Check(time.Now(), attempt.Exact) == poison.Proven, path == "/p/succeeds", path)
+		assert.Equal(t, slices.Contains(tier.cleared, attempt.Fingerprint), path == "/p/succeeds", path)
+	}
+}
+
 // Guards against a request that goes on to further replicas after other VMs have
 // reported that it crashes them.
 func TestRequestIsNotSentAgainOnceItIsKnownToCrashReplicas(t *testing.T) {
@@ -281,7 +304,7 @@
 	replicas := tier.addService("s", 100)
 	for _, id := range []string{"r1", "r2", "r3"} {
 		tier.addReplica(replicas, id, func(w http.ResponseWriter, r *http.Request) {
-			tier.blockRequest(fingerprint(r, tier.table.Routes[0], "127.0.0.1", nil))
+			tier.blockRequest(requestAttempt(r, tier.table.Routes[0], "127.0.0.1", nil, "").Fingerprint)
 			refuseNotRun(w, r)
 		})
 	}
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -47,6 +47,8 @@
 	unreachable  []string
 	interrupted  []string
 	unresponsive []string
+	// cleared holds the fingerprints of suspect requests that have succeeded.
+	cleared []uint64
 }
 
 // handler answers a request at a replica.
@@ -66,6 +68,12 @@
 
 func (tt *testTier) RequestLimitChanged(*Upstream) {}
 
+func (tt *testTier) SuspectSucceeded(attempt RequestAttempt) {
+	tt.mu.Lock()
+	defer tt.mu.Unlock()
+	tt.cleared = append(tt.cleared, attempt.Fingerprint)
+}
+
 func (tt *testTier) RequestUnanswered(*Upstream, time.Time, RequestAttempt) {}
 
 func (tt *testTier) RequestInterrupted(u *Upstream, _ time.Time, _ *errs.Refusal, attempt RequestAttempt) {
--- a/pkg/forward/outcome.go
+++ b/pkg/forward/outcome.go
@@ -26,6 +26,7 @@
 		s.refusal = r.refusal
 		q.retry(now, s, false)
 	case r.refusal != nil:
+		q.brokenOff++
 		s.mayHaveRun = true
 		s.refusal = r.refusal
 		if q.route.Idempotent && q.poisonVerdict != poison.Suspect {
--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -81,6 +81,8 @@
 	sends, hedges, retries, budgetRefusals int
 	skippedShards, missingShards, relays   int
 	hedgeRounds                            int
+	// brokenOff counts the sends that may have run and got no answer.
+	brokenOff int
 	// isolated is set if this VM reached no other failure domain at the start.
 	isolated bool
 	// relayedRecords holds the greatest records of shards that other VMs queried.
@@ -153,7 +155,7 @@
 		holding:     f.memory.NewHolding(),
 	}
 	q.cutoff = cutoffAfter(route, nextRequestRoundTrips(r.Context()))
-	q.attempt = RequestAttempt{Fingerprint: fingerprint(r, route, q.caller, body), RequestID: id}
+	q.attempt = requestAttempt(r, route, q.caller, body, id)
 	q.head = f.requestHead(r)
 	services := route.Shards
 	if !route.FanOut() {
@@ -167,12 +169,17 @@
 	return q
 }
 
-// fingerprint returns a hash of what all attempts of a request have in common: the host
-// of its route, the caller's address, the method, the path and the body. The query
-// string may differ between attempts.
-func fingerprint(r *http.Request, route *routes.Route, caller string, body []byte) uint64 {
+// requestAttempt identifies an attempt of a request by what all attempts have in common:
+// the host of its route, the caller's address, the method, the path and the body. The
+// query string may differ between attempts.
+func requestAttempt(r *http.Request, route *routes.Route, caller string, body []byte, id string) RequestAttempt {
 	path, _, _ := strings.Cut(r.RequestURI, "?")
-	return poison.Fingerprint(model.ServiceID(route.Host+" "+caller), r.Method+" "+path, body)
+	from := model.ServiceID(route.Host + " " + caller)
+	return RequestAttempt{
+		Fingerprint: poison.Fingerprint(from, r.Method+" "+path, body),
+		Exact:       poison.Fingerprint(from, "exact "+r.Method+" "+r.RequestURI, body),
+		RequestID:   id,
+	}
 }
 
 // callerAddr returns the address of a caller without its port.
--- a/pkg/forward/relayserve.go
+++ b/pkg/forward/relayserve.go
@@ -107,7 +107,7 @@
 				IDHeader: f.headers.RequestID, ID: request.RequestID, Holding: holding,
 			})
 			now := time.Now()
-			f.recordOutcome(u, now, start, reply, refusal, RequestAttempt{Fingerprint: request.Fingerprint, RequestID: request.RequestID})
+			f.recordOutcome(u, now, start, reply, refusal, RequestAttempt{Fingerprint: request.Fingerprint, Exact: request.Exact, RequestID: request.RequestID})
 			p := f.relayedPart(i, u, now.Sub(start), reply, refusal)
 			p.limits = view.localLimits(i, service)
 			parts <- p
--- a/pkg/forward/virtual_test.go
+++ b/pkg/forward/virtual_test.go
@@ -82,6 +82,7 @@
 
 func (silentObserver) ReplicaUnreachable(*Upstream, *errs.Refusal)                            {}
 func (silentObserver) ReplicaUnresponsive(*Upstream)                                          {}
+func (silentObserver) SuspectSucceeded(RequestAttempt)                                        {}
 func (silentObserver) RequestLimitChanged(*Upstream)                                          {}
 func (silentObserver) RequestUnanswered(*Upstream, time.Time, RequestAttempt)                 {}
 func (silentObserver) RequestInterrupted(*Upstream, time.Time, *errs.Refusal, RequestAttempt) {}
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -158,6 +158,19 @@
 	return changed
 }
 
+// ClearLoss clears a loss that RecordLoss has recorded: it has turned out that the
+// request was not to blame.
+func (l *Ledger) ClearLoss(now time.Time, replica model.ReplicaID, instance string, fp uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, ok := l.records[fp]
+	if !ok {
+		return
+	}
+	r.addLoss(instanceHash(now, replica, instance), true)
+	r.forgetAt = now.Add(l.longestDuration() + PropagationMargin)
+}
+
 // RecordSuccess records that a request succeeded. If this clears a suspect
 // fingerprint, it returns true and the entry to send to other VMs. A block ends only
 // when it expires or is lifted.
--- a/pkg/poison/unanswered.go
+++ b/pkg/poison/unanswered.go
@@ -18,6 +18,9 @@
 type Attempt struct {
 	// Fingerprint is the same for all attempts of a request.
 	Fingerprint uint64
+	// Exact is the same only for attempts that are alike in everything that a replica may
+	// act on. Its success says nothing of attempts that differ.
+	Exact uint64
 	// RequestID is new for each attempt.
 	RequestID string
 }
--- a/pkg/wire/relay.go
+++ b/pkg/wire/relay.go
@@ -12,8 +12,10 @@
 	Head []byte `msgpack:"head"`
 	Body []byte `msgpack:"body"`
 	// Fingerprint identifies the request in the ledger of crashes.
-	Fingerprint uint64   `msgpack:"fp"`
-	Services    []string `msgpack:"services"`
+	Fingerprint uint64 `msgpack:"fp"`
+	// Exact identifies the request with its query string.
+	Exact    uint64   `msgpack:"exact"`
+	Services []string `msgpack:"services"`
 	// TopK is the number of records that the merged answer needs.
 	TopK int `msgpack:"k"`
 	// Usual is the usual latency of the replicas.
