poison: take a replica that only it cannot be reached for ended

Requests under which silent replicas had ended were recognized when the entries of the replicas lapsed, 3.6 s later, or when the replicas were back.

Now a replica to which no connection could be opened for a second, while others of its failure domain answered, counts as ended, and a request counts as unanswered from when its replica is reported as unresponsive instead of at its deadline.

--- a/pkg/edge/prober.go
+++ b/pkg/edge/prober.go
@@ -251,7 +251,7 @@
 		case refusal.ConnectionRefused:
 			return unanswered.Refused(now, p.domainAnsweredAt(u))
 		case refusal.Code == errs.UpstreamLost && refusal.RunState == errs.DidNotRun:
-			unanswered.Unreachable()
+			return unanswered.Unreachable(now, p.domainAnsweredAt(u))
 		}
 		return nil
 	})
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -70,8 +70,9 @@
 	// without a response after it may have run, for instance because the connection
 	// broke.
 	RequestInterrupted(u *Upstream, sentAt time.Time, refusal *errs.Refusal, attempt RequestAttempt)
-	// RequestUnanswered reports that this VM stopped waiting for the response to a
-	// request sent at sentAt, which may have run.
+	// RequestUnanswered reports that there is no response yet to a request sent at sentAt,
+	// which may have run, or that this VM no longer waits for one. It may be called more
+	// than once for a request.
 	RequestUnanswered(u *Upstream, sentAt time.Time, attempt RequestAttempt)
 	// SuspectSucceeded reports that a request succeeded that was in flight when replicas
 	// crashed.
--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -307,6 +307,7 @@
 			o := &s.openSends[i]
 			if !o.reported && now.Sub(o.start) >= q.unresponsiveTime() {
 				o.reported = true
+				q.forwarder.observer.RequestUnanswered(o.upstream, o.start, q.attempt)
 				q.forwarder.observer.ReplicaUnresponsive(o.upstream)
 			}
 		}
--- a/pkg/poison/unanswered.go
+++ b/pkg/poison/unanswered.go
@@ -9,6 +9,10 @@
 	// unansweredRetention is how long a request counts that a replica did not answer. A
 	// replica that has crashed is back, or its entry has lapsed, some seconds later.
 	unansweredRetention = 15 * time.Second
+	// unreachableTime is how long a replica cannot be reached, while others of its failure
+	// domain answer, before its process counts as ended. Lost packets delay a dial by a
+	// second.
+	unreachableTime = time.Second
 	// maxUnanswered limits the requests that are remembered of one replica.
 	maxUnanswered = 64
 )
@@ -42,11 +46,13 @@
 type unanswered struct {
 	attempt  Attempt
 	failedAt time.Time
-	// unreachable is set once no connection could be opened after the request had
-	// failed. Later answers may be those of the next process.
-	unreachable bool
+	// unreachableSince is when no connection could be opened first after the request had
+	// failed, zero if none has failed. Later answers may be those of the next process.
+	unreachableSince time.Time
 }
 
+func (r unanswered) unreachable() bool { return !r.unreachableSince.IsZero() }
+
 // Add records that a request sent at sentAt was not answered. It reports whether the
 // process is known to have ended since then; the request is not kept in this case.
 func (u *Unanswered) Add(now, sentAt time.Time, a Attempt) (ended bool) {
@@ -54,6 +60,9 @@
 		return true
 	}
 	u.prune(now)
+	if slices.ContainsFunc(u.requests, func(r unanswered) bool { return r.attempt == a }) {
+		return false
+	}
 	if len(u.requests) >= maxUnanswered {
 		u.requests = u.requests[1:]
 	}
@@ -67,29 +76,38 @@
 	if sentAt.After(u.endedAt) {
 		u.endedAt = time.Time{}
 	}
-	u.requests = slices.DeleteFunc(u.requests, func(r unanswered) bool { return !r.unreachable && r.failedAt.Before(sentAt) })
+	u.requests = slices.DeleteFunc(u.requests, func(r unanswered) bool { return !r.unreachable() && r.failedAt.Before(sentAt) })
 }
 
-// Unreachable records that no connection to the replica could be opened.
-func (u *Unanswered) Unreachable() {
-	for i := range u.requests {
-		u.requests[i].unreachable = true
-	}
+// Unreachable records that no connection to the replica could be opened. networkWorked is
+// the latest time at which the network to the replica's failure domain is known to have
+// worked. The result holds the requests under which the process has ended.
+func (u *Unanswered) Unreachable(now, networkWorked time.Time) []Attempt {
+	u.markUnreachable(now)
+	return u.take(now, func(r unanswered) bool {
+		return now.Sub(r.unreachableSince) >= unreachableTime && r.unreachableSince.Before(networkWorked)
+	})
 }
 
-// Refused records that nothing listened at the address. networkWorked is the latest time
-// at which the network to the replica's failure domain is known to have worked: a
-// network that fails may refuse connections too. The result holds the requests under
-// which the process has ended.
+// Refused is Unreachable for an address at which nothing listened. A network that fails
+// may refuse connections too.
 func (u *Unanswered) Refused(now, networkWorked time.Time) []Attempt {
-	u.Unreachable()
+	u.markUnreachable(now)
 	return u.take(now, func(r unanswered) bool { return r.failedAt.Before(networkWorked) })
 }
 
+func (u *Unanswered) markUnreachable(now time.Time) {
+	for i := range u.requests {
+		if r := &u.requests[i]; !r.unreachable() {
+			r.unreachableSince = now
+		}
+	}
+}
+
 // Lapsed records that the replica's entry has lapsed. A process that neither this VM nor
 // the store has heard of any more has ended.
 func (u *Unanswered) Lapsed(now time.Time) []Attempt {
-	return u.take(now, func(r unanswered) bool { return r.unreachable })
+	return u.take(now, unanswered.unreachable)
 }
 
 // Ended records that the process has certainly ended, for instance because another one
--- a/pkg/poison/unanswered_test.go
+++ b/pkg/poison/unanswered_test.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -26,13 +27,22 @@
 			return u.Refused(at(300), at(200))
 		}, []Attempt{a}},
 		"dials time out, another process has the address": {func(u *Unanswered) []Attempt {
-			u.Unreachable()
+			u.Unreachable(at(110), none)
 			return u.Ended(at(3000))
 		}, []Attempt{a}},
 		"dials time out, the entry lapses": {func(u *Unanswered) []Attempt {
-			u.Unreachable()
+			u.Unreachable(at(110), none)
 			return u.Lapsed(at(3000))
 		}, []Attempt{a}},
+		"dials time out for long, network works": {func(u *Unanswered) []Attempt {
+			u.Unreachable(at(110), at(120))
+			assert.Equal(t, len(u.Unreachable(at(600), at(500))), 0)
+			return u.Unreachable(at(1200), at(1100))
+		}, []Attempt{a}},
+		"dials time out for long, network may have failed": {func(u *Unanswered) []Attempt {
+			u.Unreachable(at(110), none)
+			return u.Unreachable(at(5000), at(105))
+		}, nil},
 		"the entry of a reachable replica is removed": {func(u *Unanswered) []Attempt { return u.Lapsed(at(3000)) }, nil},
 		"the process answers a later request": {func(u *Unanswered) []Attempt {
 			u.Answered(at(101))
@@ -43,12 +53,12 @@
 			return u.Ended(at(3000))
 		}, []Attempt{a}},
 		"the next process answers under the same ID": {func(u *Unanswered) []Attempt {
-			u.Unreachable()
+			u.Unreachable(at(110), none)
 			u.Answered(at(2000))
 			return u.Ended(at(3000))
 		}, []Attempt{a}},
 		"the process ends long after": {func(u *Unanswered) []Attempt {
-			u.Unreachable()
+			u.Unreachable(at(110), none)
 			return u.Ended(at(100).Add(unansweredRetention + time.Second))
 		}, nil},
 	} {
@@ -66,8 +76,9 @@
 	assert.Assert(t, !u.Expired(at(1700)))
 	assert.Assert(t, u.Expired(at(1700).Add(unansweredRetention)))
 
-	for range 2 * maxUnanswered {
-		u.Add(at(1800), at(1700), a)
+	for i := range 2 * maxUnanswered {
+		u.Add(at(1800), at(1700), Attempt{Fingerprint: 1, RequestID: strconv.Itoa(i)})
+		u.Add(at(1800), at(1700), Attempt{Fingerprint: 1, RequestID: strconv.Itoa(i)})
 	}
 	u.Add(at(1800), at(1700), b)
 	taken := u.Ended(at(1900))
