forward: try a query that may crash replicas at one shard first

A query over many shards that ends each replica that runs it ended one of each shard with each attempt, three times, until it was refused; callers of those shards got no answers meanwhile.

Now a query that was in flight at a crash is sent to one shard, and to the others once that one has answered. If the replica breaks it off, the other shards are not queried. A query that was in flight by chance waits for one answer more. The test added failed before with 4 replicas reached in place of 1.

--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -277,6 +277,42 @@
 	}
 }
 
+// Guards against a query that crashes a replica of each shard each time it comes again,
+// and against one that was in flight at a crash by chance and is no longer answered.
+func TestSuspectQueryIsTriedAtOneShardFirst(t *testing.T) {
+	shards := []string{"a", "b", "c", "d"}
+	tier := newTestTier(t, fanOutRoute(1, shards...))
+	for _, s := range shards {
+		tier.addReplica(tier.addService(s, 100), s+"1", func(w http.ResponseWriter, r *http.Request) {
+			switch {
+			case r.URL.Path == "/a/crash":
+				closeConnection(w, r)
+			case r.URL.Path == "/a/full" && s != "b":
+				refuseNotRun(w, r)
+			default:
+				respondWith("r"+s, record(s))(w, r)
+			}
+		})
+	}
+	send := func(path string) (status, received int) {
+		request := httptest.NewRequest("GET", path, nil)
+		attempt := requestAttempt(request, tier.table.Routes[0], "127.0.0.1", nil, "")
+		tier.ledger.RecordLoss(time.Now(), "", "x", []uint64{attempt.Fingerprint})
+		before := len(tier.received())
+		status, _, _ = tier.send("GET", path, path, "")
+		return status, len(tier.received()) - before
+	}
+	status, received := send("/a/crash")
+	assert.Equal(t, status, http.StatusBadGateway)
+	assert.Equal(t, received, 1)
+	status, received = send("/a/chance")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, received, len(shards))
+	status, received = send("/a/full")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Equal(t, received, 1)
+}
+
 // Guards against a failure that is passed on to the caller and counts as a success of a
 // request that was in flight when replicas crashed.
 func TestOnlySuccessesClearARequest(t *testing.T) {
--- a/pkg/forward/outcome.go
+++ b/pkg/forward/outcome.go
@@ -108,12 +108,12 @@
 	return q.answeredOrWaitingShards() >= requiredShards(q.route)
 }
 
-// answeredOrWaitingShards returns the number of shards that have answered or have
-// an open send.
+// answeredOrWaitingShards returns the number of shards that have answered, have an open
+// send, or are held back.
 func (q *query) answeredOrWaitingShards() int {
 	n := 0
 	for _, s := range q.shards {
-		if s.answered || s.openSendCount > 0 {
+		if s.answered || s.openSendCount > 0 || s.heldBack {
 			n++
 		}
 	}
--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -112,7 +112,10 @@
 	// answer too late, or not queried again after a failure, and the coverage can
 	// be reached without it.
 	skipped bool
-	reply   *exchange.Reply
+	// heldBack is set while the shard is not queried because the query may crash
+	// replicas, and another shard is tried first.
+	heldBack bool
+	reply    *exchange.Reply
 	// stream is the part of the response that follows reply; nil if reply is
 	// complete.
 	stream *responseStream
@@ -257,7 +260,11 @@
 	if refusal := q.planShards(now); refusal != nil {
 		return nil, refusal
 	}
-	q.sendAll(now)
+	if q.route.FanOut() && q.poisonVerdict == poison.Suspect {
+		q.holdBack()
+	} else {
+		q.sendAll(now)
+	}
 	hedgeTimer := time.NewTimer(q.hedgeDelay())
 	defer hedgeTimer.Stop()
 	cutoff := q.cutoffTimer()
@@ -270,6 +277,9 @@
 		if response, refusal, final := q.finalResponse(pastCutoff); final {
 			return response, refusal
 		}
+		if q.sendHeldBack(time.Now()) {
+			continue
+		}
 		select {
 		case r := <-q.results:
 			if r.relay != nil {
--- a/pkg/forward/relayplan.go
+++ b/pkg/forward/relayplan.go
@@ -45,7 +45,7 @@
 	}
 	left := make([]relayCandidates, 0, len(shards))
 	for _, s := range shards {
-		if s.skipped {
+		if s.skipped || len(s.tried) > 0 {
 			continue
 		}
 		c := relayCandidatesOf(now, usualLatency, s)
--- a/pkg/forward/relaysend.go
+++ b/pkg/forward/relaysend.go
@@ -45,7 +45,7 @@
 
 func (q *query) sendDirect(now time.Time, shards []*shard) {
 	for _, s := range shards {
-		if !s.skipped {
+		if !s.skipped && len(s.tried) == 0 {
 			q.sendToCheapest(now, s)
 		}
 	}
--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -60,7 +60,7 @@
 		switch {
 		case s.answered:
 			answered++
-		case s.openSendCount > 0:
+		case s.openSendCount > 0, s.heldBack:
 			waiting++
 		}
 	}
--- /dev/null
+++ b/pkg/forward/suspect.go
@@ -0,0 +1,54 @@
+package forward
+
+import "time"
+
+// holdBack holds all shards of a query back that are not skipped.
+func (q *query) holdBack() {
+	for _, s := range q.shards {
+		s.heldBack = !s.skipped
+	}
+}
+
+// sendHeldBack sends the request of a query that may crash replicas to one shard, and to
+// the others once that has answered: sent to all at once, it could end a replica of each
+// shard. If a replica breaks it off, the other shards are not queried. sendHeldBack
+// reports whether shards are no longer held back.
+func (q *query) sendHeldBack(now time.Time) bool {
+	var held []*shard
+	answered, open := false, false
+	for _, s := range q.shards {
+		answered = answered || s.answered
+		open = open || s.openSendCount > 0
+		if s.heldBack {
+			held = append(held, s)
+		}
+	}
+	switch {
+	case len(held) == 0 || (open && !answered):
+		return false
+	case answered:
+		release(held)
+		q.sendAll(now)
+	case q.brokenOff > 0:
+		release(held)
+	default:
+		q.sendToFirst(now, held)
+	}
+	return true
+}
+
+// sendToFirst sends the request to the first of the shards that has a replica for it.
+func (q *query) sendToFirst(now time.Time, held []*shard) {
+	for _, s := range held {
+		s.heldBack = false
+		if q.sendToCheapest(now, s) {
+			return
+		}
+	}
+}
+
+func release(shards []*shard) {
+	for _, s := range shards {
+		s.heldBack = false
+	}
+}
