--- a/pkg/soak/callers.go
+++ b/pkg/soak/callers.go
@@ -31,6 +31,9 @@
 	err        error
 }
 
+// fanOut reports whether the request goes to all shards.
+func (a asked) fanOut() bool { return strings.HasPrefix(a.path, "/all/") }
+
 // checker compares what callers and replicas saw with the promises.
 type checker struct {
 	runs *standin.RunLog
@@ -116,7 +119,7 @@
 
 // checkAnswer checks a success.
 func (c *checker) checkAnswer(a *asked, header http.Header, body []byte) {
-	if a.path != "/all/x" {
+	if !a.fanOut() {
 		service := singleService
 		if header.Get(platform.Headers.Receipt) != standin.Receipt(service, a.id) || !bytes.Equal(body, standin.Body(service, a.id)) {
 			c.breach("%s: the answer is not the whole answer of %s", a.id, service)
@@ -164,7 +167,7 @@
 		if refused && len(ran) > 0 {
 			c.breach("%s: status %d, but it ran at %v", a.id, a.status, ran)
 		}
-		if a.path != "/all/x" && slices.ContainsFunc(ran, func(s string) bool { return s != singleService }) {
+		if !a.fanOut() && slices.ContainsFunc(ran, func(s string) bool { return s != singleService }) {
 			c.breach("%s: ran at %v", a.id, ran)
 		}
 		if a.err != nil && len(ran) > 0 && !a.vm.disturbedSince(a.start.Add(-calmBefore)) && time.Since(a.start) > callerDeadline && c.cut(a) {
--- a/pkg/soak/plan.go
+++ b/pkg/soak/plan.go
@@ -16,6 +16,9 @@
 	// overlap with those that follow.
 	faultMin = 300 * time.Millisecond
 	faultMax = 4 * time.Second
+	// crashSeeds: the seeds that it divides play a crashing request besides. It has no part
+	// in the drawing of faults, so that the plans of earlier seeds stay the same.
+	crashSeeds = 3
 	// stopGrace is the time after which a VM that stops as planned is killed.
 	stopGrace = 6 * time.Second
 )
@@ -30,6 +33,11 @@
 func (s *site) play(ctx context.Context) {
 	var running sync.WaitGroup
 	s.olderStore = s.store.Copy()
+	if s.config.Seed%crashSeeds == 0 {
+		crashing, stop := context.WithCancel(ctx)
+		defer stop()
+		go s.playCrashing(crashing, s.crashingPath())
+	}
 	for i := range s.config.Faults {
 		older := s.store.Copy()
 		f := s.draw()
--- a/pkg/soak/proxy.go
+++ b/pkg/soak/proxy.go
@@ -43,7 +43,9 @@
 	listener net.Listener
 	target   string
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// ended is set by close.
+	ended   bool
 	state   link
 	changed chan struct{}
 	conns   map[net.Conn]bool
@@ -55,11 +57,15 @@
 		return nil, err
 	}
 	p := &proxy{listener: l, target: target, state: linkWell, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
-	go p.accept()
+	go p.accept(l)
 	return p, nil
 }
 
-func (p *proxy) addr() string { return p.listener.Addr().String() }
+func (p *proxy) addr() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listener.Addr().String()
+}
 
 func (p *proxy) set(state link) {
 	p.mu.Lock()
@@ -82,13 +88,41 @@
 }
 
 func (p *proxy) close() {
+	p.stop()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ended = true
+}
+
+// stop breaks all connections and refuses new ones.
+func (p *proxy) stop() {
+	p.mu.Lock()
 	_ = p.listener.Close() // ends accept
+	p.mu.Unlock()
 	p.reset()
 }
 
-func (p *proxy) accept() {
+// reopen accepts connections again after stop, at another address. It reports false
+// after close.
+func (p *proxy) reopen() (bool, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return false, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended {
+		_ = l.Close() // nothing has connected to it
+		return false, nil
+	}
+	p.listener = l
+	go p.accept(l)
+	return true, nil
+}
+
+func (p *proxy) accept(l net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -67,6 +67,7 @@
 	replicas []*standin.Replica
 	links    []*proxy // one before each replica
 	checker  *checker
+	crashing crashingRequest
 	version  int
 	set      int
 	next     int
@@ -102,6 +103,7 @@
 		return Result{}, s.notStarted()
 	}
 	play(s, ctx)
+	s.checkCrashingRequest(ctx)
 	if !s.await(ctx, recoverAnswers) {
 		s.checker.breach("no %d answers within %s after the faults had ended", recoverAnswers, readyTimeout)
 	}
@@ -191,7 +193,8 @@
 		r.Close()
 		return err
 	}
-	r.AdvertisedAddr = p.addr()
+	r.Advertise(p.addr())
+	r.OnCrash(func() { s.crash(r, p) })
 	r.Register(s.store, false)
 	s.replicas, s.links = append(s.replicas, r), append(s.links, p)
 	return nil
--- a/pkg/soak/soak_test.go
+++ b/pkg/soak/soak_test.go
@@ -125,6 +125,22 @@
 	check(t, r, err)
 }
 
+// Guards against a request that goes on to end replicas, of one service or of all
+// shards, with closed or silent connections, although three have ended under it.
+func TestCrashingRequestIsRefusedByAllVMs(t *testing.T) {
+	for _, seed := range []uint64{4, 5, 6, 7} {
+		r, err := run(t.Context(), config(t, seed, 0), func(s *site, ctx context.Context) {
+			crashing, stop := context.WithTimeout(ctx, 6*time.Second)
+			defer stop()
+			s.playCrashing(crashing, s.crashingPath())
+			if len(s.crashing.crashes) < 3 {
+				s.checker.breach("only %d replicas ended", len(s.crashing.crashes))
+			}
+		})
+		check(t, r, err)
+	}
+}
+
 // Guards against VMs that use an older configuration than the newest one after the
 // store has come back from an older copy, twice, while VMs restart.
 func TestRestoredStoreLosesNoConfiguration(t *testing.T) {
