forward: an answer that lacks a shard clears no crash reports

A query that ends the replicas of one shard each time, while the others answer within the coverage, counted as a success and would never have been refused.

Now a request counts as a success only if each shard that it was sent to has answered. The test added failed before.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -6,6 +6,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -252,9 +253,10 @@
 }
 
 // recordSuccess records that the request has succeeded, unless a replica has failed it or
-// not answered it.
+// not answered it: an answer that lacks a shard says nothing of the replicas of that.
 func (q *query) recordSuccess(r *response) {
-	if r.status >= http.StatusInternalServerError || q.brokenOff > 0 {
+	unanswered := func(s *shard) bool { return !s.answered && len(s.tried) > 0 }
+	if r.status >= http.StatusInternalServerError || q.brokenOff > 0 || slices.ContainsFunc(q.shards, unanswered) {
 		return
 	}
 	now := time.Now()
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -333,6 +333,20 @@
 	}
 }
 
+// Guards against a query that ends the replicas of one shard each time and counts as a
+// success, because the others answer.
+func TestAnswerWithoutAShardClearsNothing(t *testing.T) {
+	tier := newTestTier(t, fanOutRoute(0.5, "a", "b"))
+	tier.addReplica(tier.addService("a", 0), "a1", respondWith("ra", record("1")))
+	tier.addReplica(tier.addService("b", 0), "b1", func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	request := httptest.NewRequest("GET", "/a/", nil)
+	attempt := requestAttempt(request, tier.table.Routes[0], "127.0.0.1", nil, "")
+	status, header, _ := tier.send("GET", "/a/", "1", "")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, header.Get("Missing"), "1")
+	assert.Equal(t, tier.ledger.Check(time.Now(), attempt.Exact), poison.Unknown)
+}
+
 // Guards against a request that goes on to further replicas after other VMs have
 // reported that it crashes them.
 func TestRequestIsNotSentAgainOnceItIsKnownToCrashReplicas(t *testing.T) {
