--- a/pkg/edge/crashfleet_test.go
+++ b/pkg/edge/crashfleet_test.go
@@ -19,6 +19,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/discovery"
+	"github.com/nutmeghitch/nutmeghitch/pkg/exchange"
 	"github.com/nutmeghitch/nutmeghitch/pkg/forward"
 	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
 )
@@ -102,7 +103,7 @@
 func (p crashPlan) play(t *testing.T) *crashSite {
 	s := &crashSite{crashPlan: p, random: rand.New(rand.NewPCG(p.seed, 1)), replicas: map[string]*crashingReplica{}, arrivals: map[string][]time.Time{}}
 	inVMFleet(t, 0, func(fleet *vmFleet) {
-		s.fleet, fleet.dialReplica = fleet, s.dial
+		s.fleet, fleet.dialReplica = fleet, func(string) exchange.DialFunc { return s.dial }
 		fleet.store.put(memConfigs, "main", s.table(t))
 		for i := range 12 {
 			s.addReplica("s", fmt.Sprint("s-", i))
@@ -416,9 +417,9 @@
 
 // Guards against the same failure in other mixes of faults.
 func TestDrawnCrashPlans(t *testing.T) {
-	for seed := range uint64(*crashPlans) {
+	for seed := range uint64(*fleetPlans) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { drawCrashPlan(seed).play(t).check(t) })
 	}
 }
 
-var crashPlans = flag.Int("crash.plans", 24, "number of plans that TestDrawnCrashPlans plays")
+var fleetPlans = flag.Int("fleet.plans", 24, "number of plans that each of the tests with drawn plans plays")
--- a/pkg/edge/fleet_test.go
+++ b/pkg/edge/fleet_test.go
@@ -237,8 +237,10 @@
 	store *memoryStore
 	vms   []*controllerService
 	ctx   context.Context
-	// dialReplica connects to the replica at an address; nil if no replica runs.
-	dialReplica exchange.DialFunc
+	// dialReplica connects a VM to the replica at an address; nil if no replica runs.
+	dialReplica func(vm string) exchange.DialFunc
+	// domainOf returns the failure domain of a VM; nil if all are in one.
+	domainOf func(vm string) string
 }
 
 // inVMFleet runs f with a fleet that has started and in which all VMs are registered.
@@ -246,9 +248,17 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		defer synctest.Wait()
-		defer cancel()
 		fleet := &vmFleet{t: t, store: newMemoryStore(), ctx: ctx}
+		defer func() {
+			cancel()
+			synctest.Wait()
+			for _, vm := range fleet.vms {
+				for _, p := range vm.controller.state.relayPeers {
+					p.Close()
+				}
+			}
+			synctest.Wait()
+		}()
 		fleet.store.put(memConfigs, "main", testTable(t, 1))
 		for i := range vms {
 			fleet.start(fmt.Sprint("vm", i+1))
@@ -265,12 +275,15 @@
 	c := newTestController(f.t)
 	settings := c.state.settings
 	settings.VM, settings.PeersAddr, settings.Domain = name, name, "d1"
+	if f.domainOf != nil {
+		settings.Domain = f.domainOf(name)
+	}
 	c.state.apply(settings)
 	c.state.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		if f.dialReplica == nil {
 			return nil, context.DeadlineExceeded
 		}
-		return f.dialReplica(ctx, network, addr)
+		return f.dialReplica(name)(ctx, network, addr)
 	}
 	c.topics = c.newTopics(f.store)
 	vm := &controllerService{config: Config{Settings: settings, Store: f.store, Log: log}, controller: c, forwarder: c.forwarder, prober: c.prober}
@@ -296,7 +309,7 @@
 	for _, vm := range f.vms {
 		if vm.config.Settings.VM == addr {
 			client, server := net.Pipe()
-			go (&peerServer{hub: vm.controller.hub, log: vm.config.Log}).serve(f.ctx, server)
+			go (&peerServer{hub: vm.controller.hub, relay: vm.forwarder.ServeRelay, log: vm.config.Log}).serve(f.ctx, server)
 			return client, nil
 		}
 	}
