edge, forward: let other VMs answer the callers of a VM that reaches no replica

Cause: such a VM could only refuse. It was not isolated by its rule, which asks whether other VMs can be reached; and not being ready would not have helped, since the balancer uses all VMs of a failure domain when fewer than half are ready. The class: a VM's own view of the replicas taken for the only way to them.

Now a VM checks its links when replicas have failed and none has answered since: it dials some in each failure domain. If it reaches none, it asks other VMs at random whether they take requests and forwards those of its callers to up to four of them, as HTTP on the connections between VMs. It admits them itself, by the slots of all replicas; the other VM answers them as its own. A request that may not be repeated is forwarded once unless it did not run. A VM that is cut off or stops takes none, nor one with an older configuration. It is ready all the while.

--- a/pkg/edge/callers.go
+++ b/pkg/edge/callers.go
@@ -85,7 +85,7 @@
 	s.ready.stopping.Store(true)
 	s.controller.forwarder.SetCloseConnections(true)
 	wait.Sleep(ctx, balancerDetectionTime)
-	err := s.server.Shutdown(ctx)
+	err := errors.CombineErrors(s.server.Shutdown(ctx), s.controller.forwarded.stop(ctx))
 	s.log.WithField("requests_aborted", err != nil).Info("stopped serving callers")
 	if err != nil {
 		return s.server.Close()
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -16,6 +16,7 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/kernel"
 	"github.com/nutmeghitch/nutmeghitch/pkg/metrics"
 	"github.com/nutmeghitch/nutmeghitch/pkg/netconn"
+	"github.com/nutmeghitch/nutmeghitch/pkg/relay"
 	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
 	"github.com/nutmeghitch/nutmeghitch/pkg/storewatch"
 )
@@ -137,6 +138,7 @@
 	prober     *prober
 	crashes    *crashReporter
 	limits     *limitReporter
+	forwarded  *forwardedServer
 }
 
 func newControllerService(c Config, ready *readiness) *controllerService {
@@ -182,23 +184,37 @@
 	log := s.config.Log.WithField("part", "feed")
 	dialer := netconn.Dialer(dialTimeout, deadPeerTimeout)
 	updates := &updateSource{self: s.self(), seeds: s.seeds, controller: s.controller, dial: dialer.DialContext, log: log}
+	s.forwarded = newForwardedServer(s.forwarder.ServeForwarded, s.config.Log.WithField("part", "peers"))
+	scope.Go(s.forwarded.run)
 	if settings.PeersAddr != "" {
 		l, err := listen(settings.PeersAddr)
 		if err != nil {
 			return err
 		}
-		peers := &peerServer{hub: s.controller.hub, relay: s.forwarder.ServeRelay, log: s.config.Log.WithField("part", "peers")}
+		peers := &peerServer{hub: s.controller.hub, relay: s.forwarder.ServeRelay, forwarded: s.forwarded, log: s.config.Log.WithField("part", "peers")}
 		scope.Go(func(ctx context.Context) error { return peers.run(ctx, l) })
 	}
 	detector := &isolationDetector{self: s.self(), updates: updates, forwarder: s.forwarder, ready: s.controller.readiness, prober: s.prober, dial: dialer.DialContext, log: log}
 	scope.Go(func(ctx context.Context) error { updates.run(ctx); return nil })
 	scope.Go(func(ctx context.Context) error { updates.bootstrap(ctx); return nil })
 	scope.Go(func(ctx context.Context) error { detector.run(ctx); return nil })
+	watcher := s.newLinkWatcher(updates, relay.DialFunc(dialer.DialContext))
+	scope.Go(func(ctx context.Context) error { watcher.run(ctx); return nil })
 	cleaner := &vmCleaner{self: s.self(), controller: s.controller, updates: updates, store: s.config.Store, dial: dialer.DialContext, log: log, unreachableSince: map[discovery.VM]time.Time{}}
 	scope.Go(func(ctx context.Context) error { cleaner.run(ctx); return nil })
 	return nil
 }
 
+// newLinkWatcher returns what checks whether this VM reaches replicas. dial connects to
+// other VMs.
+func (s *controllerService) newLinkWatcher(updates *updateSource, dial relay.DialFunc) *linkWatcher {
+	log := s.config.Log.WithField("part", "links")
+	return &linkWatcher{
+		forwarder: s.forwarder, prober: s.prober, dial: s.controller.state.dial, log: log,
+		helpers: &helperSet{self: s.self(), vms: updates.vms, dial: dial, log: log, helpers: map[discovery.VM]*forward.Helper{}},
+	}
+}
+
 // seeds returns the seed addresses of the current settings.
 func (s *controllerService) seeds() []string { return s.settings.Load().Seeds }
 
--- a/pkg/edge/fleet_test.go
+++ b/pkg/edge/fleet_test.go
@@ -301,6 +301,9 @@
 	go vm.register(f.ctx)
 	go vm.limits.run(f.ctx)
 	go vm.crashes.run(f.ctx)
+	vm.forwarded = newForwardedServer(vm.forwarder.ServeForwarded, log)
+	go func() { _ = vm.forwarded.run(f.ctx) }() // ends with ctx
+	go vm.newLinkWatcher(updates, f.dial).run(f.ctx)
 	return vm
 }
 
@@ -309,7 +312,7 @@
 	for _, vm := range f.vms {
 		if vm.config.Settings.VM == addr {
 			client, server := net.Pipe()
-			go (&peerServer{hub: vm.controller.hub, relay: vm.forwarder.ServeRelay, log: vm.config.Log}).serve(f.ctx, server)
+			go (&peerServer{hub: vm.controller.hub, relay: vm.forwarder.ServeRelay, forwarded: vm.forwarded, log: vm.config.Log}).serve(f.ctx, server)
 			return client, nil
 		}
 	}
--- a/pkg/edge/isolation.go
+++ b/pkg/edge/isolation.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
+	"net"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/discovery"
-	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/feed"
 	"github.com/nutmeghitch/nutmeghitch/pkg/forward"
 	"github.com/nutmeghitch/nutmeghitch/pkg/wait"
@@ -111,27 +112,29 @@
 
 // noneReachable reports whether no connection to any of the addresses can be opened.
 func (i *isolationDetector) noneReachable(ctx context.Context, addrs []string) bool {
+	return reachable(ctx, i.dial, addrs) == 0
+}
+
+// reachable returns to how many of the addresses a connection can be opened. A refused
+// one does not count: the device that blocks a link may refuse it in place of the other
+// side.
+func reachable[D ~func(ctx context.Context, network, addr string) (net.Conn, error)](ctx context.Context, dial D, addrs []string) int {
 	ctx, cancel := context.WithTimeout(ctx, isolationDialTimeout)
 	defer cancel()
-	var group errgroup.Group
+	var reached atomic.Int64
+	var dials sync.WaitGroup
 	for _, addr := range addrs {
-		group.Go(func() error {
-			c, err := i.dial(ctx, "tcp", addr)
-			if err != nil {
-				// A refused connection counts as unreachable too: the device that
-				// blocks a link may refuse it in place of the other side.
-				return nil
+		dials.Go(func() {
+			if c, err := dial(ctx, "tcp", addr); err == nil {
+				_ = c.Close() // nothing was sent on the connection
+				reached.Add(1)
 			}
-			_ = c.Close() // nothing was sent on the connection
-			return errReachable
 		})
 	}
-	return group.Wait() == nil
+	dials.Wait()
+	return int(reached.Load())
 }
 
-// errReachable makes the group of dials report that one of them succeeded.
-var errReachable = errs.Refuse(errs.PeerUnreachable, "an address can be reached")
-
 // isolationDialTargets returns up to limit VMs of other failure domains, in no fixed
 // order: the first of each domain, then the second of each, and so on.
 func isolationDialTargets(self discovery.VM, vms map[string]discovery.VM, limit int) []discovery.VM {
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -24,11 +24,13 @@
 	maxFirstMessageBytes = 64 << 10
 )
 
-// peerServer serves the connections of other VMs: feeds and relayed requests.
+// peerServer serves the connections of other VMs: feeds, relayed requests, and requests
+// that they forward for their callers.
 type peerServer struct {
-	hub   *feed.Hub
-	relay relay.Handler
-	log   logrus.FieldLogger
+	hub       *feed.Hub
+	relay     relay.Handler
+	forwarded *forwardedServer
+	log       logrus.FieldLogger
 }
 
 // run accepts connections until ctx ends.
@@ -59,6 +61,10 @@
 		s.hub.Serve(ctx, c, first)
 	case *wire.RelayRequest:
 		relay.Serve(ctx, c, first, s.relay, s.log)
+	case *wire.ForwardOpen:
+		s.log.WithField("vm", first.VM).Info("another VM forwards requests of its callers")
+		_ = c.SetReadDeadline(time.Time{}) // a closed socket fails in the read
+		s.forwarded.serve(ctx, c)
 	default:
 		_ = c.Close() // nothing was sent on it
 		if !errors.Is(err, net.ErrClosed) && !errors.Is(err, io.EOF) {
--- a/pkg/edge/prober.go
+++ b/pkg/edge/prober.go
@@ -58,6 +58,8 @@
 	probing map[*forward.Upstream]bool
 	// lastAnswer holds when each replica last answered a probe.
 	lastAnswer map[*forward.Upstream]time.Time
+	// failedAt holds when each replica could last not be reached, or did not answer.
+	failedAt map[*forward.Upstream]time.Time
 	// unanswered holds, for each replica, the requests that it did not answer and may
 	// have crashed under.
 	unanswered map[*forward.Upstream]*poison.Unanswered
@@ -67,6 +69,7 @@
 	return &prober{
 		headers: headers, log: log,
 		probing: map[*forward.Upstream]bool{}, lastAnswer: map[*forward.Upstream]time.Time{}, unanswered: map[*forward.Upstream]*poison.Unanswered{},
+		failedAt: map[*forward.Upstream]time.Time{},
 	}
 }
 
@@ -87,6 +90,11 @@
 			delete(p.lastAnswer, u)
 		}
 	}
+	for u := range p.failedAt {
+		if !inView(view, u) {
+			delete(p.failedAt, u)
+		}
+	}
 	for u, unanswered := range p.unanswered {
 		if !inView(view, u) && unanswered.Expired(time.Now()) {
 			delete(p.unanswered, u)
@@ -123,8 +131,30 @@
 // RequestLimitChanged implements forward.Observer.
 func (p *prober) RequestLimitChanged(u *forward.Upstream) { p.onRequestLimit(u) }
 
+// failedWithin returns the number of replicas that could not be reached, or did not
+// answer, within the last d.
+func (p *prober) failedWithin(d time.Duration) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, at := range p.failedAt {
+		if time.Since(at) < d {
+			n++
+		}
+	}
+	return n
+}
+
+// recordFailure records that a replica could not be reached, or does not answer.
+func (p *prober) recordFailure(u *forward.Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failedAt[u] = time.Now()
+}
+
 // setDown marks a replica as unreachable. It reports whether it was not before.
 func (p *prober) setDown(u *forward.Upstream, refusal *errs.Refusal) bool {
+	p.recordFailure(u)
 	changed := u.Tracker.SetDown(true)
 	if changed {
 		p.log.WithFields(logrus.Fields{"replica": u.Member.ID, "service": u.Member.Service, "why": refusal.Error()}).Info("replica is unreachable")
@@ -135,6 +165,7 @@
 // RequestInterrupted implements forward.Observer. The replica may have crashed
 // and may be cold after its restart, so it is probed at once.
 func (p *prober) RequestInterrupted(u *forward.Upstream, sentAt time.Time, refusal *errs.Refusal, attempt forward.RequestAttempt) {
+	p.recordFailure(u)
 	p.addUnanswered(u, sentAt, attempt)
 	p.mu.Lock()
 	running, reprobeIn := p.probing[u], p.reprobeIn(u)
@@ -177,6 +208,7 @@
 // closed, the probe has to open a new one, which fails if the network path is
 // broken.
 func (p *prober) ReplicaUnresponsive(u *forward.Upstream) {
+	p.recordFailure(u)
 	p.mu.Lock()
 	recent := p.reprobeIn(u) > 0
 	p.mu.Unlock()
--- a/pkg/edge/stop_test.go
+++ b/pkg/edge/stop_test.go
@@ -52,7 +52,7 @@
 	addr := l.Addr().String()
 	assert.NilError(t, l.Close())
 	k := kernel.New()
-	service := &callersService{settings: Settings{CallersAddr: addr}, controller: &controllerService{forwarder: f}, ready: newReadiness(), log: log}
+	service := &callersService{settings: Settings{CallersAddr: addr}, controller: &controllerService{forwarder: f, forwarded: newForwardedServer(f.ServeForwarded, log)}, ready: newReadiness(), log: log}
 	assert.NilError(t, kernel.Add(k, callersHandle, service))
 	ctx, terminate := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
--- a/pkg/forward/cutoff_test.go
+++ b/pkg/forward/cutoff_test.go
@@ -54,7 +54,7 @@
 			return time.Second
 		})
 		done := make(chan virtualAnswer)
-		limit := tier.view.fanOutLimits(route).MaxRunning
+		limit := tier.view.fanOutLimits(route, false).MaxRunning
 		for range limit {
 			go func() { done <- tier.send(nil, "/a/", "first") }()
 		}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -101,7 +101,14 @@
 	closeConnections atomic.Bool
 	// isolated is set while this VM reaches no other failure domain.
 	isolated atomic.Bool
-	metrics  forwardMetrics
+	// cutOff is set while this VM reaches no replica, and helpers holds the VMs that may
+	// answer its callers meanwhile.
+	cutOff  atomic.Bool
+	helpers atomic.Pointer[[]*Helper]
+	// lastAnswer is the time after started at which a replica answered last.
+	started    time.Time
+	lastAnswer atomic.Int64
+	metrics    forwardMetrics
 }
 
 type forwardMetrics struct {
@@ -131,7 +138,7 @@
 func New(c Config) *Forwarder {
 	scope := c.Scope.SubScope("forward")
 	return &Forwarder{
-		headers: c.Headers, observer: c.Observer, ledger: c.Ledger, memory: c.Memory, fanOutLimiter: admit.New(), log: c.Log,
+		headers: c.Headers, observer: c.Observer, ledger: c.Ledger, memory: c.Memory, fanOutLimiter: admit.New(), log: c.Log, started: time.Now(),
 		metrics: forwardMetrics{
 			answers: map[bool]tally.Counter{
 				true:  scope.Tagged(map[string]string{"outcome": "whole"}).Counter("answers"),
@@ -152,7 +159,7 @@
 	limits := map[model.ServiceID]admission.Limits{}
 	for _, r := range v.Table.Routes {
 		if r.FanOut() {
-			limits[model.ServiceID(r.ShardSetKey())] = v.fanOutLimits(r)
+			limits[model.ServiceID(r.ShardSetKey())] = v.fanOutLimits(r, f.cutOff.Load())
 		}
 	}
 	f.fanOutLimiter.Configure(limits)
--- a/pkg/forward/overload.go
+++ b/pkg/forward/overload.go
@@ -40,11 +40,11 @@
 // block others.
 func (q *query) admit(ctx context.Context) *errs.Refusal {
 	q.releaseAdmission = func() {}
-	if !q.route.FanOut() {
-		return nil
+	if !q.route.FanOut() || q.forwarded {
+		return nil // the VM of the caller has admitted a forwarded request
 	}
 	f, shardSet := q.forwarder, model.ServiceID(q.route.ShardSetKey())
-	f.fanOutLimiter.SetLimits(shardSet, q.view.fanOutLimits(q.route))
+	f.fanOutLimiter.SetLimits(shardSet, q.view.fanOutLimits(q.route, f.cutOff.Load()))
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(maxAdmissionWaitShare*float64(q.route.Target)))
 	defer cancel()
 	release, err := f.fanOutLimiter.Admit(ctx, admission.Request{
@@ -62,9 +62,10 @@
 }
 
 // fanOutLimits returns how many queries of a fan-out route this VM may have in
-// flight, and how many may wait.
-func (v *View) fanOutLimits(r *routes.Route) admission.Limits {
-	share := queriesPerSlot * float64(v.limitingSlots(r)) / float64(max(1, v.VMs))
+// flight, and how many may wait. With allReplicas also replicas count that this VM cannot
+// reach: another VM queries them for it.
+func (v *View) fanOutLimits(r *routes.Route, allReplicas bool) admission.Limits {
+	share := queriesPerSlot * float64(v.limitingSlots(r, allReplicas)) / float64(max(1, v.VMs))
 	n := int(math.Ceil(share + burstDeviations*math.Sqrt(share)))
 	return admission.Limits{MaxRunning: max(1, n), MaxWaiting: max(1, n)}
 }
@@ -72,23 +73,23 @@
 // limitingSlots returns the slots of the shard that limits a route's queries: the
 // one with the fewest slots, not counting the shards that the coverage can do
 // without.
-func (v *View) limitingSlots(r *routes.Route) int {
+func (v *View) limitingSlots(r *routes.Route, allReplicas bool) int {
 	slotsByShard := make([]int, 0, len(r.Shards))
 	for _, s := range r.Shards {
-		slotsByShard = append(slotsByShard, v.ReplicaSets[s].reachableSlots())
+		slotsByShard = append(slotsByShard, v.ReplicaSets[s].slots(allReplicas))
 	}
 	slices.Sort(slotsByShard)
 	return slotsByShard[len(slotsByShard)-requiredShards(r)]
 }
 
-// reachableSlots returns the sum of the slots of the reachable replicas.
-func (rs *ReplicaSet) reachableSlots() int {
+// slots returns the sum of the slots of all replicas, or of the reachable ones.
+func (rs *ReplicaSet) slots(allReplicas bool) int {
 	if rs == nil {
 		return 0
 	}
 	n := 0
 	for _, u := range rs.Upstreams {
-		if !u.Tracker.Down() {
+		if allReplicas || !u.Tracker.Down() {
 			n += u.Tracker.Slots
 		}
 	}
--- a/pkg/forward/overload_test.go
+++ b/pkg/forward/overload_test.go
@@ -30,7 +30,7 @@
 		mu      sync.Mutex
 		refused int
 	)
-	limits := tier.view.fanOutLimits(tier.table.Routes[0])
+	limits := tier.view.fanOutLimits(tier.table.Routes[0], false)
 	for i := range callers {
 		pending.Go(func() {
 			status, header, _ := tier.send("GET", "/a/", fmt.Sprint(i), "")
@@ -73,7 +73,7 @@
 	b := tier.addService("b", 0)
 	tier.addReplica(b, "b1", serve)
 	tier.addReplica(b, "b2", serve) // its connections are free for the later queries
-	limit := tier.view.fanOutLimits(route).MaxRunning
+	limit := tier.view.fanOutLimits(route, false).MaxRunning
 	var waiting sync.WaitGroup
 	for i := range limit {
 		waiting.Go(func() { tier.send("GET", "/a/", fmt.Sprint("waits", i), "") })
@@ -100,11 +100,11 @@
 	tier.addUpstream(tier.view.ReplicaSets["b"], "b2", "127.0.0.1:1")
 	tier.addService("c", 0)
 	route := tier.table.Routes[0]
-	assert.Equal(t, tier.view.limitingSlots(route), 4)
+	assert.Equal(t, tier.view.limitingSlots(route, false), 4)
 	down.Tracker.SetDown(true)
-	assert.Equal(t, tier.view.limitingSlots(route), 2)
+	assert.Equal(t, tier.view.limitingSlots(route, false), 2)
 	tier.view.VMs = 4
-	assert.Equal(t, tier.view.fanOutLimits(route).MaxRunning, 4) // 3*2/4 + 2*sqrt(3*2/4)
+	assert.Equal(t, tier.view.fanOutLimits(route, false).MaxRunning, 4) // 3*2/4 + 2*sqrt(3*2/4)
 }
 
 // Guards against spending the budget on queries that fail anyway: while the replicas
--- a/pkg/forward/plan.go
+++ b/pkg/forward/plan.go
@@ -45,6 +45,23 @@
 	return true
 }
 
+// ReplicasReachable reports whether every route has replicas that are not known to be
+// unreachable: for enough of its shards, or of one of its services. A service without
+// replicas is left out.
+func (v *View) ReplicasReachable() bool {
+	if !v.MeetsMinCoverage(false) {
+		return false
+	}
+	for _, r := range v.Table.Routes {
+		for _, s := range r.Services {
+			if rs := v.ReplicaSets[s.Service]; rs != nil && len(rs.Upstreams) > 0 && !rs.reachable(false) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // reachable reports whether at least one replica is reachable.
 func (rs *ReplicaSet) reachable(localOnly bool) bool {
 	for _, u := range rs.Upstreams {
--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -81,6 +81,10 @@
 	sends, hedges, retries, budgetRefusals int
 	skippedShards, missingShards, relays   int
 	hedgeRounds                            int
+	// forwarded is set if another VM forwards the request for its caller, answeredBy is
+	// the VM to which this one has forwarded it.
+	forwarded  bool
+	answeredBy string
 	// brokenOff counts the sends that may have run and got no answer.
 	brokenOff int
 	// isolated is set if this VM reached no other failure domain at the start.
@@ -158,6 +162,12 @@
 		holding:     f.memory.NewHolding(),
 	}
 	q.cutoff = cutoffAfter(route, nextRequestRoundTrips(r.Context()))
+	if forwarded := forwardedFrom(r.Context()); forwarded != nil {
+		q.forwarded = true
+		if forwarded.cutoff > 0 {
+			q.cutoff = forwarded.cutoff
+		}
+	}
 	q.attempt = requestAttempt(r, route, q.caller, body, id)
 	q.head = f.requestHead(r)
 	services := route.Shards
@@ -252,10 +262,26 @@
 	b.WriteString("\r\n")
 }
 
-// run sends the request and waits until the response or the refusal is known. Its
-// caller must then call cancelSends.
+// run sends the request, or forwards it to another VM, and waits until the response or
+// the refusal is known. Its caller must then call cancelSends.
 func (q *query) run(caller context.Context) (*response, *errs.Refusal) {
 	q.ctx, q.cancel = context.WithDeadline(context.Background(), q.deadline)
+	if response, refusal, answered := q.answerElsewhere(caller); answered {
+		return response, refusal
+	}
+	response, refusal := q.runHere(caller)
+	if refusal != nil && refusal.RunState == errs.DidNotRun {
+		// The links may have been lost meanwhile.
+		if response, refusal, answered := q.answerElsewhere(caller); answered {
+			return response, refusal
+		}
+	}
+	return response, refusal
+}
+
+// runHere sends the request to replicas and waits until the response or the refusal is
+// known.
+func (q *query) runHere(caller context.Context) (*response, *errs.Refusal) {
 	now := time.Now()
 	if refusal := q.planShards(now); refusal != nil {
 		return nil, refusal
--- a/pkg/forward/relayserve.go
+++ b/pkg/forward/relayserve.go
@@ -42,7 +42,7 @@
 // services is a probe, which a VM that takes no requests leaves without an answer.
 func (f *Forwarder) ServeRelay(ctx context.Context, request *wire.RelayRequest, reply func(*wire.RelayReply) error) {
 	if len(request.Services) == 0 {
-		if !f.closeConnections.Load() && f.view.Load() != nil {
+		if !f.closeConnections.Load() && !f.cutOff.Load() && f.view.Load() != nil {
 			_ = reply(&wire.RelayReply{Done: true}) // the connection then ends
 		}
 		return
--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -176,6 +176,9 @@
 	} else if n := len(q.shards[0].tried); n > 0 {
 		fields["service"], fields["replica"] = q.shards[0].service, q.shards[0].tried[n-1].Member.ID
 	}
+	if q.answeredBy != "" {
+		fields["answered_by"] = q.answeredBy
+	}
 	if q.relays > 0 {
 		fields["relays"] = q.relays
 	}
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -123,6 +123,7 @@
 func (f *Forwarder) recordOutcome(u *Upstream, now, start time.Time, reply exchange.Reply, refusal *errs.Refusal, attempt RequestAttempt) {
 	if refusal == nil {
 		u.Tracker.RecordAnswer(start)
+		f.lastAnswer.Store(int64(now.Sub(f.started)))
 		f.recordRequestLimit(u, now, start, reply, attempt.RequestID)
 	}
 	switch {
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -61,6 +61,7 @@
 	KindFeedUpdate:     func() Message { return new(FeedUpdate) },
 	KindRelayRequest:   func() Message { return new(RelayRequest) },
 	KindRelayReply:     func() Message { return new(RelayReply) },
+	KindForwardOpen:    func() Message { return new(ForwardOpen) },
 }
 
 // appender is an io.Writer that appends to a slice.
--- a/pkg/wire/fuzz_test.go
+++ b/pkg/wire/fuzz_test.go
@@ -17,6 +17,7 @@
 		&FeedSubscribe{VM: "a"},
 		&FeedUpdate{Topics: []FeedTopic{{Name: "replicas", Full: true, Revision: 3, Items: []FeedItem{{Name: "i", Revision: 2, Value: []byte{1}}}}}},
 		&RelayRequest{RequestID: "1", Services: []string{"a", "b"}, Left: time.Second},
+		&ForwardOpen{VM: "a"},
 		&RelayReply{Records: []byte("0123456789abcdef"), Answered: []RelayAnswer{{Receipt: "r"}}, Failed: []RelayFailure{{Service: 1}}, Done: true},
 	} {
 		frame, err := Append(nil, 0, m, maxFrameBytes)
--- a/pkg/wire/messages.go
+++ b/pkg/wire/messages.go
@@ -42,9 +42,10 @@
 	KindFeedUpdate
 	KindRelayRequest
 	KindRelayReply
+	KindForwardOpen
 
 	// lastKind is the highest kind that has a message type.
-	lastKind = KindRelayReply
+	lastKind = KindForwardOpen
 )
 
 // Message is implemented by every message of the protocol.
--- a/pkg/wire/relay.go
+++ b/pkg/wire/relay.go
@@ -73,3 +73,13 @@
 
 // Kind implements Message.
 func (*RelayReply) Kind() Kind { return KindRelayReply }
+
+// ForwardOpen is the first message of a connection that carries callers' requests from
+// one VM to another, as HTTP, after it.
+type ForwardOpen struct {
+	// VM is the VM that sends the requests.
+	VM string `msgpack:"vm"`
+}
+
+// Kind implements Message.
+func (*ForwardOpen) Kind() Kind { return KindForwardOpen }
