platform: read the other objects beside one that cannot be decoded

Here one entry that was nested more than 10,000 deep made each list and watch of its kind fail, because the JSON package rejects the whole reply; a VM that started found no replicas, the others followed no changes. Entries with a port out of range, a line end in the address, or numbers that overflow sums were used as replicas.

--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -155,6 +155,7 @@
 			}
 		}
 	}
+	s.putOddEntries()
 	s.configure()
 	var seeds []string
 	for i := range s.config.VMs {
@@ -181,6 +182,15 @@
 	return nil
 }
 
+// putOddEntries writes entries of another writer among those of the replicas. VMs must
+// read all others beside them.
+func (s *site) putOddEntries() {
+	s.store.Put("servers", "odd-deep", map[string]any{"backend": singleService, "version": standin.Deep})
+	s.store.Put("servers", "odd-port", map[string]any{
+		"backend": singleService, "address": "127.0.0.1:70000", "zone": "d0", "concurrency": 4, "state": "ready", "born": 1,
+	})
+}
+
 // addReplica starts a replica behind a proxy and registers it.
 func (s *site) addReplica(service string) error {
 	s.next++
