exchange, forward: test answers that end within their head

Reported by other operators: a replica stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body. It cannot happen here; no code has changed.

--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -277,6 +277,23 @@
 	}
 }
 
+// Guards against an answer that ends within its head and reaches the caller as a success.
+func TestAnswerThatEndsWithinItsHeadIsNoSuccess(t *testing.T) {
+	cutHead := func(w http.ResponseWriter, r *http.Request) {
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\nReceipt: r\r\nContent-Le") // the connection then ends
+			_ = c.Close()
+		}
+	}
+	tier := newTestTier(t, singleRoute(false), fanOutRoute(1, "s"))
+	tier.addReplica(tier.addService("s", 0), "r1", cutHead)
+	for _, path := range []string{"/p/x", "/a/x"} {
+		status, _, body := tier.send("GET", path, path, "")
+		assert.Equal(t, status, http.StatusBadGateway, "%s: %s", path, body)
+	}
+}
+
 // Guards against a query that crashes a replica of each shard each time it comes again,
 // and against one that was in flight at a crash by chance and is no longer answered.
 func TestSuspectQueryIsTriedAtOneShardFirst(t *testing.T) {
