edge, forward: answer requests that a planned stop cannot finish

Reported by other operators: at the end of the grace of a planned stop requests were cut without an answer, also those that may not be repeated.

It happened here: what was still under way when the grace ended was cut with its connection (TestPlannedStopAnswersWhatItCannotFinish failed with an unexpected end). Requests cannot come late as reported, since after the notice of 2.5 s no connection takes a new one.

Now each request under way gets its refusal 0.55 s before the end of the grace, 502 if it may have run and 503 if not, and a request that comes with less time left than twice its target is refused at once, so that its caller can go to another VM.

--- a/pkg/edge/callers.go
+++ b/pkg/edge/callers.go
@@ -22,6 +22,10 @@
 	// sending new connections to a VM that is no longer ready: two failed health
 	// checks one second apart, plus their network delay.
 	balancerDetectionTime = 2500 * time.Millisecond
+	// lastAnswersTime is the time in which the last responses of a planned stop are
+	// written, before all connections are closed. The HTTP server looks only twice a
+	// second whether they are.
+	lastAnswersTime = 550 * time.Millisecond
 	// headerTimeout, idleTimeout and maxHeaderBytes limit a caller's connection
 	// before a configuration is known, and cap what a configuration allows: slow
 	// or large request headers of many callers must not exhaust the VM.
@@ -84,6 +88,9 @@
 	s.log.Info("stopping: reporting not ready to the load balancer")
 	s.ready.stopping.Store(true)
 	s.controller.forwarder.SetCloseConnections(true)
+	if end, ok := ctx.Deadline(); ok {
+		s.controller.forwarder.StopBy(end.Add(-lastAnswersTime))
+	}
 	wait.Sleep(ctx, balancerDetectionTime)
 	err := errors.CombineErrors(s.server.Shutdown(ctx), s.controller.forwarded.stop(ctx))
 	s.log.WithField("requests_aborted", err != nil).Info("stopped serving callers")
--- a/pkg/forward/elsewhere.go
+++ b/pkg/forward/elsewhere.go
@@ -92,6 +92,8 @@
 	}
 	stop := context.AfterFunc(caller, q.cancel)
 	defer stop()
+	end := context.AfterFunc(q.forwarder.stop.ctx, q.cancel)
+	defer end()
 	helpers := *q.forwarder.helpers.Load()
 	tries := 0
 	for _, i := range rand.Perm(len(helpers)) {
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -108,6 +108,7 @@
 	// lastAnswer is the time after started at which a replica answered last.
 	started    time.Time
 	lastAnswer atomic.Int64
+	stop       *plannedStop
 	metrics    forwardMetrics
 }
 
@@ -138,7 +139,7 @@
 func New(c Config) *Forwarder {
 	scope := c.Scope.SubScope("forward")
 	return &Forwarder{
-		headers: c.Headers, observer: c.Observer, ledger: c.Ledger, memory: c.Memory, fanOutLimiter: admit.New(), log: c.Log, started: time.Now(),
+		headers: c.Headers, observer: c.Observer, ledger: c.Ledger, memory: c.Memory, fanOutLimiter: admit.New(), log: c.Log, started: time.Now(), stop: newPlannedStop(),
 		metrics: forwardMetrics{
 			answers: map[bool]tally.Counter{
 				true:  scope.Tagged(map[string]string{"outcome": "whole"}).Counter("answers"),
@@ -194,6 +195,10 @@
 		f.refuse(w, id, match.Name, start, refusal)
 		return
 	}
+	if f.stop.tooLate(time.Now(), match.Target) {
+		f.refuse(w, id, match.Name, start, stopRefusal())
+		return
+	}
 	if refusal := q.admit(r.Context()); refusal != nil {
 		f.refuse(w, id, match.Name, start, refusal)
 		return
--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -322,6 +322,8 @@
 			q.reportUnresponsive(now)
 		case <-caller.Done():
 			return nil, q.abort(errs.Canceled, "the caller has left")
+		case <-q.forwarder.stop.ctx.Done():
+			return nil, q.abort(errs.Stopping, "this VM stops")
 		case <-q.ctx.Done():
 			return nil, q.abort(errs.DeadlineExceeded, "no answer in time")
 		}
