forward, replica: act on what a replica says in its answers

Replicas may say in an answer that they leave (Server-Leaving), or turn a request away with 503 and Retry-After. Neither was read: a replica went on to get requests until its entry in the store changed, and within the pause that it had asked for.

A replica that leaves or pauses is not usable for first tries, retries, hedges and relays; a pause also holds back health probes, and a request that was waiting for a connection is not sent into it. If all replicas pause, requests are refused at once with the time until the first wants some again. A VM that relays tells the sender which replicas leave. A pause counts for at most a minute; what is no number of seconds is logged and ignored.

The tests added need the new names and so did not run before.

--- a/pkg/edge/controller.go
+++ b/pkg/edge/controller.go
@@ -75,6 +75,7 @@
 		failedTopics: map[string]bool{},
 		storeBreaker: storewatch.NewBreaker(), ownEntryRemoved: make(chan struct{}, 1),
 	}
+	p.hear = f.Hear
 	c.hub = feed.NewHub(c, log.WithField("part", "feed"))
 	c.topics = c.newTopics(store)
 	c.status.Store(&feed.Status{})
@@ -125,8 +126,8 @@
 		return
 	}
 	c.probeRestoredDomains(view)
-	c.forwarder.SetView(view)
 	c.prober.setView(view)
+	c.forwarder.SetView(view)
 	if c.state.ready() {
 		c.readiness.setReady()
 	}
--- a/pkg/edge/crashfleet_test.go
+++ b/pkg/edge/crashfleet_test.go
@@ -26,7 +26,7 @@
 
 var testHeaders = forward.HeaderNames{
 	RequestID: "Id", Deadline: "Left", TargetReplica: "For", Receipt: "Receipt", NotRun: "Not-Run",
-	Receipts: "Receipts", MissingShards: "Missing", ReplicaID: "Replica", WarmupLeft: "Cold", RequestLimit: "Limit",
+	Receipts: "Receipts", MissingShards: "Missing", ReplicaID: "Replica", WarmupLeft: "Cold", RequestLimit: "Limit", Leaving: "Leaving",
 }
 
 const (
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -252,6 +252,44 @@
 	assert.Assert(t, after.Tracker.IsCold(start))
 }
 
+// Guards against a replica that has said that it leaves, or wants a pause, and is used
+// again because it was out of the view for a while; and against a new process that
+// inherits this.
+func TestWhatAReplicaHasSaidSurvivesNewState(t *testing.T) {
+	c := newTestController(t)
+	configTopic(c).update(start, configBatch(testTable(t, 1), 1), true)
+	known := replicaTopic(c)
+	known.update(start, replicaBatch(5, replicaItem("a", 3), replicaItem("b", 4)), true)
+	c.publish(start)
+	of := func(id string) *forward.Upstream {
+		for _, u := range c.forwarder.View().ReplicaSets["s"].Upstreams {
+			if u.Member.ID == id {
+				return u
+			}
+		}
+		return nil
+	}
+	now := time.Now()
+	header := func(name, value string) exchange.Header { return exchange.Header{{Name: name, Value: value}} }
+	c.forwarder.Hear(of("a"), now, exchange.Reply{Status: 200, Header: header(testHeaders.Leaving, "1")}, "1")
+	c.forwarder.Hear(of("b"), now, exchange.Reply{Status: 503, Header: header("Retry-After", "30")}, "2")
+	before := of("a")
+	c.setOutOfService("d1", true, 6)
+	c.publish(start)
+	assert.Assert(t, of("a") == nil)
+	c.setOutOfService("d1", false, 7)
+	clear(c.state.restoredDomains) // they are probed first otherwise
+	c.publish(start)
+	assert.Assert(t, of("a") != before)
+	assert.Assert(t, of("a").Tracker.Leaving())
+	assert.Assert(t, !of("b").Tracker.Usable(now.Add(29*time.Second)) && of("b").Tracker.Usable(now.Add(31*time.Second)))
+	next := replicaItem("a", 8)
+	next.Value.Born = 2
+	known.update(start, replicaBatch(8, next), false)
+	c.publish(start)
+	assert.Assert(t, !of("a").Tracker.Leaving())
+}
+
 // Guards against a request that crashes replicas through one VM after another:
 // the reports of other VMs must count, each attempt once, and expired reports
 // must not.
--- a/pkg/edge/prober.go
+++ b/pkg/edge/prober.go
@@ -15,6 +15,7 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/exchange"
 	"github.com/nutmeghitch/nutmeghitch/pkg/forward"
 	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
+	"github.com/nutmeghitch/nutmeghitch/pkg/replica"
 	"github.com/nutmeghitch/nutmeghitch/pkg/wait"
 )
 
@@ -58,6 +59,11 @@
 	probing map[*forward.Upstream]bool
 	// lastAnswer holds when each replica last answered a probe.
 	lastAnswer map[*forward.Upstream]time.Time
+	// hear is given the answers to probes.
+	hear func(u *forward.Upstream, now time.Time, reply exchange.Reply, requestID string)
+	// told holds what replicas have said to this VM. A replica that is out of the view
+	// for a while gets new state, but is the same process.
+	told map[replicaKey]toldAt
 	// failedAt holds when each replica could last not be reached, or did not answer.
 	failedAt map[*forward.Upstream]time.Time
 	// unanswered holds, for each replica, the requests that it did not answer and may
@@ -69,7 +75,7 @@
 	return &prober{
 		headers: headers, log: log,
 		probing: map[*forward.Upstream]bool{}, lastAnswer: map[*forward.Upstream]time.Time{}, unanswered: map[*forward.Upstream]*poison.Unanswered{},
-		failedAt: map[*forward.Upstream]time.Time{},
+		failedAt: map[*forward.Upstream]time.Time{}, told: map[replicaKey]toldAt{},
 	}
 }
 
@@ -85,6 +91,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.view = view
+	p.restoreTold(view)
 	for u := range p.lastAnswer {
 		if !inView(view, u) {
 			delete(p.lastAnswer, u)
@@ -102,6 +109,42 @@
 	}
 }
 
+// toldAt is what a replica has said, and when.
+type toldAt struct {
+	replica.Told
+	at time.Time
+}
+
+// toldRetention is how long it is remembered what a replica has said that is not in the
+// view.
+const toldRetention = 10 * time.Minute
+
+// restoreTold gives new state of replicas what they have said before. p.mu is held.
+func (p *prober) restoreTold(view *forward.View) {
+	if len(p.told) == 0 {
+		return
+	}
+	for _, replicaSet := range view.ReplicaSets {
+		for _, u := range replicaSet.Upstreams {
+			if told, ok := p.told[replicaKeyOf(u.Member)]; ok {
+				u.Tracker.Hear(told.Told)
+			}
+		}
+	}
+	for k, told := range p.told {
+		if time.Since(told.at) > toldRetention {
+			delete(p.told, k)
+		}
+	}
+}
+
+// ReplicaTold implements forward.Observer.
+func (p *prober) ReplicaTold(u *forward.Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.told[replicaKeyOf(u.Member)] = toldAt{u.Tracker.Told(), time.Now()}
+}
+
 // inView reports whether the view contains the replica.
 func inView(view *forward.View, u *forward.Upstream) bool {
 	replicaSet := view.ReplicaSets[u.Member.Service]
@@ -391,6 +434,7 @@
 	if refusal != nil {
 		return refusal
 	}
+	p.hear(u, time.Now(), reply, "probe")
 	if id := reply.Header.Get(p.headers.ReplicaID); id != "" && id != u.Member.ID {
 		return errs.Refuse(errs.NotOwner, "replica %s has the address", id)
 	}
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -47,6 +47,9 @@
 	MaxIdleTime time.Duration
 	// Holding counts the memory of the buffered response; nil is no limit.
 	Holding *Holding
+	// Check is called before the request is written, which may be long after Do was
+	// called; nil allows every request. A refusal of it is that of Do.
+	Check func() *errs.Refusal
 	// StreamResponse receives a response longer than streamThresholdBytes while it
 	// is still arriving: reply.Body holds its first bytes, and rest reads the others
 	// and returns an error if the response is cut off. Do returns after it; an error
@@ -74,6 +77,12 @@
 		if refusal != nil {
 			return Reply{}, refusal
 		}
+		if call.Check != nil {
+			if refusal := call.Check(); refusal != nil {
+				p.releaseConn(c, true) // nothing was written to it
+				return Reply{}, refusal
+			}
+		}
 		// The deadline of ctx needs no deadline of the connection besides.
 		stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 		reply, reuse, err := c.exchange(call)
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -44,6 +44,8 @@
 	// RequestLimit holds the requests a second that a replica in need accepts from
 	// all VMs together, as a decimal number.
 	RequestLimit string
+	// Leaving is set to 1 in all answers of a replica that leaves.
+	Leaving string
 }
 
 const (
@@ -78,6 +80,8 @@
 	// SuspectSucceeded reports that a request succeeded that was in flight when replicas
 	// crashed.
 	SuspectSucceeded(attempt RequestAttempt)
+	// ReplicaTold reports that a replica has said that it leaves, or wants a pause.
+	ReplicaTold(u *Upstream)
 	// RequestLimitChanged reports that answers of a replica to this VM show another
 	// request limit than before, or that there is none any more.
 	RequestLimitChanged(u *Upstream)
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -28,7 +28,7 @@
 
 var testHeaders = HeaderNames{
 	RequestID: "Id", Deadline: "Left", TargetReplica: "For", Receipt: "Receipt", NotRun: "Not-Run",
-	Receipts: "Receipts", MissingShards: "Missing", ReplicaID: "Replica", WarmupLeft: "Cold", RequestLimit: "Limit",
+	Receipts: "Receipts", MissingShards: "Missing", ReplicaID: "Replica", WarmupLeft: "Cold", RequestLimit: "Limit", Leaving: "Leaving",
 }
 
 // testTier is a forwarder in front of replicas on the loopback interface. It is also
@@ -66,6 +66,8 @@
 	tt.unresponsive = append(tt.unresponsive, u.Member.ID)
 }
 
+func (tt *testTier) ReplicaTold(*Upstream) {}
+
 func (tt *testTier) RequestLimitChanged(*Upstream) {}
 
 func (tt *testTier) SuspectSucceeded(attempt RequestAttempt) {
--- a/pkg/forward/relaysend.go
+++ b/pkg/forward/relaysend.go
@@ -79,6 +79,7 @@
 			now := time.Now()
 			t.record(now, reply)
 			q.forwarder.recordRelayedLimits(now, replicaSets, reply, q.id)
+			q.forwarder.hearRelayed(now, replicaSets, reply, q.id)
 			q.results <- sendResult{relay: &relayOutcome{group: g, reply: reply}}
 		})
 		if refusal == nil {
--- a/pkg/forward/relayserve.go
+++ b/pkg/forward/relayserve.go
@@ -34,6 +34,8 @@
 	latency time.Duration
 	// limits are the request limits of the service's replicas in this VM's domain.
 	limits []wire.RelayLimit
+	// leaving is the ID of the replica if it has said that it leaves.
+	leaving string
 }
 
 // ServeRelay queries one replica of each service in this VM's failure domain for
@@ -104,12 +106,15 @@
 			u.Tracker.CountSend(replica.RelayedSend)
 			reply, refusal := u.Pool.Do(ctx, exchange.Call{
 				Method: request.Method, Head: f.sendHead(request.Head, u, left), Body: request.Body,
-				IDHeader: f.headers.RequestID, ID: request.RequestID, Holding: holding,
+				IDHeader: f.headers.RequestID, ID: request.RequestID, Holding: holding, Check: refuseUnwanted(u),
 			})
 			now := time.Now()
 			f.recordOutcome(u, now, start, reply, refusal, RequestAttempt{Fingerprint: request.Fingerprint, Exact: request.Exact, RequestID: request.RequestID})
 			p := f.relayedPart(i, u, now.Sub(start), reply, refusal)
 			p.limits = view.localLimits(i, service)
+			if u.Tracker.Leaving() {
+				p.leaving = u.Member.ID
+			}
 			parts <- p
 		}()
 	}
@@ -228,6 +233,9 @@
 func (c *relayCollector) add(p relayedPart) {
 	c.open--
 	c.next.Limits = append(c.next.Limits, p.limits...)
+	if p.leaving != "" {
+		c.next.Leaving = append(c.next.Leaving, wire.RelayLeaving{Service: p.service, Replica: p.leaving})
+	}
 	if p.refusal != nil {
 		c.failed++
 		c.next.Failed = append(c.next.Failed, wire.RelayFailure{Service: p.service, Failure: *wire.FailureOf(p.refusal), ReachedReplica: p.reached})
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -65,7 +65,7 @@
 	u.Tracker.CountSend(kind)
 	call := exchange.Call{
 		Method: q.method, Head: q.forwarder.sendHead(q.head, u, q.sendDeadline(start).Sub(start)), Body: q.body,
-		IDHeader: q.forwarder.headers.RequestID, ID: q.id, Holding: q.holding,
+		IDHeader: q.forwarder.headers.RequestID, ID: q.id, Holding: q.holding, Check: refuseUnwanted(u),
 	}
 	if !q.route.Idempotent {
 		call.MaxIdleTime = maxIdleNonIdempotent
@@ -76,6 +76,7 @@
 			stream := newResponseStream(rest)
 			resultSent = true
 			q.forwarder.recordRequestLimit(u, time.Now(), start, reply, q.id) // the answer may take long
+			q.forwarder.Hear(u, time.Now(), reply, q.id)
 			q.results <- sendResult{shard: s, upstream: u, start: start, reply: reply, stream: stream}
 			return stream.wait(q.ctx)
 		}
@@ -125,6 +126,7 @@
 		u.Tracker.RecordAnswer(start)
 		f.lastAnswer.Store(int64(now.Sub(f.started)))
 		f.recordRequestLimit(u, now, start, reply, attempt.RequestID)
+		f.Hear(u, now, reply, attempt.RequestID)
 	}
 	switch {
 	case refusal == nil && f.notRun(reply):
@@ -148,6 +150,8 @@
 	case refusal.Code == errs.MemoryLimit:
 		u.Tracker.End(now, start, replica.Abandoned)
 		f.log.WithFields(logrus.Fields{"id": attempt.RequestID, "replica": u.Member.ID, "detail": refusal.Detail}).Warn("response of a replica dropped: no memory left to buffer it")
+	case refusal.Code == errs.UpstreamDraining:
+		u.Tracker.End(now, start, replica.Abandoned)
 	case refusal.RunState == errs.DidNotRun:
 		u.Tracker.End(now, start, replica.Failed)
 		f.observer.ReplicaUnreachable(u, refusal)
--- /dev/null
+++ b/pkg/forward/told.go
@@ -0,0 +1,70 @@
+package forward
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/exchange"
+	"github.com/nutmeghitch/nutmeghitch/pkg/replica"
+	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
+)
+
+// maxReplicaPause bounds the pause that a replica can ask for. One that asks for more is
+// tried once in this time.
+const maxReplicaPause = time.Minute
+
+// Hear records what an answer of a replica says of the replica itself: that it leaves, or
+// that it wants a pause.
+func (f *Forwarder) Hear(u *Upstream, now time.Time, reply exchange.Reply, requestID string) {
+	told := replica.Told{Leaving: reply.Header.Get(f.headers.Leaving) == "1"}
+	if value := reply.Header.Get("Retry-After"); value != "" && reply.Status == http.StatusServiceUnavailable {
+		seconds, err := strconv.ParseFloat(value, 64)
+		if err != nil || math.IsNaN(seconds) || math.IsInf(seconds, 0) || seconds < 0 {
+			f.log.WithFields(logrus.Fields{"id": requestID, "replica": u.Member.ID, "value": value}).Warn("pause of a replica ignored: not a number of seconds")
+		} else {
+			told.PausedUntil = now.Add(time.Duration(min(seconds, maxReplicaPause.Seconds()) * float64(time.Second)))
+		}
+	}
+	f.hear(u, now, told, requestID)
+}
+
+// hear records what a replica has said to this VM or to one that relays for it.
+func (f *Forwarder) hear(u *Upstream, now time.Time, told replica.Told, requestID string) {
+	if told == (replica.Told{}) || !u.Tracker.Hear(told) {
+		return
+	}
+	f.log.WithFields(logrus.Fields{
+		"id": requestID, "replica": u.Member.ID, "service": u.Member.Service, "leaving": told.Leaving, "pause_ms": max(0, told.PausedUntil.Sub(now).Milliseconds()),
+	}).Info("replica leaves or wants a pause")
+	f.observer.ReplicaTold(u)
+}
+
+// hearRelayed records which replicas have said to another VM that they leave.
+func (f *Forwarder) hearRelayed(now time.Time, replicaSets []*ReplicaSet, reply *wire.RelayReply, requestID string) {
+	for _, l := range reply.Leaving {
+		if l.Service < 0 || l.Service >= len(replicaSets) {
+			continue
+		}
+		for _, u := range replicaSets[l.Service].Upstreams {
+			if u.Member.ID == l.Replica {
+				f.hear(u, now, replica.Told{Leaving: true}, requestID)
+			}
+		}
+	}
+}
+
+// refuseUnwanted returns what keeps a request from being sent to a replica that has said
+// meanwhile that it wants none, nil if it may be sent.
+func refuseUnwanted(u *Upstream) func() *errs.Refusal {
+	return func() *errs.Refusal {
+		if u.Tracker.Wants(time.Now()) {
+			return nil
+		}
+		return errs.Refuse(errs.UpstreamDraining, "%s leaves or wants a pause", u.Member.ID)
+	}
+}
--- a/pkg/forward/virtual_test.go
+++ b/pkg/forward/virtual_test.go
@@ -46,6 +46,8 @@
 	// requestLimit returns the request limit that an answer names, "" for none; nil
 	// never names one.
 	requestLimit func() string
+	// headers returns further header lines of an answer; nil returns none.
+	headers func(requestID string) string
 	// arrived is called when a request arrives, unless it is nil.
 	arrived func()
 	// records is the body of the answers.
@@ -82,6 +84,7 @@
 
 func (silentObserver) ReplicaUnreachable(*Upstream, *errs.Refusal)                            {}
 func (silentObserver) ReplicaUnresponsive(*Upstream)                                          {}
+func (silentObserver) ReplicaTold(*Upstream)                                                  {}
 func (silentObserver) SuspectSucceeded(RequestAttempt)                                        {}
 func (silentObserver) RequestLimitChanged(*Upstream)                                          {}
 func (silentObserver) RequestUnanswered(*Upstream, time.Time, RequestAttempt)                 {}
@@ -137,6 +140,9 @@
 				answer = strings.Replace(answer, "\r\n", "\r\nLimit: "+limit+"\r\n", 1)
 			}
 		}
+		if r.headers != nil {
+			answer = strings.Replace(answer, "\r\n", "\r\n"+r.headers(id), 1)
+		}
 		if _, err := io.WriteString(c, answer); err != nil {
 			r.canceled.Add(1)
 			return
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -67,6 +67,7 @@
 	// was sent.
 	answeredSentAt time.Time
 	down           bool
+	told           Told
 	coldLimit      coldLimiter
 	requestLimit   requestLimit
 }
@@ -216,7 +217,7 @@
 func (t *Tracker) AllowSend(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.requestLimit.hasRoom(now) && t.coldLimit.allow(now) && t.requestLimit.allow(now)
+	return t.told.wants(now) && t.requestLimit.hasRoom(now) && t.coldLimit.allow(now) && t.requestLimit.allow(now)
 }
 
 // ExpectedLatency returns the time that a request sent now is expected to take,
@@ -237,7 +238,7 @@
 // usable reports whether the replica is reachable and its limits allow a request
 // now. t.mu is held.
 func (t *Tracker) usable(now time.Time) bool {
-	return !t.down && (!now.Before(t.coldLimit.until) || t.coldLimit.hasRoom(now)) && t.requestLimit.hasRoom(now)
+	return !t.down && t.told.wants(now) && (!now.Before(t.coldLimit.until) || t.coldLimit.hasRoom(now)) && t.requestLimit.hasRoom(now)
 }
 
 // expectedLatency implements ExpectedLatency. t.mu is held.
--- a/pkg/replica/requestlimit.go
+++ b/pkg/replica/requestlimit.go
@@ -192,20 +192,21 @@
 func (t *Tracker) AllowProbe(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.requestLimit.allow(now)
+	return !now.Before(t.told.PausedUntil) && t.requestLimit.allow(now)
 }
 
-// WaitForPermit returns the time until the request limit of the replica allows this VM
-// a request, 0 if it allows one now.
+// WaitForPermit returns the time until the pause that the replica wants is over and its
+// request limit allows this VM a request, 0 if it may be sent one now.
 func (t *Tracker) WaitForPermit(now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	wait := max(0, t.told.PausedUntil.Sub(now))
 	l := &t.requestLimit
 	if !l.current.Named {
-		return 0
+		return wait
 	}
 	permit, _ := l.permits.next(now, l.share())
-	return max(0, permit.Sub(now))
+	return max(wait, permit.Sub(now))
 }
 
 // share returns the part of this VM in the limit.
--- a/pkg/wire/relay.go
+++ b/pkg/wire/relay.go
@@ -37,6 +37,8 @@
 	Failed   []RelayFailure `msgpack:"failed"`
 	// Limits holds the request limits that replicas of the services name.
 	Limits []RelayLimit `msgpack:"limits"`
+	// Leaving holds the replicas that have said that they leave.
+	Leaving []RelayLeaving `msgpack:"leaving"`
 	// Done is set in the last reply.
 	Done bool `msgpack:"done"`
 }
@@ -51,6 +53,13 @@
 	PerSecond float64 `msgpack:"rate"`
 }
 
+// RelayLeaving names a replica that has said in its answer that it leaves.
+type RelayLeaving struct {
+	// Service is the index of the service in the request.
+	Service int    `msgpack:"s"`
+	Replica string `msgpack:"replica"`
+}
+
 // RelayAnswer says that a replica of a service has answered.
 type RelayAnswer struct {
 	// Service is the index of the service in the request.
