--- a/pkg/forward/told_test.go
+++ b/pkg/forward/told_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -110,9 +111,9 @@
 	inVirtualTime(t, singleRoute(true), func(v *virtualTier) {
 		r := v.addReplica("s", "r1", 1000, always(100*time.Millisecond))
 		r.Pool.SetMaxConns(1)
-		allowed := true
+		var paused atomic.Bool
 		check := func() *errs.Refusal {
-			if allowed {
+			if !paused.Load() {
 				return nil
 			}
 			return errs.Refuse(errs.UpstreamShed, "paused")
@@ -123,12 +124,12 @@
 			go func() { _, refusal := r.Pool.Do(v.t.Context(), call); ended <- refusal }()
 		}
 		time.Sleep(50 * time.Millisecond)
-		allowed = false
+		paused.Store(true)
 		first, second := <-ended, <-ended
 		assert.Assert(t, first == nil, "%v", first)
 		assert.Assert(t, second != nil && second.RunState == errs.DidNotRun, "%v", second)
 		assert.Equal(t, r.requests.Load(), int64(1))
-		allowed = true
+		paused.Store(false)
 		_, refusal := r.Pool.Do(v.t.Context(), call)
 		assert.Assert(t, refusal == nil, "the connection is free again: %v", refusal)
 		assert.Equal(t, r.accepted.Load(), int64(1))
