--- a/pkg/edge/prober.go
+++ b/pkg/edge/prober.go
@@ -10,12 +10,10 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/nutmeghitch/nutmeghitch/pkg/discovery"
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/exchange"
 	"github.com/nutmeghitch/nutmeghitch/pkg/forward"
 	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
-	"github.com/nutmeghitch/nutmeghitch/pkg/replica"
 	"github.com/nutmeghitch/nutmeghitch/pkg/wait"
 )
 
@@ -109,42 +107,6 @@
 	}
 }
 
-// toldAt is what a replica has said, and when.
-type toldAt struct {
-	replica.Told
-	at time.Time
-}
-
-// toldRetention is how long it is remembered what a replica has said that is not in the
-// view.
-const toldRetention = 10 * time.Minute
-
-// restoreTold gives new state of replicas what they have said before. p.mu is held.
-func (p *prober) restoreTold(view *forward.View) {
-	if len(p.told) == 0 {
-		return
-	}
-	for _, replicaSet := range view.ReplicaSets {
-		for _, u := range replicaSet.Upstreams {
-			if told, ok := p.told[replicaKeyOf(u.Member)]; ok {
-				u.Tracker.Hear(told.Told)
-			}
-		}
-	}
-	for k, told := range p.told {
-		if time.Since(told.at) > toldRetention {
-			delete(p.told, k)
-		}
-	}
-}
-
-// ReplicaTold implements forward.Observer.
-func (p *prober) ReplicaTold(u *forward.Upstream) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.told[replicaKeyOf(u.Member)] = toldAt{u.Tracker.Told(), time.Now()}
-}
-
 // inView reports whether the view contains the replica.
 func inView(view *forward.View, u *forward.Upstream) bool {
 	replicaSet := view.ReplicaSets[u.Member.Service]
@@ -225,22 +187,6 @@
 	p.addUnanswered(u, sentAt, attempt)
 }
 
-// addUnanswered records a request that a replica did not answer.
-func (p *prober) addUnanswered(u *forward.Upstream, sentAt time.Time, attempt forward.RequestAttempt) {
-	p.mu.Lock()
-	unanswered := p.unanswered[u]
-	if unanswered == nil {
-		unanswered = &poison.Unanswered{}
-		p.unanswered[u] = unanswered
-	}
-	unanswered.Answered(u.Tracker.AnsweredSentAt())
-	ended := unanswered.Add(time.Now(), sentAt, attempt)
-	p.mu.Unlock()
-	if ended {
-		p.onCrash(u, []forward.RequestAttempt{attempt})
-	}
-}
-
 // reprobeIn returns the time until a replica may be probed that has answered a probe
 // lately. p.mu is held.
 func (p *prober) reprobeIn(u *forward.Upstream) time.Duration {
@@ -312,101 +258,6 @@
 	}
 }
 
-// judge decides what an answer of a replica, or the failure to get one, says of the
-// requests that it did not answer, and reports those under which it has crashed. at is
-// when the probe was sent, or the dial has failed.
-func (p *prober) judge(u *forward.Upstream, at time.Time, refusal *errs.Refusal) {
-	p.decide(u, func(unanswered *poison.Unanswered, now time.Time) []forward.RequestAttempt {
-		unanswered.Answered(u.Tracker.AnsweredSentAt())
-		switch {
-		case refusal == nil:
-			unanswered.Answered(at)
-		case refusal.Code == errs.NotOwner:
-			return unanswered.Ended(now)
-		case refusal.ConnectionRefused:
-			return unanswered.Refused(now, p.domainAnsweredAt(u))
-		case refusal.Code == errs.UpstreamLost && refusal.RunState == errs.DidNotRun:
-			return unanswered.Unreachable(now, p.domainAnsweredAt(u))
-		}
-		return nil
-	})
-}
-
-// replicaStarted tells that a replica has started. Another one at its address, or an
-// earlier process of it, has ended.
-func (p *prober) replicaStarted(started discovery.Replica) {
-	for _, u := range p.undecided(func(m *discovery.Member) bool {
-		return m.Born < started.Born && (m.Addr == started.Addr || m.ID == started.ID)
-	}) {
-		p.decide(u, func(unanswered *poison.Unanswered, now time.Time) []forward.RequestAttempt {
-			return unanswered.Ended(now)
-		})
-	}
-}
-
-// entryLapsed tells that the entry of a replica is gone.
-func (p *prober) entryLapsed(id string) {
-	for _, u := range p.undecided(func(m *discovery.Member) bool { return m.ID == id }) {
-		p.decide(u, func(unanswered *poison.Unanswered, now time.Time) []forward.RequestAttempt {
-			return unanswered.Lapsed(now)
-		})
-	}
-}
-
-// undecided returns the replicas with unanswered requests to which match applies.
-func (p *prober) undecided(match func(*discovery.Member) bool) []*forward.Upstream {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var found []*forward.Upstream
-	for u := range p.unanswered {
-		if match(u.Member) {
-			found = append(found, u)
-		}
-	}
-	return found
-}
-
-// decide applies a decision to the unanswered requests of a replica, and reports those
-// under which it has crashed.
-func (p *prober) decide(u *forward.Upstream, decision func(*poison.Unanswered, time.Time) []forward.RequestAttempt) {
-	p.mu.Lock()
-	unanswered := p.unanswered[u]
-	if unanswered == nil {
-		p.mu.Unlock()
-		return
-	}
-	before := unanswered.Len()
-	crashed := decision(unanswered, time.Now())
-	left := unanswered.Len()
-	p.mu.Unlock()
-	if len(crashed) > 0 {
-		p.onCrash(u, crashed)
-	}
-	if before != left {
-		p.log.WithFields(logrus.Fields{"replica": u.Member.ID, "crashed": len(crashed), "cleared": before - left - len(crashed), "undecided": left}).Info("unanswered requests of a replica decided")
-	}
-}
-
-// domainAnsweredAt returns when the last request was sent that another replica in the
-// failure domain of u has answered. p.mu is held.
-func (p *prober) domainAnsweredAt(u *forward.Upstream) time.Time {
-	var last time.Time
-	if p.view == nil {
-		return last
-	}
-	for _, replicaSet := range p.view.ReplicaSets {
-		for _, other := range replicaSet.Upstreams {
-			if other == u || other.Member.Domain != u.Member.Domain {
-				continue
-			}
-			if at := other.Tracker.AnsweredSentAt(); at.After(last) {
-				last = at
-			}
-		}
-	}
-	return last
-}
-
 // provesUnreachable reports whether a failed probe shows that the replica cannot
 // be reached. Other failures do not: a probe may time out because the replica is
 // busy or because all connections to it are in use.
--- /dev/null
+++ b/pkg/forward/attempt.go
@@ -0,0 +1,33 @@
+package forward
+
+import (
+	"net"
+	"net/http"
+	"strings"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/model"
+	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
+	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
+)
+
+// requestAttempt identifies an attempt of a request by what all attempts have in common:
+// the host of its route, the caller's address, the method, the path and the body. The
+// query string may differ between attempts.
+func requestAttempt(r *http.Request, route *routes.Route, caller string, body []byte, id string) RequestAttempt {
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	from := model.ServiceID(route.Host + " " + caller)
+	return RequestAttempt{
+		Fingerprint: poison.Fingerprint(from, r.Method+" "+path, body),
+		Exact:       poison.Fingerprint(from, "exact "+r.Method+" "+r.RequestURI, body),
+		RequestID:   id,
+	}
+}
+
+// callerAddr returns the address of a caller without its port.
+func callerAddr(remoteAddr string) string {
+	host, _, err := net.SplitHostPort(remoteAddr)
+	if err != nil {
+		return remoteAddr
+	}
+	return host
+}
--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -1,19 +1,15 @@
 package forward
 
 import (
-	"bytes"
 	"context"
 	"math"
-	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/exchange"
 	"github.com/nutmeghitch/nutmeghitch/pkg/hedge"
-	"github.com/nutmeghitch/nutmeghitch/pkg/model"
 	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
 	"github.com/nutmeghitch/nutmeghitch/pkg/relay"
 	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
@@ -182,28 +178,6 @@
 	return q
 }
 
-// requestAttempt identifies an attempt of a request by what all attempts have in common:
-// the host of its route, the caller's address, the method, the path and the body. The
-// query string may differ between attempts.
-func requestAttempt(r *http.Request, route *routes.Route, caller string, body []byte, id string) RequestAttempt {
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	from := model.ServiceID(route.Host + " " + caller)
-	return RequestAttempt{
-		Fingerprint: poison.Fingerprint(from, r.Method+" "+path, body),
-		Exact:       poison.Fingerprint(from, "exact "+r.Method+" "+r.RequestURI, body),
-		RequestID:   id,
-	}
-}
-
-// callerAddr returns the address of a caller without its port.
-func callerAddr(remoteAddr string) string {
-	host, _, err := net.SplitHostPort(remoteAddr)
-	if err != nil {
-		return remoteAddr
-	}
-	return host
-}
-
 // requestTimeout returns the time that a request may take: the milliseconds of the
 // caller's deadline header, but at most the timeout of the route.
 func requestTimeout(deadlineHeader string, route *routes.Route) time.Duration {
@@ -224,44 +198,6 @@
 	return q.forwarder.ledger.Check(now, q.attempt.Fingerprint) == poison.Blocked
 }
 
-// hopByHopHeaders concern a single connection and are not forwarded.
-var hopByHopHeaders = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
-	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Expect": true,
-}
-
-// requestHead returns the request line and the header fields that all sends of a
-// request share.
-func (f *Forwarder) requestHead(r *http.Request) []byte {
-	target := r.RequestURI
-	if len(target) == 0 || target[0] != '/' {
-		target = r.URL.RequestURI()
-	}
-	var b bytes.Buffer
-	b.Grow(512)
-	b.WriteString(r.Method)
-	b.WriteByte(' ')
-	b.WriteString(target)
-	b.WriteString(" HTTP/1.1\r\n")
-	writeHeader(&b, "Host", r.Host)
-	for name, values := range r.Header {
-		if hopByHopHeaders[name] || name == f.headers.Deadline || name == f.headers.TargetReplica {
-			continue
-		}
-		for _, v := range values {
-			writeHeader(&b, name, v)
-		}
-	}
-	return b.Bytes()
-}
-
-func writeHeader(b *bytes.Buffer, name, value string) {
-	b.WriteString(name)
-	b.WriteString(": ")
-	b.WriteString(value)
-	b.WriteString("\r\n")
-}
-
 // run sends the request, or forwards it to another VM, and waits until the response or
 // the refusal is known. Its caller must then call cancelSends.
 func (q *query) run(caller context.Context) (*response, *errs.Refusal) {
--- a/platform/split.go
+++ b/pkg/jsonsplit/jsonsplit.go
@@ -1,4 +1,7 @@
-package platform
+// Package jsonsplit takes JSON objects and arrays apart without decoding what they hold.
+// Package encoding/json rejects a whole text if one value in it is nested too deeply;
+// here each value can be decoded by itself, or left out.
+package jsonsplit
 
 import (
 	"bytes"
@@ -7,12 +10,8 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 )
 
-// A reply of the store holds objects of several writers. The JSON package rejects all of
-// it if one value is nested too deeply, so the reply is split first, at any depth, and
-// each value is decoded by itself.
-
-// members returns the undecoded values of a JSON object by their keys.
-func members(object []byte) (map[string]json.RawMessage, error) {
+// Members returns the undecoded values of a JSON object by their keys.
+func Members(object []byte) (map[string]json.RawMessage, error) {
 	s := splitter{text: object}
 	found := map[string]json.RawMessage{}
 	err := s.each('{', '}', func() error {
@@ -31,8 +30,8 @@
 	return found, err
 }
 
-// elements returns the undecoded elements of a JSON array, none of null.
-func elements(array []byte) ([]json.RawMessage, error) {
+// Elements returns the undecoded elements of a JSON array, none of null.
+func Elements(array []byte) ([]json.RawMessage, error) {
 	if string(array) == "null" {
 		return nil, nil
 	}
@@ -46,7 +45,7 @@
 }
 
 // errSplit reports text that is not the expected JSON value.
-var errSplit = errs.Refuse(errs.PlatformDown, "reply is not valid JSON")
+var errSplit = errs.Refuse(errs.FrameMalformed, "not a JSON object or array")
 
 // valueEnds are the bytes that end a number or a literal.
 var valueEnds = []byte(",:]} \t\r\n")
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -158,8 +158,8 @@
 	return changed
 }
 
-// ClearLoss clears a loss that RecordLoss has recorded: it has turned out that the
-// request was not to blame.
+// ClearLoss clears a loss that RecordLoss has recorded, because the request succeeded
+// later.
 func (l *Ledger) ClearLoss(now time.Time, replica model.ReplicaID, instance string, fp uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
