--- a/pkg/soak/soak_test.go
+++ b/pkg/soak/soak_test.go
@@ -141,6 +141,33 @@
 	}
 }
 
+// Guards against VMs that send requests to a replica within the pause that it has asked
+// each of them for.
+func TestPauseOfAReplicaIsKeptByEachVM(t *testing.T) {
+	const (
+		pause  = 2 * time.Second
+		pauses = 4
+		// perPause is how many requests of one VM may arrive in a pause: the one that
+		// hears of it, and those that are allowed after half a second.
+		perPause = 1 + 2
+	)
+	c := config(t, 8, 0)
+	c.Callers = 8
+	r, err := run(t.Context(), c, func(s *site, ctx context.Context) {
+		paused := s.replicas[4:6] // all of a shard, so that no other one is preferred
+		for _, r := range paused {
+			r.AskForPause(pause)
+		}
+		wait.Sleep(ctx, pauses*pause)
+		for _, r := range paused {
+			if n := r.AskForPause(0); n > len(s.vms)*(pauses+1)*perPause {
+				s.checker.breach("%s got %d requests in %d pauses", r.ID, n, pauses)
+			}
+		}
+	})
+	check(t, r, err)
+}
+
 // Guards against VMs that use an older configuration than the newest one after the
 // store has come back from an older copy, twice, while VMs restart.
 func TestRestoredStoreLosesNoConfiguration(t *testing.T) {
