--- a/review/_cases/cases.go
+++ b/review/_cases/cases.go
@@ -195,3 +195,46 @@
 	}
 	return broken, nil
 }
+
+// goneCase: servers leave as planned without a word to the store, which cuts waiting
+// watches off.
+func goneCase(s *site, trouble bool) ([]string, error) {
+	const (
+		// leaving of the servers is a share of 0.15, rounded up.
+		servers, leaving = 11, 2
+		// perSecond is low, so that seconds pass between two requests of a VM to a server:
+		// the answer to the first one says that the server leaves.
+		perSecond = 3
+		servesOn  = 20 * time.Second
+		cutAfter  = time.Second
+	)
+	for i := range servers {
+		if _, err := s.startReplica("yard", replicaZones[i%len(replicaZones)], 90*time.Millisecond); err != nil {
+			return nil, err
+		}
+	}
+	s.configure([]route{{"yard", "/yard/", "non_idempotent", "yard", 6000, 400, 2}}, []string{"yard"})
+	if err := s.startVMs(4); err != nil {
+		return nil, err
+	}
+	if trouble {
+		watchLimit.Store(int64(cutAfter))
+	}
+	time.Sleep(2 * contactTime) // the watches that wait already end
+	gone := map[*replica]time.Time{}
+	for _, r := range s.replicas[:leaving] {
+		gone[r] = r.leaveSilently()
+		s.record.add("store has removed the entry of server %s, which leaves", r.id)
+	}
+	c := &consumers{site: s}
+	c.load(perSecond, servesOn, func(n int) string { return fmt.Sprintf("/yard/%d", n) })
+	var broken []string
+	s.seen.mu.Lock()
+	defer s.seen.mu.Unlock()
+	for _, a := range s.seen.arrivals {
+		if at, left := gone[a.server]; left && a.at.Sub(at) > drainTimeout {
+			broken = append(broken, fmt.Sprintf("DRAIN: %s has reached %s %.3f s after the store removed its entry; %s allowed", a.id, a.server.id, a.at.Sub(at).Seconds(), drainTimeout))
+		}
+	}
+	return broken, nil
+}
--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -18,6 +18,7 @@
 	"refused": refusedCase,
 	"twice":   twiceCase,
 	"drain":   drainCase,
+	"gone":    goneCase,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/_cases/replica.go
+++ b/review/_cases/replica.go
@@ -81,6 +81,16 @@
 	return time.Now()
 }
 
+// leaveSilently makes the replica leave without a report: its entry is removed, and it
+// serves on. It returns when the store has removed the entry.
+func (r *replica) leaveSilently() time.Time {
+	r.mu.Lock()
+	r.leaving = true
+	r.mu.Unlock()
+	r.site.store.Delete("servers", r.id)
+	return time.Now()
+}
+
 // exit ends the replica: connections break.
 func (r *replica) exit() {
 	_ = r.server.Close()
--- a/review/_cases/site.go
+++ b/review/_cases/site.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -86,10 +87,30 @@
 		return nil, err
 	}
 	s := &site{record: r, dir: dir, edge: edge, store: standin.NewStore(), listener: l, version: 1, seen: &seen{runs: map[string][]string{}}}
-	go func() { _ = (&http.Server{Handler: s.store, ReadHeaderTimeout: time.Minute}).Serve(l) }()
+	go func() {
+		_ = (&http.Server{Handler: http.HandlerFunc(s.serveStore), ReadHeaderTimeout: time.Minute}).Serve(l)
+	}()
 	return s, nil
 }
 
+// watchLimit is the time after which the store cuts a waiting watch off, 0 for none.
+var watchLimit atomic.Int64
+
+// serveStore passes calls to the store, and cuts watches off that wait too long.
+func (s *site) serveStore(w http.ResponseWriter, r *http.Request) {
+	limit := time.Duration(watchLimit.Load())
+	if limit == 0 || !r.URL.Query().Has("watch") {
+		s.store.ServeHTTP(w, r)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), limit)
+	defer cancel()
+	s.store.ServeHTTP(w, r.WithContext(ctx))
+	if ctx.Err() != nil {
+		panic(http.ErrAbortHandler) // the connection ends without an answer
+	}
+}
+
 // configure writes a manifest with the routes and services.
 func (s *site) configure(routes []route, services []string) {
 	s.version++
