--- a/review/_cases/cases.go
+++ b/review/_cases/cases.go
@@ -5,6 +5,8 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -196,45 +198,111 @@
 	return broken, nil
 }
 
-// goneCase: servers leave as planned without a word to the store, which cuts waiting
-// watches off.
-func goneCase(s *site, trouble bool) ([]string, error) {
+// leavingCase: a VM loses its links to all servers, and a little later its way to the
+// store. Meanwhile a server leaves as planned, and says so in its answers, which the VM
+// gets through another VM and passes on. Then the links are back.
+func leavingCase(s *site, trouble bool) ([]string, error) {
 	const (
-		// leaving of the servers is a share of 0.15, rounded up.
-		servers, leaving = 11, 2
-		// perSecond is low, so that seconds pass between two requests of a VM to a server:
-		// the answer to the first one says that the server leaves.
-		perSecond = 3
-		servesOn  = 20 * time.Second
-		cutAfter  = time.Second
+		perSecond = 20
+		// Orders for billing come to the VM that is cut, from billsAt on.
+		billsPerSecond = 4
+		// The times are counted from the loss of the links.
+		billsAt                                = 2 * time.Second
+		leaveAt, reportAt, linksBackAt, exitAt = 6 * time.Second, 6300 * time.Millisecond, 9300 * time.Millisecond, 11 * time.Second
+		storeCutAt, storeBackAt                = 5500 * time.Millisecond, 11 * time.Second
+		end                                    = 12 * time.Second
 	)
-	for i := range servers {
-		if _, err := s.startReplica("yard", replicaZones[i%len(replicaZones)], 90*time.Millisecond); err != nil {
-			return nil, err
+	s.links = map[string]*link{}
+	for service, work := range map[string]time.Duration{"yard": 90 * time.Millisecond, "billing": 700 * time.Millisecond} {
+		for _, zone := range replicaZones {
+			r, err := s.startReplica(service, zone, work)
+			if err != nil {
+				return nil, err
+			}
+			if s.links[r.addr], err = newLink(r.addr); err != nil {
+				return nil, err
+			}
 		}
 	}
-	s.configure([]route{{"yard", "/yard/", "non_idempotent", "yard", 6000, 400, 2}}, []string{"yard"})
-	if err := s.startVMs(4); err != nil {
+	s.configure([]route{
+		{"yard", "/yard/", "non_idempotent", "yard", 6000, 400, 2},
+		{"billing", "/billing/", "non_idempotent", "billing", 6000, 1000, 2},
+	}, []string{"yard", "billing"})
+	if err := s.startVMs(2); err != nil { // both watch the store
 		return nil, err
 	}
-	if trouble {
-		watchLimit.Store(int64(cutAfter))
+	lost := time.Now()
+	at := func(d time.Duration, event string, f func()) {
+		time.AfterFunc(time.Until(lost.Add(d)), func() { s.record.add("%s", event); f() })
 	}
-	time.Sleep(2 * contactTime) // the watches that wait already end
-	gone := map[*replica]time.Time{}
-	for _, r := range s.replicas[:leaving] {
-		gone[r] = r.leaveSilently()
-		s.record.add("store has removed the entry of server %s, which leaves", r.id)
+	cut := s.vms[0]
+	leaving := s.replicas[slices.IndexFunc(s.replicas, func(r *replica) bool { return r.service == "billing" && r.zone == cut.zone })]
+	if trouble {
+		at(0, cut.name+" loses its links to all servers", func() {
+			for _, l := range s.links {
+				l.cut()
+			}
+		})
+		at(storeCutAt, cut.name+" loses its way to the store", func() { s.storeCut.Store(true) })
+		at(linksBackAt, cut.name+" has its links to the servers again", func() {
+			for _, l := range s.links {
+				if err := l.open(); err != nil {
+					s.record.add("a link is not back: %v", err)
+				}
+			}
+		})
+		at(storeBackAt, cut.name+" reaches the store again", func() { s.storeCut.Store(false) })
 	}
+	at(leaveAt, "server "+leaving.id+" leaves and says so in its answers", func() {
+		leaving.mu.Lock()
+		leaving.leaving = true
+		leaving.mu.Unlock()
+	})
+	at(reportAt, "server "+leaving.id+" reports to the store that it drains", func() { leaving.drain() })
+	at(exitAt, "server "+leaving.id+" exits", leaving.exit)
 	c := &consumers{site: s}
-	c.load(perSecond, servesOn, func(n int) string { return fmt.Sprintf("/yard/%d", n) })
+	var bills sync.WaitGroup
+	bills.Go(func() {
+		time.Sleep(time.Until(lost.Add(billsAt)))
+		for n := 0; time.Since(lost) < end; n++ {
+			bills.Go(func() {
+				c.post(cut, fmt.Sprintf("/billing/%d", n), fmt.Sprint("b", n), strings.NewReader("bill"), 4)
+			})
+			time.Sleep(time.Second / billsPerSecond)
+		}
+	})
+	c.load(perSecond, end, func(n int) string { return fmt.Sprintf("/yard/%d", n) })
+	bills.Wait()
+	return c.lateAfterLeaving(cut, leaving), nil
+}
+
+// lateAfterLeaving returns the requests that a VM has sent to a server though it had
+// passed on an answer that says that the server leaves, drain_timeout_ms before the
+// consumer sent the request.
+func (c *consumers) lateAfterLeaving(v *vm, leaving *replica) []string {
+	var passedOn time.Time
+	for _, a := range c.attempts() {
+		if a.vm == v && a.leaving && (passedOn.IsZero() || a.answered.Before(passedOn)) {
+			passedOn = a.answered
+		}
+	}
+	if passedOn.IsZero() {
+		return nil
+	}
+	c.site.record.add("%s has first passed on an answer with Server-Leaving at %.3f s", v.name, passedOn.Sub(c.site.record.start).Seconds())
+	reached := map[string]bool{}
+	c.site.seen.mu.Lock()
+	for _, a := range c.site.seen.arrivals {
+		if a.server == leaving {
+			reached[a.id] = true
+		}
+	}
+	c.site.seen.mu.Unlock()
 	var broken []string
-	s.seen.mu.Lock()
-	defer s.seen.mu.Unlock()
-	for _, a := range s.seen.arrivals {
-		if at, left := gone[a.server]; left && a.at.Sub(at) > drainTimeout {
-			broken = append(broken, fmt.Sprintf("DRAIN: %s has reached %s %.3f s after the store removed its entry; %s allowed", a.id, a.server.id, a.at.Sub(at).Seconds(), drainTimeout))
+	for _, a := range c.attempts() {
+		if late := a.sent.Sub(passedOn); a.vm == v && reached[a.id] && late > drainTimeout {
+			broken = append(broken, fmt.Sprintf("DRAIN: %s was sent to %s %.3f s after that had passed on an answer with Server-Leaving, and has reached the server; %s allowed; its consumer has status %d", a.id, v.name, late.Seconds(), drainTimeout, a.status))
 		}
 	}
-	return broken, nil
+	return broken
 }
--- a/review/_cases/consumer.go
+++ b/review/_cases/consumer.go
@@ -22,7 +22,9 @@
 	status          int // 0 without a complete answer
 	failure         string
 	retryAfter      time.Duration
-	bytes           int
+	// leaving is set if the answer says that its server leaves.
+	leaving  bool
+	answered time.Time
 }
 
 // consumers send requests and keep what they got.
@@ -65,13 +67,12 @@
 	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(consumerDeadline.Milliseconds(), 10))
 	response, err := client.Do(request)
 	if err == nil {
-		var got []byte
-		got, err = io.ReadAll(response.Body)
+		_, err = io.Copy(io.Discard, response.Body)
 		_ = response.Body.Close()
-		a.bytes = len(got)
 		if err == nil {
-			a.status = response.StatusCode
+			a.status, a.answered = response.StatusCode, time.Now()
 		}
+		a.leaving = response.Header.Get("Server-Leaving") == "1"
 		if seconds, parseErr := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); parseErr == nil {
 			a.retryAfter = time.Duration(seconds * float64(time.Second))
 		}
--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -18,7 +18,8 @@
 	"refused": refusedCase,
 	"twice":   twiceCase,
 	"drain":   drainCase,
-	"gone":    goneCase,
+	"leaving": leavingCase,
+	"crash":   crashCase,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/_cases/replica.go
+++ b/review/_cases/replica.go
@@ -81,16 +81,6 @@
 	return time.Now()
 }
 
-// leaveSilently makes the replica leave without a report: its entry is removed, and it
-// serves on. It returns when the store has removed the entry.
-func (r *replica) leaveSilently() time.Time {
-	r.mu.Lock()
-	r.leaving = true
-	r.mu.Unlock()
-	r.site.store.Delete("servers", r.id)
-	return time.Now()
-}
-
 // exit ends the replica: connections break.
 func (r *replica) exit() {
 	_ = r.server.Close()
@@ -100,14 +90,12 @@
 	h := w.Header()
 	id := req.Header.Get("X-Request-Id")
 	r.mu.Lock()
-	work, leaving := r.work, r.leaving
+	work := r.work
 	r.mu.Unlock()
-	if leaving {
-		h.Set("Server-Leaving", "1")
-	}
+	r.sayLeaving(h)
 	h.Set("X-Instance-Id", r.id)
 	if req.URL.Path == "/healthz" {
-		if leaving {
+		if h.Get("Server-Leaving") != "" {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
@@ -146,6 +134,7 @@
 		f = r.fault()
 	}
 	h.Set("X-Server-Stamp", r.service+"."+id)
+	r.sayLeaving(h) // it may have begun to leave meanwhile
 	switch f {
 	case faultLost:
 		r.site.record.add("server %s loses the answer of %s", r.id, id)
@@ -159,6 +148,15 @@
 	r.answer(w, id)
 }
 
+// sayLeaving names in an answer that the server leaves, if it does.
+func (r *replica) sayLeaving(h http.Header) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.leaving {
+		h.Set("Server-Leaving", "1")
+	}
+}
+
 // answer writes the whole answer.
 func (r *replica) answer(w http.ResponseWriter, id string) {
 	w.Header().Set("Content-Length", strconv.Itoa(answerBytes))
--- a/review/_cases/site.go
+++ b/review/_cases/site.go
@@ -1,15 +1,18 @@
 package main
 
 import (
-	"context"
 	"errors"
 	"fmt"
+	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -68,6 +71,10 @@
 	version  int
 	seen     *seen
 	trouble  atomic.Int64
+	// links lead from the first VM to the servers, by their addresses, if they can be cut.
+	links map[string]*link
+	// storeCut is set while the first VM does not reach the store.
+	storeCut atomic.Bool
 }
 
 // route is a route of the manifest.
@@ -88,26 +95,109 @@
 	}
 	s := &site{record: r, dir: dir, edge: edge, store: standin.NewStore(), listener: l, version: 1, seen: &seen{runs: map[string][]string{}}}
 	go func() {
-		_ = (&http.Server{Handler: http.HandlerFunc(s.serveStore), ReadHeaderTimeout: time.Minute}).Serve(l)
+		_ = (&http.Server{Handler: s.store, ReadHeaderTimeout: time.Minute}).Serve(l)
 	}()
 	return s, nil
 }
 
-// watchLimit is the time after which the store cuts a waiting watch off, 0 for none.
-var watchLimit atomic.Int64
+// serveFirstVM is the store as the first VM sees it: the servers' addresses are those of
+// links that can be cut, as its whole way to the store can be.
+func (s *site) serveFirstVM(w http.ResponseWriter, r *http.Request) {
+	answer := httptest.NewRecorder()
+	done := make(chan struct{})
+	go func() { defer close(done); s.store.ServeHTTP(answer, r) }()
+	for waiting := true; waiting; {
+		select {
+		case <-done:
+			waiting = false
+		case <-time.After(20 * time.Millisecond):
+		}
+		if s.storeCut.Load() {
+			panic(http.ErrAbortHandler) // the connection breaks
+		}
+	}
+	body := answer.Body.String()
+	for addr, l := range s.links {
+		body = strings.ReplaceAll(body, addr, l.addr)
+	}
+	for name, values := range answer.Header() {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(answer.Code)
+	_, _ = w.Write([]byte(body))
+}
+
+// link passes the connections of the first VM to one server on until it is cut. Then it
+// resets them and refuses new ones.
+type link struct {
+	addr, target string
+	mu           sync.Mutex
+	listener     net.Listener
+	conns        map[net.Conn]bool
+}
+
+func newLink(target string) (*link, error) {
+	addr, err := freeAddr()
+	if err != nil {
+		return nil, err
+	}
+	l := &link{addr: addr, target: target, conns: map[net.Conn]bool{}}
+	return l, l.open()
+}
+
+func (l *link) open() error {
+	listener, err := net.Listen("tcp", l.addr)
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	l.listener = listener
+	l.mu.Unlock()
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go l.pass(c)
+		}
+	}()
+	return nil
+}
 
-// serveStore passes calls to the store, and cuts watches off that wait too long.
-func (s *site) serveStore(w http.ResponseWriter, r *http.Request) {
-	limit := time.Duration(watchLimit.Load())
-	if limit == 0 || !r.URL.Query().Has("watch") {
-		s.store.ServeHTTP(w, r)
+func (l *link) pass(c net.Conn) {
+	up, err := net.Dial("tcp", l.target)
+	if err != nil {
+		l.end(c)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), limit)
-	defer cancel()
-	s.store.ServeHTTP(w, r.WithContext(ctx))
-	if ctx.Err() != nil {
-		panic(http.ErrAbortHandler) // the connection ends without an answer
+	l.mu.Lock()
+	l.conns[c], l.conns[up] = true, true
+	l.mu.Unlock()
+	go func() { _, _ = io.Copy(up, c); l.end(c); l.end(up) }()
+	_, _ = io.Copy(c, up)
+	l.end(c)
+	l.end(up)
+}
+
+// end resets a connection.
+func (l *link) end(c net.Conn) {
+	l.mu.Lock()
+	delete(l.conns, c)
+	l.mu.Unlock()
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+func (l *link) cut() {
+	l.mu.Lock()
+	_ = l.listener.Close()
+	conns := slices.Collect(maps.Keys(l.conns))
+	l.mu.Unlock()
+	for _, c := range conns {
+		l.end(c)
 	}
 }
 
@@ -265,7 +355,18 @@
 		quoted = append(quoted, fmt.Sprintf("%q", a))
 	}
 	path := filepath.Join(v.dir, v.name+".yaml")
-	text := fmt.Sprintf(settings, v.name, v.zone, v.front, v.ready, v.peers, strings.Join(quoted, ", "), s.listener.Addr().String())
+	store := s.listener.Addr().String()
+	if s.links != nil && v == s.vms[0] {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		store = l.Addr().String()
+		go func() {
+			_ = (&http.Server{Handler: http.HandlerFunc(s.serveFirstVM), ReadHeaderTimeout: time.Minute}).Serve(l)
+		}()
+	}
+	text := fmt.Sprintf(settings, v.name, v.zone, v.front, v.ready, v.peers, strings.Join(quoted, ", "), store)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -321,3 +422,20 @@
 		}
 	}
 }
+
+// configureGather writes a manifest with one route over all shards, like order-sweep.
+func (s *site) configureGather(shards []string) {
+	s.version++
+	services := []map[string]any{}
+	for _, name := range shards {
+		services = append(services, map[string]any{"name": name, "health_path": "/healthz", "max_conns": 26, "protocol": "h1", "tls": false, "warmup_s": 3.0, "warmup_per_s": 0.0})
+	}
+	s.store.Put("config", "main", map[string]any{
+		"version": s.version, "services": services,
+		"routes": []map[string]any{{
+			"name": "all", "hostname": siteHost, "path_prefix": "/all/", "type": "idempotent", "gather": shards, "top_k": 50, "min_coverage": 0.89,
+			"timeout_ms": 1500, "target_latency_ms": 100, "priority": 1, "attempts": 2,
+		}},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	})
+}
