--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -10,7 +10,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // cases holds the cases by name. Each returns what broke its rule.
@@ -47,6 +49,13 @@
 	}
 	defer s.close()
 	defer s.copyLogs()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		s.close()
+		os.Exit(2)
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	r.add("case %s, trouble %t", args[0], trouble)
 	broken, err := cases[args[0]](s, trouble)
