--- a/review/_cases/cases.go
+++ b/review/_cases/cases.go
@@ -145,10 +145,14 @@
 		uploads               = 4
 		// exitAfter is the time from the ack to the end of the leaving server:
 		// drain_timeout_ms and a little longer.
-		exitAfter = drainTimeout + time.Second
+		exitAfter = drainTimeout + 700*time.Millisecond
+		// One of the servers leaves, a share of 0.09.
+		servers = 11
+		// work is that of long requests of yard-check.
+		work = 500 * time.Millisecond
 	)
-	for _, zone := range replicaZones {
-		if _, err := s.startReplica("yard", zone, 700*time.Millisecond); err != nil {
+	for i := range servers {
+		if _, err := s.startReplica("yard", replicaZones[i%len(replicaZones)], work); err != nil {
 			return nil, err
 		}
 	}
@@ -205,7 +209,9 @@
 	const (
 		perSecond = 20
 		// Orders for billing come to the VM that is cut, from billsAt on.
-		billsPerSecond = 4
+		billsPerSecond = 8
+		// One of the servers of billing leaves, a share of 0.125.
+		billingServers, yardServers = 8, 3
 		// The times are counted from the loss of the links.
 		billsAt                                = 2 * time.Second
 		leaveAt, reportAt, linksBackAt, exitAt = 6 * time.Second, 6300 * time.Millisecond, 9300 * time.Millisecond, 11 * time.Second
@@ -213,15 +219,17 @@
 		end                                    = 12 * time.Second
 	)
 	s.links = map[string]*link{}
-	for service, work := range map[string]time.Duration{"yard": 90 * time.Millisecond, "billing": 700 * time.Millisecond} {
-		for _, zone := range replicaZones {
-			r, err := s.startReplica(service, zone, work)
-			if err != nil {
-				return nil, err
-			}
-			if s.links[r.addr], err = newLink(r.addr); err != nil {
-				return nil, err
-			}
+	for i := range billingServers + yardServers {
+		service, work := "billing", 500*time.Millisecond
+		if i >= billingServers {
+			service, work = "yard", 90*time.Millisecond
+		}
+		r, err := s.startReplica(service, replicaZones[i%len(replicaZones)], work)
+		if err != nil {
+			return nil, err
+		}
+		if s.links[r.addr], err = newLink(r.addr); err != nil {
+			return nil, err
 		}
 	}
 	s.configure([]route{
--- a/review/_cases/crash.go
+++ b/review/_cases/crash.go
@@ -29,7 +29,9 @@
 
 // crashes holds what a run has seen of crashing requests.
 type crashes struct {
-	mu sync.Mutex
+	// enabled is set if the request ends servers.
+	enabled bool
+	mu      sync.Mutex
 	// ended holds when servers ended under a request, by its path.
 	ended map[string][]time.Time
 	// arrivals holds when attempts have reached servers last, by path and id.
@@ -108,7 +110,9 @@
 		h.crashes.mu.Unlock()
 		h.site.record.add("server %s runs %s, attempt %s", id, r.URL.Path, requestID)
 		time.Sleep(crashWork)
-		h.crash(r.URL.Path, id)
+		if h.crashes.enabled {
+			h.crash(r.URL.Path, id)
+		}
 	} else {
 		time.Sleep(queryWork)
 	}
@@ -195,7 +199,7 @@
 		// pause, and then repeats the query for a while.
 		repeatGap, pause, repeating = 300 * time.Millisecond, 8 * time.Second, 5 * time.Second
 	)
-	seen := &crashes{ended: map[string][]time.Time{}, arrivals: map[string]map[string]time.Time{}}
+	seen := &crashes{enabled: trouble, ended: map[string][]time.Time{}, arrivals: map[string]map[string]time.Time{}}
 	var names []string
 	var hosts []*host
 	for i := range shards {
@@ -230,10 +234,7 @@
 		}
 	})
 	time.Sleep(2 * time.Second)
-	path := "/all/0/crash"
-	if !trouble {
-		path = "/all/0/sound"
-	}
+	const path = "/all/0/crash"
 	send := func() {
 		others.Go(func() { s.query(s.vms[rand.IntN(len(s.vms))], path) })
 		time.Sleep(repeatGap)
