edge, forward: log what each VM learns of crash reports

The logs could not tell whether a VM had not heard of the crash reports of others, had lost them again, or had no proof that a replica ended. Each VM now logs a report that it reads or that is removed, with the attempts that count from then on; a request that is sent as suspect says so; requests without an answer that expire without a proof are counted apart from those cleared. No logic changes.

--- a/pkg/edge/crash.go
+++ b/pkg/edge/crash.go
@@ -100,7 +100,8 @@
 		r.controller.recordCrash(now, crash)
 		verdict := r.controller.ledger.Check(now, s.Fingerprint)
 		r.log.WithFields(logrus.Fields{
-			"id": s.RequestID, "replica": u.Member.ID, "fingerprint": fmt.Sprintf("%016x", s.Fingerprint), "recurring": recurring, "refused_from_now": verdict == poison.Blocked,
+			"id": s.RequestID, "replica": u.Member.ID, "fingerprint": fmt.Sprintf("%016x", s.Fingerprint), "recurring": recurring,
+			"attempts": r.controller.ledger.Losses(now, s.Fingerprint), "refused_from_now": verdict == poison.Blocked,
 		}).Info("request was in flight when a replica crashed")
 		r.add(waitingReport{crash: crash, recurring: recurring})
 	}
@@ -296,6 +297,7 @@
 	case item.Deleted:
 		if crash, known := c.state.crashes[item.Name]; known {
 			c.clearCrash(now, crash)
+			c.logReport(now, item, crash, "crash report removed")
 		}
 		delete(c.state.crashes, item.Name)
 	case item.Err == nil:
@@ -303,10 +305,19 @@
 		if now.Sub(item.Value.At) < crashReportTTL {
 			c.recordCrash(now, item.Value)
 		}
+		c.logReport(now, item, item.Value, "crash report read")
 	}
 	return false
 }
 
+// logReport logs a change of a report and what this VM believes of the request after it.
+func (c *controller) logReport(now time.Time, item storewatch.Item[discovery.Crash], crash discovery.Crash, message string) {
+	c.log.WithFields(logrus.Fields{
+		"id": crash.Attempt, "fingerprint": fmt.Sprintf("%016x", crash.Fingerprint), "revision": item.Revision, "age_ms": now.Sub(crash.At).Milliseconds(),
+		"attempts": c.ledger.Losses(now, crash.Fingerprint), "refused": c.ledger.Check(now, crash.Fingerprint) == poison.Blocked,
+	}).Info(message)
+}
+
 // reportLostCrashes reports the crashes again that the store has lost. Only the
 // coordinator does this.
 func (c *controller) reportLostCrashes(now time.Time, lost []storewatch.Item[discovery.Crash]) {
--- a/pkg/edge/unanswered.go
+++ b/pkg/edge/unanswered.go
@@ -90,6 +90,7 @@
 		p.mu.Unlock()
 		return
 	}
+	expired := unanswered.Expire(time.Now())
 	before := unanswered.Len()
 	crashed := decision(unanswered, time.Now())
 	left := unanswered.Len()
@@ -97,8 +98,8 @@
 	if len(crashed) > 0 {
 		p.onCrash(u, crashed)
 	}
-	if before != left {
-		p.log.WithFields(logrus.Fields{"replica": u.Member.ID, "crashed": len(crashed), "cleared": before - left - len(crashed), "undecided": left}).Info("unanswered requests of a replica decided")
+	if before != left || expired > 0 {
+		p.log.WithFields(logrus.Fields{"replica": u.Member.ID, "crashed": len(crashed), "cleared": before - left - len(crashed), "expired": expired, "undecided": left}).Info("unanswered requests of a replica decided")
 	}
 }
 
--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -12,6 +13,7 @@
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/exchange"
+	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
 	"github.com/nutmeghitch/nutmeghitch/pkg/topk"
 )
 
@@ -176,6 +178,9 @@
 	} else if n := len(q.shards[0].tried); n > 0 {
 		fields["service"], fields["replica"] = q.shards[0].service, q.shards[0].tried[n-1].Member.ID
 	}
+	if q.poisonVerdict == poison.Suspect {
+		fields["suspect"], fields["fingerprint"] = true, fmt.Sprintf("%016x", q.attempt.Fingerprint)
+	}
 	if q.answeredBy != "" {
 		fields["answered_by"] = q.answeredBy
 	}
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -139,6 +139,16 @@
 	return Unknown
 }
 
+// Losses returns the number of losses that count against a fingerprint.
+func (l *Ledger) Losses(now time.Time, fp uint64) int {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	if r, ok := l.records[fp]; ok && r.inForce(now) {
+		return r.activeLosses()
+	}
+	return 0
+}
+
 // RecordLoss records that an instance of a replica was lost while the requests with
 // the given fingerprints were in flight. It returns the entries to send to other VMs.
 // An instance counts once, however often its loss is reported.
--- a/pkg/poison/unanswered.go
+++ b/pkg/poison/unanswered.go
@@ -143,6 +143,13 @@
 // Len returns the number of requests that are undecided.
 func (u *Unanswered) Len() int { return len(u.requests) }
 
+// Expire drops the requests that no longer count, and returns their number.
+func (u *Unanswered) Expire(now time.Time) int {
+	before := len(u.requests)
+	u.prune(now)
+	return before - len(u.requests)
+}
+
 // Expired reports whether nothing is left to remember.
 func (u *Unanswered) Expired(now time.Time) bool {
 	u.prune(now)
