edge: test requests whose crashes are not counted, known to fail

Beside them a caller that repeats one request while half of all replicas end must not be refused, which holds.

Ruled out: VMs that do not hear of each other.

--- a/pkg/edge/crashfleet_test.go
+++ b/pkg/edge/crashfleet_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -38,6 +39,9 @@
 	maxLateAttempts = 3
 	// crashRunTime is how long requests are sent.
 	crashRunTime = 24 * time.Second
+	// attemptHeader tells attempts of the crashing request apart whose request IDs are
+	// the same.
+	attemptHeader = "Attempt"
 	// entryLapse is the time after which the entry of a silent replica is removed.
 	entryLapse = 3600 * time.Millisecond
 )
@@ -56,6 +60,19 @@
 	sameID bool
 	// queries adds another query string to each attempt.
 	queries bool
+	// sameRequestID gives all attempts one request ID.
+	sameRequestID bool
+	// soundFor is how long the request succeeds before replicas begin to end under it.
+	soundFor time.Duration
+	// pauseAfter is the number of attempts after which the request pauses for pause.
+	pauseAfter int
+	pause      time.Duration
+	// massCrash is when half of the replicas of each service end for another reason; 0
+	// for never. With hot, each caller sends one and the same request all the time.
+	massCrash time.Duration
+	hot       bool
+	// domains is the number of failure domains of VMs and replicas; 0 stands for one.
+	domains int
 	// downFor is how long a replica is down, crashAfter how long it works before it ends.
 	downFor, crashAfter time.Duration
 	// gap is the mean time between attempts, otherGap that between other requests.
@@ -66,9 +83,11 @@
 	joining int
 }
 
+// crashPlanFields prints as the fields of a plan.
+type crashPlanFields crashPlan
+
 func (p crashPlan) String() string {
-	return fmt.Sprintf("seed %d: %d VMs, fan-out %t, silent %t, same ID %t, queries %t, down %s, after %s, gap %s, others each %s, store away at %s for %s, %d VMs join",
-		p.seed, p.vms, p.fanOut, p.silent, p.sameID, p.queries, p.downFor, p.crashAfter, p.gap, p.otherGap, p.storeAway, p.storeAwayFor, p.joining)
+	return fmt.Sprintf("%+v", crashPlanFields(p))
 }
 
 // crashSite is a site in virtual time that plays a crashPlan.
@@ -81,7 +100,10 @@
 	replicas map[string]*crashingReplica
 	starts   int
 	conns    []net.Conn
-	// crashes holds when replicas ended, arrivals when each attempt reached replicas.
+	// crashesFrom is when the request begins to end replicas.
+	crashesFrom time.Time
+	// crashes holds when replicas ended, arrivals when each attempt reached replicas
+	// after crashesFrom.
 	crashes  []time.Time
 	arrivals map[string][]time.Time
 	// asked, served and poisoned count the other requests.
@@ -104,6 +126,7 @@
 	s := &crashSite{crashPlan: p, random: rand.New(rand.NewPCG(p.seed, 1)), replicas: map[string]*crashingReplica{}, arrivals: map[string][]time.Time{}}
 	inVMFleet(t, 0, func(fleet *vmFleet) {
 		s.fleet, fleet.dialReplica = fleet, func(string) exchange.DialFunc { return s.dial }
+		fleet.domainOf = s.domainOf
 		fleet.store.put(memConfigs, "main", s.table(t))
 		for i := range 12 {
 			s.addReplica("s", fmt.Sprint("s-", i))
@@ -125,6 +148,16 @@
 	return s
 }
 
+// domainOf returns the failure domain of the VM or replica with a name that ends in a
+// number.
+func (s *crashSite) domainOf(name string) string {
+	number, err := strconv.Atoi(name[strings.LastIndexFunc(name, func(c rune) bool { return c < '0' || c > '9' })+1:])
+	if err != nil || s.domains == 0 {
+		return "d1"
+	}
+	return fmt.Sprint("d", number%s.domains)
+}
+
 func (s *crashSite) table(t *testing.T) *routes.Table {
 	service := func(name string) *routes.Service {
 		return &routes.Service{Name: name, HealthPath: "/healthz", MaxConns: 40, WarmupPerSecond: 10}
@@ -157,19 +190,34 @@
 		r.id = fmt.Sprint("i", s.starts)
 	}
 	s.fleet.store.put(memReplicas, r.id, discovery.Replica{
-		ID: r.id, Service: r.service, Addr: r.addr, Domain: "d1", Slots: 3, Born: time.Now().UnixMilli(), WarmupLeft: warmup,
+		ID: r.id, Service: r.service, Addr: r.addr, Domain: s.domainOf(r.addr), Slots: 3, Born: time.Now().UnixMilli(), WarmupLeft: warmup,
 	})
 }
 
-// crash ends a replica and starts the next one at its address later.
+// crash ends a replica under the crashing request.
 func (r *crashingReplica) crash() {
-	s := r.site
+	r.site.mu.Lock()
+	defer r.site.mu.Unlock()
+	if r.up {
+		r.site.crashes = append(r.site.crashes, time.Now())
+		r.end()
+	}
+}
+
+// crashHalf ends half of the replicas of each service at once.
+func (s *crashSite) crashHalf() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !r.up {
-		return
+	for _, r := range s.replicas {
+		if number := r.addr[strings.LastIndex(r.addr, "-")+1:]; r.up && strings.ContainsAny(number[len(number)-1:], "02468") {
+			r.end()
+		}
 	}
-	s.crashes = append(s.crashes, time.Now())
+}
+
+// end ends a replica and starts the next one at its address later. The site's mu is held.
+func (r *crashingReplica) end() {
+	s := r.site
 	r.up = false
 	id, start, conns := r.id, r.start, r.conns
 	r.conns = nil
@@ -202,6 +250,8 @@
 	defer s.mu.Unlock()
 	r := s.replicas[addr]
 	switch {
+	case r == nil:
+		return s.fleet.dial(ctx, "", addr)
 	case !r.up && s.silent:
 		s.mu.Unlock()
 		defer s.mu.Lock()
@@ -242,9 +292,10 @@
 			answer = "HTTP/1.1 200 OK\r\nReplica: " + id + "\r\nContent-Length: 0\r\n\r\n"
 		case request.Header.Get("For") != id:
 			answer = "HTTP/1.1 421 Misdirected Request\r\nId: " + requestID + "\r\nContent-Length: 0\r\n\r\n"
-		case strings.HasSuffix(request.URL.Path, crashingPath):
+		case strings.HasSuffix(request.URL.Path, crashingPath) && !time.Now().Before(r.site.crashesFrom):
+			attempt := request.Header.Get(attemptHeader)
 			r.site.mu.Lock()
-			r.site.arrivals[requestID] = append(r.site.arrivals[requestID], time.Now())
+			r.site.arrivals[attempt] = append(r.site.arrivals[attempt], time.Now())
 			r.site.mu.Unlock()
 			time.Sleep(r.site.crashAfter)
 			r.crash()
@@ -258,7 +309,7 @@
 }
 
 // send sends a request through a random VM and returns the status of the answer.
-func (s *crashSite) send(caller, target, id string) int {
+func (s *crashSite) send(caller, target, id, attempt string) int {
 	s.mu.Lock()
 	vm := s.fleet.vms[s.random.IntN(len(s.fleet.vms))]
 	s.mu.Unlock()
@@ -266,6 +317,7 @@
 	r.RemoteAddr = caller + ":1"
 	r.Header.Set("Id", id)
 	r.Header.Set("Left", "1500")
+	r.Header.Set(attemptHeader, attempt)
 	ctx, cancel := context.WithTimeout(r.Context(), 1500*time.Millisecond)
 	defer cancel()
 	w := httptest.NewRecorder()
@@ -281,10 +333,13 @@
 // sendOthers sends the requests of a caller that do no harm; each third comes again
 // and again.
 func (s *crashSite) sendOthers(caller string, sent *sync.WaitGroup) {
-	for n, end := 0, time.Now().Add(crashRunTime); time.Now().Before(end); n++ {
-		target := []string{"/one/again", fmt.Sprint("/one/", n), fmt.Sprint("/all/", n), "/all/again", fmt.Sprint("/all/x/", n)}[n%5]
+	for n, end := 0, time.Now().Add(crashRunTime+s.soundFor); time.Now().Before(end); n++ {
+		target := "/one/hot"
+		if !s.hot {
+			target = []string{"/one/again", fmt.Sprint("/one/", n), fmt.Sprint("/all/", n), "/all/again", fmt.Sprint("/all/x/", n)}[n%5]
+		}
 		sent.Go(func() {
-			status := s.send(caller, target, fmt.Sprint(caller, "-", n))
+			status := s.send(caller, target, fmt.Sprint(caller, "-", n), "")
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.asked++
@@ -309,6 +364,9 @@
 		time.AfterFunc(s.storeAway, func() { s.fleet.store.setDown(true) })
 		time.AfterFunc(s.storeAway+s.storeAwayFor, func() { s.fleet.store.setDown(false) })
 	}
+	if s.massCrash > 0 {
+		time.AfterFunc(s.massCrash, s.crashHalf)
+	}
 	for i := range s.joining {
 		time.AfterFunc(time.Duration(i+1)*4*time.Second, func() {
 			s.mu.Lock()
@@ -321,17 +379,25 @@
 		target = "/all" + crashingPath
 	}
 	began := time.Now()
+	s.crashesFrom = began.Add(s.soundFor)
 	time.Sleep(time.Second)
-	for n := 0; time.Since(began) < crashRunTime; n++ {
+	for n := 0; time.Since(began) < crashRunTime+s.soundFor; n++ {
 		again := target
 		if s.queries {
 			again += fmt.Sprint("?page=", n)
 		}
-		sent.Go(func() { s.send("10.9.9.9", again, fmt.Sprint("crash", n)) })
+		id := fmt.Sprint("crash", n)
+		if s.sameRequestID {
+			id = "crash"
+		}
+		sent.Go(func() { s.send("10.9.9.9", again, id, fmt.Sprint(n)) })
 		s.mu.Lock()
 		gap := time.Duration((0.5 + s.random.Float64()) * float64(s.gap))
 		s.mu.Unlock()
 		time.Sleep(gap)
+		if n+1 == s.pauseAfter {
+			time.Sleep(s.pause)
+		}
 	}
 	sent.Wait()
 	time.Sleep(10 * time.Second)
@@ -404,8 +470,17 @@
 		"silent_fan-out": func(p *crashPlan) {
 			p.fanOut, p.silent = true, true
 		},
-		"other_queries": func(p *crashPlan) { p.queries = true },
-		"store_away":    func(p *crashPlan) { p.storeAway, p.storeAwayFor = 1100*time.Millisecond, 3*time.Second },
+		"other_queries":       func(p *crashPlan) { p.queries = true },
+		"same_request_ID":     func(p *crashPlan) { p.sameRequestID = true },
+		"sound_before":        func(p *crashPlan) { p.soundFor, p.gap = 4*time.Second, 300*time.Millisecond },
+		"silent_sound_before": func(p *crashPlan) { p.soundFor, p.gap, p.silent = 4*time.Second, 300*time.Millisecond, true },
+		"domains":             func(p *crashPlan) { p.domains = 4 },
+		"silent_domains":      func(p *crashPlan) { p.domains, p.silent = 4, true },
+		"silent_repeated_after_a_pause": func(p *crashPlan) {
+			p.vms, p.fanOut, p.shards, p.silent, p.downFor = 4, true, 10, true, 4500*time.Millisecond
+			p.gap, p.pauseAfter, p.pause = 300*time.Millisecond, 2, 8*time.Second
+		},
+		"store_away": func(p *crashPlan) { p.storeAway, p.storeAwayFor = 1100*time.Millisecond, 3*time.Second },
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := plan
@@ -415,6 +490,19 @@
 	}
 }
 
+// Guards against a caller that is refused because many replicas ended at once while it
+// repeated a request.
+func TestRepeatedRequestIsNotRefusedAfterManyReplicasHaveEnded(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		for seed := range uint64(4) {
+			t.Run(fmt.Sprintf("silent_%t/%d", silent, seed), func(t *testing.T) {
+				p := crashPlan{seed: seed, vms: 5, shards: 6, silent: silent, hot: true, massCrash: 3 * time.Second, downFor: 3 * time.Second, gap: time.Hour, otherGap: 5 * time.Millisecond}
+				p.play(t).check(t)
+			})
+		}
+	}
+}
+
 // Guards against the same failure in other mixes of faults.
 func TestDrawnCrashPlans(t *testing.T) {
 	for seed := range uint64(*fleetPlans) {
