forward, edge: tell attempts apart without the callers' request IDs

What callers saw: a request went on to end replicas and was answered 502 at once, never refused, if all its attempts carried one request ID.

Cause: the ID that a caller chooses identified an attempt, and an attempt counts once. The count stayed at one, so all VMs held the request for suspect. The request ID stays in reports for the logs.

Older builds: the new fields are added beside the old ones and are empty in what older VMs send; a relayed request of an older VM is identified by its request ID as before. Tests read reports and feeds in both directions.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -311,8 +311,10 @@
 	Fingerprint uint64
 	// Exact identifies the request with its query string.
 	Exact uint64
-	// Attempt is the request ID of the attempt.
+	// Attempt identifies the attempt.
 	Attempt string
+	// RequestID is the caller's name for it, empty in reports of older VMs.
+	RequestID string
 	// At is the time of the report by the clock of the VM that wrote it.
 	At time.Time
 }
--- a/pkg/edge/crash.go
+++ b/pkg/edge/crash.go
@@ -88,7 +88,7 @@
 func (r *crashReporter) report(u *forward.Upstream, suspects []forward.RequestAttempt) {
 	now := time.Now()
 	for _, s := range suspects {
-		crash := discovery.Crash{Fingerprint: s.Fingerprint, Exact: s.Exact, Attempt: s.RequestID, At: now}
+		crash := discovery.Crash{Fingerprint: s.Fingerprint, Exact: s.Exact, Attempt: s.ID, RequestID: s.RequestID, At: now}
 		if !r.isNew(crash) {
 			continue
 		}
@@ -100,7 +100,7 @@
 		r.controller.recordCrash(now, crash)
 		verdict := r.controller.ledger.Check(now, s.Fingerprint)
 		r.log.WithFields(logrus.Fields{
-			"id": s.RequestID, "replica": u.Member.ID, "fingerprint": fmt.Sprintf("%016x", s.Fingerprint), "recurring": recurring,
+			"id": s.RequestID, "attempt": s.ID, "replica": u.Member.ID, "fingerprint": fmt.Sprintf("%016x", s.Fingerprint), "recurring": recurring,
 			"attempts": r.controller.ledger.Losses(now, s.Fingerprint), "refused_from_now": verdict == poison.Blocked,
 		}).Info("request was in flight when a replica crashed")
 		r.add(waitingReport{crash: crash, recurring: recurring})
@@ -187,7 +187,7 @@
 	r.waiting = append(r.waiting, report)
 	if len(r.waiting) > maxWaitingReports {
 		i := max(0, slices.IndexFunc(r.waiting, func(w waitingReport) bool { return !w.recurring }))
-		r.log.WithField("id", r.waiting[i].crash.Attempt).Warn("crash report dropped: too many wait for the store")
+		r.log.WithField("id", r.waiting[i].crash.RequestID).Warn("crash report dropped: too many wait for the store")
 		r.waiting = slices.Delete(r.waiting, i, i+1)
 	}
 	r.mu.Unlock()
@@ -259,13 +259,13 @@
 func (r *crashReporter) write(ctx context.Context, crash discovery.Crash) error {
 	err := r.store.ReportCrash(ctx, crashObjectName(crash), crash)
 	if err != nil {
-		r.log.WithFields(logrus.Fields{"id": crash.Attempt, "error": err}).Warn("writing a crash report to the store failed")
+		r.log.WithFields(logrus.Fields{"id": crash.RequestID, "error": err}).Warn("writing a crash report to the store failed")
 	}
 	return err
 }
 
 // crashObjectName returns the name of a report in the store. It holds a hash of the
-// attempt, because callers choose the ID of a request.
+// attempt, which older VMs name by what its caller chose.
 func crashObjectName(c discovery.Crash) string {
 	return fmt.Sprintf("%016x-%016x", c.Fingerprint, xxhash.Sum64String(c.Attempt))
 }
@@ -313,7 +313,7 @@
 // logReport logs a change of a report and what this VM believes of the request after it.
 func (c *controller) logReport(now time.Time, item storewatch.Item[discovery.Crash], crash discovery.Crash, message string) {
 	c.log.WithFields(logrus.Fields{
-		"id": crash.Attempt, "fingerprint": fmt.Sprintf("%016x", crash.Fingerprint), "revision": item.Revision, "age_ms": now.Sub(crash.At).Milliseconds(),
+		"id": crash.RequestID, "attempt": crash.Attempt, "fingerprint": fmt.Sprintf("%016x", crash.Fingerprint), "revision": item.Revision, "age_ms": now.Sub(crash.At).Milliseconds(),
 		"attempts": c.ledger.Losses(now, crash.Fingerprint), "refused": c.ledger.Check(now, crash.Fingerprint) == poison.Blocked,
 	}).Info(message)
 }
--- a/pkg/edge/crash_test.go
+++ b/pkg/edge/crash_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/discovery"
@@ -82,11 +83,11 @@
 	inCrashReporter(t, func(r *crashReporter, store *crashStore) {
 		for shard := range 90 {
 			u := testUpstream(fmt.Sprint("r", shard), "d1")
-			r.report(u, []forward.RequestAttempt{{Fingerprint: 1, RequestID: "a"}, {Fingerprint: 2, RequestID: "b"}})
+			r.report(u, []forward.RequestAttempt{{Fingerprint: 1, ID: "a"}, {Fingerprint: 2, ID: "b"}})
 		}
 		time.Sleep(time.Second)
 		assert.DeepEqual(t, store.takeWritten(), []string{"1 a", "2 b"})
-		r.report(testUpstream("r1", "d1"), []forward.RequestAttempt{{Fingerprint: 1, RequestID: "c"}})
+		r.report(testUpstream("r1", "d1"), []forward.RequestAttempt{{Fingerprint: 1, ID: "c"}})
 		time.Sleep(time.Second)
 		assert.DeepEqual(t, store.takeWritten(), []string{"1 c"})
 	})
@@ -97,7 +98,7 @@
 	inCrashReporter(t, func(r *crashReporter, store *crashStore) {
 		store.setErr(errs.Ambiguous(errs.PlatformDown, "down"))
 		for i := range 12 {
-			r.report(testUpstream("r", "d1"), []forward.RequestAttempt{{Fingerprint: uint64(i), RequestID: "a"}})
+			r.report(testUpstream("r", "d1"), []forward.RequestAttempt{{Fingerprint: uint64(i), ID: "a"}})
 		}
 		time.Sleep(8 * time.Second)
 		assert.Equal(t, len(store.takeWritten()), 0)
@@ -113,11 +114,11 @@
 	inCrashReporter(t, func(r *crashReporter, store *crashStore) {
 		r.controller.recordCrash(time.Now(), discovery.Crash{Fingerprint: 7, Attempt: "earlier", At: time.Now()})
 		for i := range 30 {
-			r.report(testUpstream("r", "d1"), []forward.RequestAttempt{{Fingerprint: uint64(100 + i), RequestID: "a"}})
+			r.report(testUpstream("r", "d1"), []forward.RequestAttempt{{Fingerprint: uint64(100 + i), ID: "a"}})
 		}
 		time.Sleep(crashWriteInterval / 2) // no write is under way
 		store.takeWritten()
-		r.report(testUpstream("r", "d1"), []forward.RequestAttempt{{Fingerprint: 7, RequestID: "b"}})
+		r.report(testUpstream("r", "d1"), []forward.RequestAttempt{{Fingerprint: 7, ID: "b"}})
 		time.Sleep(2*crashWriteInterval + 2*storeLatency)
 		assert.Equal(t, store.takeWritten()[0], "7 b")
 	})
@@ -127,10 +128,10 @@
 func TestRejectedCrashReportIsDropped(t *testing.T) {
 	inCrashReporter(t, func(r *crashReporter, store *crashStore) {
 		store.setErr(errs.Refuse(errs.InvalidRequest, "rejected"))
-		r.report(testUpstream("r", "d1"), []forward.RequestAttempt{{Fingerprint: 1, RequestID: "a"}})
+		r.report(testUpstream("r", "d1"), []forward.RequestAttempt{{Fingerprint: 1, ID: "a"}})
 		time.Sleep(time.Second)
 		store.setErr(nil)
-		r.report(testUpstream("r", "d1"), []forward.RequestAttempt{{Fingerprint: 2, RequestID: "b"}})
+		r.report(testUpstream("r", "d1"), []forward.RequestAttempt{{Fingerprint: 2, ID: "b"}})
 		time.Sleep(time.Second)
 		assert.DeepEqual(t, store.takeWritten(), []string{"2 b"})
 	})
@@ -148,7 +149,7 @@
 			return all
 		}
 		for i, vm := range fleet.vms {
-			vm.crashes.report(u, []forward.RequestAttempt{{Fingerprint: 7, Exact: 70, RequestID: fmt.Sprint("a", i)}})
+			vm.crashes.report(u, []forward.RequestAttempt{{Fingerprint: 7, Exact: 70, ID: fmt.Sprint("a", i)}})
 			time.Sleep(time.Second)
 		}
 		assert.DeepEqual(t, verdicts(), []poison.Verdict{poison.Blocked, poison.Blocked, poison.Blocked})
@@ -163,11 +164,11 @@
 
 		vm := fleet.vms[2]
 		vm.controller.ledger.RecordSuccess(time.Now(), 70)
-		vm.crashes.report(u, []forward.RequestAttempt{{Fingerprint: 7, Exact: 70, RequestID: "b"}, {Fingerprint: 7, Exact: 71, RequestID: "c"}})
+		vm.crashes.report(u, []forward.RequestAttempt{{Fingerprint: 7, Exact: 70, ID: "b"}, {Fingerprint: 7, Exact: 71, ID: "c"}})
 		time.Sleep(time.Second)
 		assert.Equal(t, len(fleet.store.copied().objects[memCrashes]), 1, "only the one that has not succeeded lately")
 		time.Sleep(successMemory)
-		vm.crashes.report(u, []forward.RequestAttempt{{Fingerprint: 7, Exact: 70, RequestID: "d"}})
+		vm.crashes.report(u, []forward.RequestAttempt{{Fingerprint: 7, Exact: 70, ID: "d"}})
 		time.Sleep(time.Second)
 		assert.Equal(t, len(fleet.store.copied().objects[memCrashes]), 2)
 	})
@@ -177,3 +178,24 @@
 func testUpstream(id, domain string) *forward.Upstream {
 	return &forward.Upstream{Member: &discovery.Member{Replica: discovery.Replica{ID: id, Service: "s", Addr: id + ":1", Domain: domain}}}
 }
+
+// Guards against crash reports in feeds that VMs of different versions cannot read of
+// each other.
+func TestCrashReportsInFeedsAreReadAcrossVersions(t *testing.T) {
+	type olderCrash struct {
+		Fingerprint, Exact uint64
+		Attempt            string
+		At                 time.Time
+	}
+	at := time.UnixMilli(1700000000123)
+	encoded, err := msgpack.Marshal(discovery.Crash{Fingerprint: 7, Exact: 70, Attempt: "1f", RequestID: "a", At: at})
+	assert.NilError(t, err)
+	var older olderCrash
+	assert.NilError(t, msgpack.Unmarshal(encoded, &older))
+	assert.DeepEqual(t, older, olderCrash{Fingerprint: 7, Exact: 70, Attempt: "1f", At: at})
+	encoded, err = msgpack.Marshal(older)
+	assert.NilError(t, err)
+	var newer discovery.Crash
+	assert.NilError(t, msgpack.Unmarshal(encoded, &newer))
+	assert.DeepEqual(t, newer, discovery.Crash{Fingerprint: 7, Exact: 70, Attempt: "1f", At: at})
+}
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -19,10 +21,14 @@
 	return RequestAttempt{
 		Fingerprint: poison.Fingerprint(from, r.Method+" "+path, body),
 		Exact:       poison.Fingerprint(from, "exact "+r.Method+" "+r.RequestURI, body),
+		ID:          newAttemptID(),
 		RequestID:   id,
 	}
 }
 
+// newAttemptID returns an ID that no other attempt has, on any VM.
+func newAttemptID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+
 // callerAddr returns the address of a caller without its port.
 func callerAddr(remoteAddr string) string {
 	host, _, err := net.SplitHostPort(remoteAddr)
--- a/pkg/forward/relay_test.go
+++ b/pkg/forward/relay_test.go
@@ -357,3 +357,12 @@
 		}
 	})
 }
+
+// Guards against attempts relayed by VMs of an older version, which name only the request
+// ID, that all count as one.
+func TestRelayedAttemptOfOlderVersionIsIdentified(t *testing.T) {
+	older := relayedAttempt(&wire.RelayRequest{RequestID: "a", Fingerprint: 7, Exact: 70})
+	assert.Equal(t, older, RequestAttempt{Fingerprint: 7, Exact: 70, ID: "a", RequestID: "a"})
+	newer := relayedAttempt(&wire.RelayRequest{RequestID: "a", Attempt: "1f", Fingerprint: 7, Exact: 70})
+	assert.Equal(t, newer, RequestAttempt{Fingerprint: 7, Exact: 70, ID: "1f", RequestID: "a"})
+}
--- a/pkg/forward/relayserve.go
+++ b/pkg/forward/relayserve.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -109,7 +110,7 @@
 				IDHeader: f.headers.RequestID, ID: request.RequestID, Holding: holding, Check: refuseUnwanted(u),
 			})
 			now := time.Now()
-			f.recordOutcome(u, now, start, reply, refusal, RequestAttempt{Fingerprint: request.Fingerprint, Exact: request.Exact, RequestID: request.RequestID})
+			f.recordOutcome(u, now, start, reply, refusal, relayedAttempt(request))
 			p := f.relayedPart(i, u, now.Sub(start), reply, refusal)
 			p.limits = view.localLimits(i, service)
 			if u.Tracker.Leaving() {
@@ -121,6 +122,15 @@
 	return len(request.Services)
 }
 
+// relayedAttempt returns the attempt that a relayed request belongs to. VMs of an older
+// version name only its request ID.
+func relayedAttempt(request *wire.RelayRequest) RequestAttempt {
+	return RequestAttempt{
+		Fingerprint: request.Fingerprint, Exact: request.Exact, RequestID: request.RequestID,
+		ID: cmp.Or(request.Attempt, request.RequestID),
+	}
+}
+
 // pickRelayed returns the replica of a service in this VM's failure domain that gets
 // a relayed request. A service whose replica would answer too late is refused, so
 // that the sender can ask one in another domain, and so is one that fails often.
--- a/pkg/poison/unanswered.go
+++ b/pkg/poison/unanswered.go
@@ -25,7 +25,10 @@
 	// Exact is the same only for attempts that are alike in everything that a replica may
 	// act on. Its success says nothing of attempts that differ.
 	Exact uint64
-	// RequestID is new for each attempt.
+	// ID is new for each attempt.
+	ID string
+	// RequestID is the caller's name for the attempt. Callers may give the same one to
+	// several attempts.
 	RequestID string
 }
 
--- a/pkg/wire/relay.go
+++ b/pkg/wire/relay.go
@@ -7,7 +7,9 @@
 type RelayRequest struct {
 	// RequestID is the identifier of the caller's attempt, which replicas echo.
 	RequestID string `msgpack:"id"`
-	Method    string `msgpack:"method"`
+	// Attempt identifies the attempt in the ledger of crashes. Older VMs leave it empty.
+	Attempt string `msgpack:"attempt"`
+	Method  string `msgpack:"method"`
 	// Head is the request line and the header lines that all sends share.
 	Head []byte `msgpack:"head"`
 	Body []byte `msgpack:"body"`
