edge: a success before an attempt no longer keeps it from being counted

Cause: a VM did not count an attempt if the same request had succeeded within the last ten seconds, whatever lay between. Only a success that came after the attempt had started says that the request was in flight by chance; that is what counts now. It is kept for 30 s, longer than an attempt and the proof that a replica has ended take.

Ruled out: callers that repeat a request are refused when many replicas end at once.

The test of the ten seconds is replaced: a success since the attempt's start keeps it from being counted, also when the end is known 15 s later; one before does not.

--- a/pkg/edge/crash.go
+++ b/pkg/edge/crash.go
@@ -39,9 +39,9 @@
 	pruneInterval = time.Minute
 )
 
-// successMemory is how long a request that has succeeded is not blamed for a crash. It is
-// short, because a change of the index may make a request crash replicas that did not.
-const successMemory = 10 * time.Second
+// successMemory is how long it is remembered when a request succeeded. It is longer than an
+// attempt and the time in which it becomes known that a replica has ended under it.
+const successMemory = 30 * time.Second
 
 // newCrashLedger returns the ledger of the requests that were in flight when replicas
 // crashed.
@@ -92,8 +92,8 @@
 		if !r.isNew(crash) {
 			continue
 		}
-		if r.controller.ledger.Check(now, s.Exact) == poison.Proven {
-			r.log.WithFields(logrus.Fields{"id": s.RequestID, "replica": u.Member.ID}).Info("request was in flight when a replica crashed: not counted, it has succeeded lately")
+		if r.controller.ledger.SucceededSince(now, s.Exact, s.StartedAt) {
+			r.log.WithFields(logrus.Fields{"id": s.RequestID, "replica": u.Member.ID, "age_ms": now.Sub(s.StartedAt).Milliseconds()}).Info("request was in flight when a replica crashed: not counted, it has succeeded since")
 			continue
 		}
 		recurring := r.controller.ledger.Check(now, s.Fingerprint) == poison.Suspect
--- a/pkg/edge/crash_test.go
+++ b/pkg/edge/crash_test.go
@@ -163,14 +163,18 @@
 		assert.Equal(t, len(fleet.store.copied().objects[memCrashes]), 0)
 
 		vm := fleet.vms[2]
+		started := time.Now()
+		time.Sleep(time.Second)
 		vm.controller.ledger.RecordSuccess(time.Now(), 70)
-		vm.crashes.report(u, []forward.RequestAttempt{{Fingerprint: 7, Exact: 70, ID: "b"}, {Fingerprint: 7, Exact: 71, ID: "c"}})
+		time.Sleep(15 * time.Second) // as long as an unanswered request is kept
+		vm.crashes.report(u, []forward.RequestAttempt{{Fingerprint: 7, Exact: 70, ID: "b", StartedAt: started}, {Fingerprint: 7, Exact: 71, ID: "c", StartedAt: started}})
 		time.Sleep(time.Second)
-		assert.Equal(t, len(fleet.store.copied().objects[memCrashes]), 1, "only the one that has not succeeded lately")
-		time.Sleep(successMemory)
-		vm.crashes.report(u, []forward.RequestAttempt{{Fingerprint: 7, Exact: 70, ID: "d"}})
+		assert.Equal(t, len(fleet.store.copied().objects[memCrashes]), 1, "only the one that has not succeeded since")
+		vm.controller.ledger.RecordSuccess(time.Now(), 70)
+		time.Sleep(time.Millisecond)
+		vm.crashes.report(u, []forward.RequestAttempt{{Fingerprint: 7, Exact: 70, ID: "d", StartedAt: time.Now()}})
 		time.Sleep(time.Second)
-		assert.Equal(t, len(fleet.store.copied().objects[memCrashes]), 2)
+		assert.Equal(t, len(fleet.store.copied().objects[memCrashes]), 2, "a success before the attempt proves nothing")
 	})
 }
 
--- a/pkg/forward/relayserve.go
+++ b/pkg/forward/relayserve.go
@@ -110,7 +110,7 @@
 				IDHeader: f.headers.RequestID, ID: request.RequestID, Holding: holding, Check: refuseUnwanted(u),
 			})
 			now := time.Now()
-			f.recordOutcome(u, now, start, reply, refusal, relayedAttempt(request))
+			f.recordOutcome(u, now, start, reply, refusal, relayedAttempt(request, start))
 			p := f.relayedPart(i, u, now.Sub(start), reply, refusal)
 			p.limits = view.localLimits(i, service)
 			if u.Tracker.Leaving() {
@@ -124,9 +124,9 @@
 
 // relayedAttempt returns the attempt that a relayed request belongs to. VMs of an older
 // version name only its request ID.
-func relayedAttempt(request *wire.RelayRequest) RequestAttempt {
+func relayedAttempt(request *wire.RelayRequest, start time.Time) RequestAttempt {
 	return RequestAttempt{
-		Fingerprint: request.Fingerprint, Exact: request.Exact, RequestID: request.RequestID,
+		Fingerprint: request.Fingerprint, Exact: request.Exact, RequestID: request.RequestID, StartedAt: start,
 		ID: cmp.Or(request.Attempt, request.RequestID),
 	}
 }
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -139,6 +139,15 @@
 	return Unknown
 }
 
+// SucceededSince reports whether a request with the fingerprint has succeeded at or after
+// since, which may lie ProvenDuration back.
+func (l *Ledger) SucceededSince(now time.Time, fp uint64, since time.Time) bool {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	at, ok := l.proven.successAt(now, fp)
+	return ok && !at.Before(since)
+}
+
 // Losses returns the number of losses that count against a fingerprint.
 func (l *Ledger) Losses(now time.Time, fp uint64) int {
 	l.mu.RLock()
--- a/pkg/poison/record.go
+++ b/pkg/poison/record.go
@@ -187,9 +187,16 @@
 }
 
 func (s *provenSet) has(now time.Time, fp uint64) bool {
+	_, ok := s.successAt(now, fp)
+	return ok
+}
+
+// successAt returns when a request with the fingerprint succeeded last, or false if it did
+// not within the retention.
+func (s *provenSet) successAt(now time.Time, fp uint64) (time.Time, bool) {
 	at, ok := s.current[fp]
 	if !ok {
 		at, ok = s.previous[fp]
 	}
-	return ok && now.Sub(at) <= s.retention
+	return at, ok && now.Sub(at) <= s.retention
 }
--- a/pkg/poison/unanswered.go
+++ b/pkg/poison/unanswered.go
@@ -27,6 +27,8 @@
 	Exact uint64
 	// ID is new for each attempt.
 	ID string
+	// StartedAt is when this VM began with the attempt.
+	StartedAt time.Time
 	// RequestID is the caller's name for the attempt. Callers may give the same one to
 	// several attempts.
 	RequestID string
