edge, forward: count a suspect request that gets no answer in its usual time

Cause: an attempt counts once it is proven that a replica has ended under it. With silent replicas that takes one to four seconds, in which any number of attempts of a request that is already suspect reach others, through one VM or several.

An attempt of a suspect request without an answer at the time of a hedge now counts at once and for all VMs. Removals of reports no longer wait behind the writes of others.

Ruled out: counting the replicas that end in place of the attempts. A query that a failure domain without power has broken off at several shards would be refused at its next attempt.

--- a/pkg/edge/crash.go
+++ b/pkg/edge/crash.go
@@ -69,6 +69,11 @@
 	known   map[string]bool
 	// succeeded holds the requests whose reports are to be withdrawn.
 	succeeded []forward.RequestAttempt
+	// assumed holds the reports, by name, of attempts without an answer that count
+	// before it is known whether a replica has crashed under them. refuted holds the names
+	// of those that are to be removed from the store.
+	assumed map[string]discovery.Crash
+	refuted []string
 }
 
 // waitingReport is a report that is to be written to the store.
@@ -80,7 +85,13 @@
 }
 
 func newCrashReporter(c *controller, store Store, log logrus.FieldLogger) *crashReporter {
-	return &crashReporter{controller: c, store: store, log: log, wake: make(chan struct{}, 1), known: map[string]bool{}}
+	return &crashReporter{controller: c, store: store, log: log, wake: make(chan struct{}, 1), known: map[string]bool{}, assumed: map[string]discovery.Crash{}}
+}
+
+// observe makes the prober tell what it learns of requests.
+func (r *crashReporter) observe(p *prober) {
+	p.onCrash, p.onSuspectSucceeded = r.report, r.withdraw
+	p.onSuspectUnanswered, p.onNotCrashed = r.assume, r.refute
 }
 
 // report records the requests that were in flight when a replica crashed and
@@ -88,7 +99,11 @@
 func (r *crashReporter) report(u *forward.Upstream, suspects []forward.RequestAttempt) {
 	now := time.Now()
 	for _, s := range suspects {
-		crash := discovery.Crash{Fingerprint: s.Fingerprint, Exact: s.Exact, Attempt: s.ID, RequestID: s.RequestID, At: now}
+		crash := crashUnder(s, now)
+		if r.confirm(crash) {
+			r.log.WithFields(logrus.Fields{"id": s.RequestID, "attempt": s.ID, "replica": u.Member.ID}).Info("request was in flight when a replica crashed: counted already")
+			continue
+		}
 		if !r.isNew(crash) {
 			continue
 		}
@@ -107,6 +122,10 @@
 	}
 }
 
+func crashUnder(attempt forward.RequestAttempt, now time.Time) discovery.Crash {
+	return discovery.Crash{Fingerprint: attempt.Fingerprint, Exact: attempt.Exact, Attempt: attempt.ID, RequestID: attempt.RequestID, At: now}
+}
+
 // withdraw queues the withdrawal of the reports of a request that has succeeded: it was
 // in flight at crashes by chance. It never blocks.
 func (r *crashReporter) withdraw(attempt forward.RequestAttempt) {
@@ -149,6 +168,10 @@
 			r.controller.clearCrash(time.Now(), crash)
 			r.deleteReport(ctx, crashObjectName(crash), "withdrawing a crash report from the store failed")
 		}
+		for name, crash := range r.takeAssumed(matches) {
+			r.controller.clearCrash(time.Now(), crash)
+			r.deleteReport(ctx, name, "withdrawing a crash report from the store failed")
+		}
 		if n := len(unwritten) + len(written); n > 0 {
 			r.log.WithFields(logrus.Fields{"id": attempt.RequestID, "fingerprint": fmt.Sprintf("%016x", attempt.Fingerprint), "reports": n}).Info("crash reports of a request withdrawn: it has succeeded")
 		}
@@ -218,13 +241,16 @@
 func (r *crashReporter) run(ctx context.Context) {
 	prune := time.NewTicker(pruneInterval)
 	defer prune.Stop()
+	assumptions := time.NewTicker(assumptionCheckInterval)
+	defer assumptions.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-r.wake:
-			r.withdrawSucceeded(ctx)
 			r.writeWaiting(ctx)
+		case <-assumptions.C:
+			r.dropOldAssumptions(time.Now())
 		case <-prune.C:
 			r.prune(ctx)
 		}
@@ -232,9 +258,11 @@
 }
 
 // writeWaiting writes the waiting reports to the store, each until the store has taken
-// or rejected it.
+// or rejected it. What has turned out to be wrong is removed before each.
 func (r *crashReporter) writeWaiting(ctx context.Context) {
 	for {
+		r.withdrawSucceeded(ctx)
+		r.removeRefuted(ctx)
 		written := false
 		storewatch.Retry(ctx, func() error {
 			report, ok := r.next() // another one may be more urgent after a failed call
--- a/pkg/edge/crash_test.go
+++ b/pkg/edge/crash_test.go
@@ -203,3 +203,40 @@
 	assert.NilError(t, msgpack.Unmarshal(encoded, &newer))
 	assert.DeepEqual(t, newer, discovery.Crash{Fingerprint: 7, Exact: 70, Attempt: "1f", At: at})
 }
+
+// Guards against attempts of a request that go on to reach replicas while it is not yet
+// known whether silent ones have crashed under earlier attempts, and against a request
+// that stays refused though they have answered.
+func TestSuspectWithoutAnswerCountsUntilRefuted(t *testing.T) {
+	inVMFleet(t, 3, func(fleet *vmFleet) {
+		u := testUpstream("r", "d1")
+		attempt := func(id string) forward.RequestAttempt {
+			return forward.RequestAttempt{Fingerprint: 7, Exact: 70, ID: id, StartedAt: time.Now()}
+		}
+		reporter := fleet.vms[0].crashes
+		counted := func() (all []int) {
+			time.Sleep(500 * time.Millisecond)
+			for _, vm := range fleet.vms {
+				all = append(all, vm.controller.ledger.Losses(time.Now(), 7))
+			}
+			return append(all, len(fleet.store.copied().objects[memCrashes]))
+		}
+		reporter.report(u, []forward.RequestAttempt{attempt("a")})
+		reporter.assume(u, attempt("b"))
+		reporter.assume(u, attempt("b"))
+		reporter.assume(u, attempt("c"))
+		assert.DeepEqual(t, counted(), []int{3, 3, 3, 3})
+		reporter.refute([]forward.RequestAttempt{attempt("c"), attempt("never assumed")})
+		assert.DeepEqual(t, counted(), []int{2, 2, 2, 2})
+		reporter.report(u, []forward.RequestAttempt{attempt("b")})
+		reporter.refute([]forward.RequestAttempt{attempt("a"), attempt("b")})
+		assert.DeepEqual(t, counted(), []int{2, 2, 2, 2}) // replicas have crashed under both
+		reporter.assume(u, attempt("d"))
+		assert.DeepEqual(t, counted(), []int{3, 3, 3, 3})
+		time.Sleep(maxAssumptionAge + assumptionCheckInterval)
+		assert.DeepEqual(t, counted(), []int{2, 2, 2, 2}) // nothing has confirmed it
+		reporter.assume(u, attempt("e"))
+		reporter.withdraw(attempt("f"))                   // as the forwarder does after a success
+		assert.DeepEqual(t, counted(), []int{0, 0, 0, 0}) // the request has succeeded
+	})
+}
--- a/pkg/edge/crashfleet_test.go
+++ b/pkg/edge/crashfleet_test.go
@@ -503,6 +503,35 @@
 	}
 }
 
+// Guards against a request that goes on to crash replicas because its attempts are not
+// counted, or no longer.
+func TestDrawnPlansOfRecurringCrashes(t *testing.T) {
+	for seed := range uint64(*fleetPlans) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { drawRecurringPlan(seed).play(t).check(t) })
+	}
+}
+
+// drawRecurringPlan draws a plan in which the request comes soon again and succeeds
+// before it crashes replicas, or keeps its ID.
+func drawRecurringPlan(seed uint64) crashPlan {
+	r := rand.New(rand.NewPCG(seed, 3))
+	ms := func(from, to int) time.Duration { return time.Duration(from+r.IntN(to-from)) * time.Millisecond }
+	p := drawCrashPlan(seed)
+	p.storeAwayFor, p.joining = 0, 0
+	p.gap, p.downFor, p.crashAfter = ms(200, 1500), ms(800, 5000), ms(40, 150)
+	p.sameRequestID = r.IntN(2) == 0
+	if r.IntN(2) == 0 {
+		p.soundFor = ms(1000, 6000)
+	}
+	if r.IntN(2) == 0 {
+		p.domains = 4
+	}
+	if r.IntN(4) == 0 {
+		p.massCrash = ms(2000, 12000)
+	}
+	return p
+}
+
 // Guards against the same failure in other mixes of faults.
 func TestDrawnCrashPlans(t *testing.T) {
 	for seed := range uint64(*fleetPlans) {
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -159,7 +159,7 @@
 // Start implements kernel.Starter.
 func (s *controllerService) Start(_ context.Context, scope *kernel.Scope) error {
 	s.crashes = newCrashReporter(s.controller, s.config.Store, s.config.Log.WithField("part", "crash"))
-	s.prober.onCrash, s.prober.onSuspectSucceeded = s.crashes.report, s.crashes.withdraw
+	s.crashes.observe(s.prober)
 	s.limits = newLimitReporter(s.controller, s.config.Store, s.config.Log.WithField("part", "limit"))
 	s.prober.onRequestLimit = s.limits.report
 	s.controller.onLostCrash, s.controller.onLostLimit = s.crashes.reportAgain, s.limits.report
--- a/pkg/edge/fleet_test.go
+++ b/pkg/edge/fleet_test.go
@@ -290,7 +290,7 @@
 	vm.settings.Store(&settings)
 	vm.limits = newLimitReporter(c, f.store, log)
 	vm.crashes = newCrashReporter(c, f.store, log)
-	c.prober.onCrash, c.prober.onSuspectSucceeded = vm.crashes.report, vm.crashes.withdraw
+	vm.crashes.observe(c.prober)
 	c.prober.start(f.ctx, func(*forward.Upstream, time.Duration) {})
 	c.prober.onRequestLimit = vm.limits.report
 	c.onLostCrash, c.onLostLimit = vm.crashes.reportAgain, vm.limits.report
--- a/pkg/edge/prober.go
+++ b/pkg/edge/prober.go
@@ -48,6 +48,11 @@
 	// onSuspectSucceeded is called with a request that succeeded though it was in flight
 	// at a crash.
 	onSuspectSucceeded func(forward.RequestAttempt)
+	// onSuspectUnanswered is called with a request that was in flight at a crash before
+	// and has no answer in the usual time, onNotCrashed with requests under which no
+	// replica has crashed.
+	onSuspectUnanswered func(u *forward.Upstream, attempt forward.RequestAttempt)
+	onNotCrashed        func(attempts []forward.RequestAttempt)
 	// onRequestLimit is called when the request limit of a replica has changed.
 	onRequestLimit func(u *forward.Upstream)
 
@@ -133,6 +138,17 @@
 // SuspectSucceeded implements forward.Observer.
 func (p *prober) SuspectSucceeded(attempt forward.RequestAttempt) { p.onSuspectSucceeded(attempt) }
 
+// SuspectUnanswered implements forward.Observer.
+func (p *prober) SuspectUnanswered(u *forward.Upstream, sentAt time.Time, attempt forward.RequestAttempt) {
+	p.onSuspectUnanswered(u, attempt)
+	p.addUnanswered(u, sentAt, attempt)
+}
+
+// SuspectAnswered implements forward.Observer.
+func (p *prober) SuspectAnswered(attempt forward.RequestAttempt) {
+	p.onNotCrashed([]forward.RequestAttempt{attempt})
+}
+
 // RequestLimitChanged implements forward.Observer.
 func (p *prober) RequestLimitChanged(u *forward.Upstream) { p.onRequestLimit(u) }
 
--- a/pkg/edge/unanswered.go
+++ b/pkg/edge/unanswered.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -19,9 +20,12 @@
 		unanswered = &poison.Unanswered{}
 		p.unanswered[u] = unanswered
 	}
+	before := unanswered.Attempts()
 	unanswered.Answered(u.Tracker.AnsweredSentAt())
+	cleared := missingFrom(before, unanswered.Attempts())
 	ended := unanswered.Add(time.Now(), sentAt, attempt)
 	p.mu.Unlock()
+	p.notCrashed(cleared)
 	if ended {
 		p.onCrash(u, []forward.RequestAttempt{attempt})
 	}
@@ -91,18 +95,32 @@
 		return
 	}
 	expired := unanswered.Expire(time.Now())
-	before := unanswered.Len()
+	before := unanswered.Attempts()
 	crashed := decision(unanswered, time.Now())
-	left := unanswered.Len()
+	left := unanswered.Attempts()
 	p.mu.Unlock()
+	cleared := missingFrom(before, slices.Concat(crashed, left))
+	p.notCrashed(cleared)
 	if len(crashed) > 0 {
 		p.onCrash(u, crashed)
 	}
-	if before != left || expired > 0 {
-		p.log.WithFields(logrus.Fields{"replica": u.Member.ID, "crashed": len(crashed), "cleared": before - left - len(crashed), "expired": expired, "undecided": left}).Info("unanswered requests of a replica decided")
+	if len(before) != len(left) || expired > 0 {
+		p.log.WithFields(logrus.Fields{"replica": u.Member.ID, "crashed": len(crashed), "cleared": len(cleared), "expired": expired, "undecided": len(left)}).Info("unanswered requests of a replica decided")
 	}
 }
 
+// notCrashed passes on the requests under which a replica has not crashed.
+func (p *prober) notCrashed(attempts []forward.RequestAttempt) {
+	if len(attempts) > 0 {
+		p.onNotCrashed(attempts)
+	}
+}
+
+// missingFrom returns the attempts that others does not contain.
+func missingFrom(attempts, others []forward.RequestAttempt) []forward.RequestAttempt {
+	return slices.DeleteFunc(attempts, func(a forward.RequestAttempt) bool { return slices.Contains(others, a) })
+}
+
 // domainAnsweredAt returns when the last request was sent that another replica in the
 // failure domain of u has answered. p.mu is held.
 func (p *prober) domainAnsweredAt(u *forward.Upstream) time.Time {
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -77,6 +77,11 @@
 	// which may have run, or that this VM no longer waits for one. It may be called more
 	// than once for a request.
 	RequestUnanswered(u *Upstream, sentAt time.Time, attempt RequestAttempt)
+	// SuspectUnanswered reports that a replica has not answered a request in its usual
+	// time that was in flight when replicas crashed before. It was sent at sentAt.
+	SuspectUnanswered(u *Upstream, sentAt time.Time, attempt RequestAttempt)
+	// SuspectAnswered reports that a replica has answered such a request after all.
+	SuspectAnswered(attempt RequestAttempt)
 	// SuspectSucceeded reports that a request succeeded that was in flight when replicas
 	// crashed.
 	SuspectSucceeded(attempt RequestAttempt)
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
 )
@@ -462,3 +463,38 @@
 		assert.DeepEqual(t, tier.interrupted, []string{"bad"})
 	}
 }
+
+// Guards against a slow answer to a suspect request that nobody is told of, and against
+// such reports of requests that are not suspect.
+func TestSuspectWithoutAnswerIsReportedUntilItIsAnswered(t *testing.T) {
+	tier := newTestTier(t, singleRoute(true))
+	answer := make(chan struct{})
+	tier.addReplica(tier.addService("s", 0), "r1", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/p/suspect" {
+			<-answer
+		}
+		respondWith("x", "body")(w, r)
+	})
+	request := httptest.NewRequest("GET", "/p/suspect", nil)
+	tier.ledger.RecordLoss(time.Now(), "", "x", []uint64{requestAttempt(request, tier.table.Routes[0], "127.0.0.1", nil, "").Fingerprint})
+	tier.send("GET", "/p/sound", "id1", "")
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		tier.send("GET", "/p/suspect", "id2", "")
+	}()
+	reported := func() []string {
+		tier.mu.Lock()
+		defer tier.mu.Unlock()
+		return slices.Compact(slices.Clone(tier.suspects))
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(reported()) == 0 {
+			return poll.Continue("not reported yet")
+		}
+		return poll.Success()
+	})
+	close(answer)
+	<-answered
+	assert.DeepEqual(t, reported(), []string{"unanswered id2", "answered id2"})
+}
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -47,6 +47,8 @@
 	unreachable  []string
 	interrupted  []string
 	unresponsive []string
+	// suspects holds what was reported of suspect requests without an answer.
+	suspects []string
 	// cleared holds the fingerprints of suspect requests that have succeeded.
 	cleared []uint64
 }
@@ -70,6 +72,18 @@
 
 func (tt *testTier) RequestLimitChanged(*Upstream) {}
 
+func (tt *testTier) SuspectUnanswered(_ *Upstream, _ time.Time, attempt RequestAttempt) {
+	tt.mu.Lock()
+	defer tt.mu.Unlock()
+	tt.suspects = append(tt.suspects, "unanswered "+attempt.RequestID)
+}
+
+func (tt *testTier) SuspectAnswered(attempt RequestAttempt) {
+	tt.mu.Lock()
+	defer tt.mu.Unlock()
+	tt.suspects = append(tt.suspects, "answered "+attempt.RequestID)
+}
+
 func (tt *testTier) SuspectSucceeded(attempt RequestAttempt) {
 	tt.mu.Lock()
 	defer tt.mu.Unlock()
--- a/pkg/forward/outcome.go
+++ b/pkg/forward/outcome.go
@@ -34,6 +34,7 @@
 		}
 	default:
 		s.mayHaveRun = true
+		q.suspectAnswered()
 		q.handleReply(now, s, r)
 	}
 }
--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -81,6 +81,8 @@
 	// the VM to which this one has forwarded it.
 	forwarded  bool
 	answeredBy string
+	// reportedSuspect is set once the query was reported as an unanswered suspect.
+	reportedSuspect bool
 	// brokenOff counts the sends that may have run and got no answer.
 	brokenOff int
 	// isolated is set if this VM reached no other failure domain at the start.
@@ -343,6 +345,7 @@
 // hedge sends the request of each shard that has not answered to a second replica,
 // and returns the time until the next hedges.
 func (q *query) hedge() time.Duration {
+	q.reportSuspect()
 	if !q.route.Idempotent || q.poisonVerdict == poison.Suspect || q.isBlocked(time.Now()) {
 		return q.hedgeDelay() // a request that may crash replicas is not sent to more of them
 	}
--- a/pkg/forward/suspect.go
+++ b/pkg/forward/suspect.go
@@ -1,6 +1,10 @@
 package forward
 
-import "time"
+import (
+	"time"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
+)
 
 // holdBack holds all shards of a query back that are not skipped.
 func (q *query) holdBack() {
@@ -52,3 +56,24 @@
 		s.heldBack = false
 	}
 }
+
+// reportSuspect reports that replicas have not answered a query in their usual time that
+// may crash them. Other attempts then wait no longer for the proof that this one has.
+func (q *query) reportSuspect() {
+	if q.forwarder.ledger.Check(time.Now(), q.attempt.Fingerprint) != poison.Suspect {
+		return
+	}
+	for _, s := range q.shards {
+		for _, o := range s.openSends {
+			q.reportedSuspect = true
+			q.forwarder.observer.SuspectUnanswered(o.upstream, o.start, q.attempt)
+		}
+	}
+}
+
+// suspectAnswered reports that a replica has answered a query that was reported.
+func (q *query) suspectAnswered() {
+	if q.reportedSuspect {
+		q.forwarder.observer.SuspectAnswered(q.attempt)
+	}
+}
--- a/pkg/forward/virtual_test.go
+++ b/pkg/forward/virtual_test.go
@@ -85,6 +85,8 @@
 func (silentObserver) ReplicaUnreachable(*Upstream, *errs.Refusal)                            {}
 func (silentObserver) ReplicaUnresponsive(*Upstream)                                          {}
 func (silentObserver) ReplicaTold(*Upstream)                                                  {}
+func (silentObserver) SuspectUnanswered(*Upstream, time.Time, RequestAttempt)                 {}
+func (silentObserver) SuspectAnswered(RequestAttempt)                                         {}
 func (silentObserver) SuspectSucceeded(RequestAttempt)                                        {}
 func (silentObserver) RequestLimitChanged(*Upstream)                                          {}
 func (silentObserver) RequestUnanswered(*Upstream, time.Time, RequestAttempt)                 {}
--- a/pkg/poison/unanswered.go
+++ b/pkg/poison/unanswered.go
@@ -145,6 +145,15 @@
 	u.requests = slices.DeleteFunc(u.requests, func(r unanswered) bool { return now.Sub(r.failedAt) > unansweredRetention })
 }
 
+// Attempts returns the requests that are undecided.
+func (u *Unanswered) Attempts() []Attempt {
+	attempts := make([]Attempt, 0, len(u.requests))
+	for _, r := range u.requests {
+		attempts = append(attempts, r.attempt)
+	}
+	return attempts
+}
+
 // Len returns the number of requests that are undecided.
 func (u *Unanswered) Len() int { return len(u.requests) }
 
