edge: count a proven crash though another replica has answered the attempt

Cause: an assumed report and a proven one shared one name, and a report that was taken back never counts again. A query over many shards of which some replicas answer and others crash took its attempt back at the first answer, so that the proof that came later did not count.

An assumption now has a name of its own in the store and the ledger. A proof counts whatever became of the assumption, and an attempt is assumed only once. An answer whose rest is still being received takes nothing back.

TestSuspectWithoutAnswerCountsUntilRefuted failed before with 2 attempts counted in place of 3.

--- a/pkg/edge/assumedcrash.go
+++ b/pkg/edge/assumedcrash.go
@@ -25,15 +25,15 @@
 // until then attempts would go on to reach others. It never blocks.
 func (r *crashReporter) assume(u *forward.Upstream, attempt forward.RequestAttempt) {
 	now := time.Now()
-	crash := crashUnder(attempt, now)
-	name := crashObjectName(crash)
-	r.mu.Lock()
-	_, assumed := r.assumed[name]
-	if assumed || r.known[name] || len(r.assumed) >= maxWaitingReports {
-		r.mu.Unlock()
+	if r.isKnown(crashUnder(attempt, now)) {
+		return
+	}
+	crash := assumedUnder(attempt, now)
+	if !r.isNew(crash) {
 		return
 	}
-	r.assumed[name] = crash
+	r.mu.Lock()
+	r.assumed[crashObjectName(crash)] = crash
 	r.mu.Unlock()
 	r.controller.recordCrash(now, crash)
 	r.log.WithFields(logrus.Fields{
@@ -43,15 +43,24 @@
 	r.add(waitingReport{crash: crash, recurring: true})
 }
 
-// confirm reports whether the attempt of a crash was assumed to have caused one.
-func (r *crashReporter) confirm(crash discovery.Crash) bool {
+// assumedUnder returns the report of an assumption. It names the attempt in another way
+// than the report of a proof, which counts even if the assumption was taken back.
+func assumedUnder(attempt forward.RequestAttempt, now time.Time) discovery.Crash {
+	crash := crashUnder(attempt, now)
+	crash.Attempt += "?"
+	return crash
+}
+
+// confirm reports whether an attempt under which a replica has crashed counts already
+// because that was assumed. It counts from now on whatever other replicas answer.
+func (r *crashReporter) confirm(attempt forward.RequestAttempt, now time.Time) bool {
+	name := crashObjectName(assumedUnder(attempt, now))
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	name := crashObjectName(crash)
 	_, assumed := r.assumed[name]
+	delete(r.assumed, name)
+	r.mu.Unlock()
 	if assumed {
-		delete(r.assumed, name)
-		r.known[name] = true
+		r.isNew(crashUnder(attempt, now))
 	}
 	return assumed
 }
@@ -61,7 +70,7 @@
 func (r *crashReporter) refute(attempts []forward.RequestAttempt) {
 	now := time.Now()
 	for _, attempt := range attempts {
-		name := crashObjectName(crashUnder(attempt, now))
+		name := crashObjectName(assumedUnder(attempt, now))
 		r.drop(r.takeAssumed(func(c discovery.Crash) bool { return crashObjectName(c) == name }), "a replica has answered")
 	}
 }
--- a/pkg/edge/crash.go
+++ b/pkg/edge/crash.go
@@ -100,7 +100,7 @@
 	now := time.Now()
 	for _, s := range suspects {
 		crash := crashUnder(s, now)
-		if r.confirm(crash) {
+		if r.confirm(s, now) {
 			r.log.WithFields(logrus.Fields{"id": s.RequestID, "attempt": s.ID, "replica": u.Member.ID}).Info("request was in flight when a replica crashed: counted already")
 			continue
 		}
@@ -185,7 +185,14 @@
 	}
 }
 
-// isNew reports whether this VM has not reported the attempt yet.
+// isKnown reports whether this VM has made the report.
+func (r *crashReporter) isKnown(crash discovery.Crash) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.known[crashObjectName(crash)]
+}
+
+// isNew reports whether this VM has not made the report yet, and remembers that it has.
 func (r *crashReporter) isNew(crash discovery.Crash) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/edge/crash_test.go
+++ b/pkg/edge/crash_test.go
@@ -228,13 +228,17 @@
 		assert.DeepEqual(t, counted(), []int{3, 3, 3, 3})
 		reporter.refute([]forward.RequestAttempt{attempt("c"), attempt("never assumed")})
 		assert.DeepEqual(t, counted(), []int{2, 2, 2, 2})
+		reporter.assume(u, attempt("c"))
+		assert.DeepEqual(t, counted(), []int{2, 2, 2, 2}) // a replica has answered it
+		reporter.report(u, []forward.RequestAttempt{attempt("c")})
+		assert.DeepEqual(t, counted(), []int{3, 3, 3, 3}) // another one has crashed under it
 		reporter.report(u, []forward.RequestAttempt{attempt("b")})
 		reporter.refute([]forward.RequestAttempt{attempt("a"), attempt("b")})
-		assert.DeepEqual(t, counted(), []int{2, 2, 2, 2}) // replicas have crashed under both
+		assert.DeepEqual(t, counted(), []int{3, 3, 3, 3}) // replicas have crashed under both
 		reporter.assume(u, attempt("d"))
-		assert.DeepEqual(t, counted(), []int{3, 3, 3, 3})
+		assert.DeepEqual(t, counted(), []int{4, 4, 4, 4})
 		time.Sleep(maxAssumptionAge + assumptionCheckInterval)
-		assert.DeepEqual(t, counted(), []int{2, 2, 2, 2}) // nothing has confirmed it
+		assert.DeepEqual(t, counted(), []int{3, 3, 3, 3}) // nothing has confirmed it
 		reporter.assume(u, attempt("e"))
 		reporter.withdraw(attempt("f"))                   // as the forwarder does after a success
 		assert.DeepEqual(t, counted(), []int{0, 0, 0, 0}) // the request has succeeded
--- a/pkg/forward/outcome.go
+++ b/pkg/forward/outcome.go
@@ -34,7 +34,9 @@
 		}
 	default:
 		s.mayHaveRun = true
-		q.suspectAnswered()
+		if r.stream == nil { // a replica may still crash while it sends the rest
+			q.suspectAnswered()
+		}
 		q.handleReply(now, s, r)
 	}
 }
