forward: a long answer is a success only once it is complete

A replica that ended in the middle of it withdrew the crash reports of its own request, and the attempt was not counted since it 'had succeeded'. Such a request would never be refused.

The success is recorded after the last byte. TestBrokenLongResponseClearsNoCrash- Reports failed before (recorded as a success) and passes now.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -225,12 +225,15 @@
 		f.writeRefusal(w, id, refusal)
 		return
 	}
-	q.recordSuccess(response)
 	f.metrics.requestLatency.RecordDuration(time.Since(start))
-	response.write(w)
-	if response.stream != nil {
-		q.forwardStream(r.Context(), w, response.stream)
+	if response.stream == nil {
+		q.recordSuccess(response)
+		response.write(w)
+		return
 	}
+	response.write(w)
+	q.forwardStream(r.Context(), w, response.stream) // does not return if the rest is not complete
+	q.recordSuccess(response)
 }
 
 // matchRoute returns the route of a request.
--- a/pkg/forward/stream_test.go
+++ b/pkg/forward/stream_test.go
@@ -4,12 +4,18 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
 )
 
 // longBody is longer than the part of a response that is held in memory.
@@ -95,3 +101,45 @@
 		runtime.Gosched()
 	}
 }
+
+// Guards against a replica that ends in the middle of a long answer and whose request
+// counts as successful because the answer had begun.
+func TestBrokenLongResponseClearsNoCrashReports(t *testing.T) {
+	tier := newTestTier(t, singleRoute(true))
+	tier.addReplica(tier.addService("s", 0), "r1", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Receipt", "r")
+		if r.URL.Path == "/p/breaks" {
+			_, _ = io.WriteString(w, longBody[:len(longBody)/2])
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, longBody)
+	})
+	for _, path := range []string{"/p/breaks", "/p/succeeds"} {
+		request := httptest.NewRequest("GET", path, nil)
+		attempt := requestAttempt(request, tier.table.Routes[0], "127.0.0.1", nil, "")
+		tier.ledger.RecordLoss(time.Now(), "", "x", []uint64{attempt.Fingerprint})
+		request, err := http.NewRequestWithContext(t.Context(), "GET", tier.server.URL+path, nil)
+		assert.NilError(t, err)
+		request.Host = "h.example"
+		response, err := http.DefaultClient.Do(request)
+		assert.NilError(t, err)
+		_, err = io.ReadAll(response.Body)
+		assert.Equal(t, err == nil, path == "/p/succeeds", path)
+		assert.NilError(t, response.Body.Close())
+		cleared := func() bool {
+			tier.mu.Lock()
+			defer tier.mu.Unlock()
+			return slices.Contains(tier.cleared, attempt.Fingerprint)
+		}
+		if path == "/p/succeeds" {
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if cleared() {
+					return poll.Success()
+				}
+				return poll.Continue("the success is not recorded yet")
+			})
+		}
+		assert.Equal(t, cleared(), path == "/p/succeeds", path)
+		assert.Equal(t, tier.ledger.Check(time.Now(), attempt.Exact) == poison.Proven, path == "/p/succeeds", path)
+	}
+}
