forward: a request that was turned away with 408 or 429 is no success

TestOnlySuccessesClearARequest now plays these statuses too; it failed before at 408 and passes now.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -280,7 +280,7 @@
 // not answered it: an answer that lacks a shard says nothing of the replicas of that.
 func (q *query) recordSuccess(r *response) {
 	unanswered := func(s *shard) bool { return !s.answered && len(s.tried) > 0 }
-	if r.status >= http.StatusInternalServerError || q.brokenOff > 0 || slices.ContainsFunc(q.shards, unanswered) {
+	if !showsRun(r.status) || q.brokenOff > 0 || slices.ContainsFunc(q.shards, unanswered) {
 		return
 	}
 	now := time.Now()
@@ -290,6 +290,12 @@
 	}
 }
 
+// showsRun reports whether a replica that answers with the status has run the request and
+// is well. With 408 and 429 it has turned the request away.
+func showsRun(status int) bool {
+	return status < http.StatusInternalServerError && status != http.StatusRequestTimeout && status != http.StatusTooManyRequests
+}
+
 // crashRefusal returns the refusal of a request that crashes replicas.
 func crashRefusal() *errs.Refusal {
 	return errs.Refuse(errs.Poisoned, "replicas crashed when they ran this request")
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -337,17 +337,17 @@
 	tier := newTestTier(t, singleRoute(true))
 	tier.addReplica(tier.addService("s", 0), "r1", func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Receipt", "x")
-		if r.URL.Path == "/p/fails" {
-			w.WriteHeader(http.StatusInternalServerError)
+		if status, err := strconv.Atoi(strings.TrimPrefix(r.URL.Path, "/p/")); err == nil {
+			w.WriteHeader(status)
 		}
 	})
-	for _, path := range []string{"/p/fails", "/p/succeeds"} {
+	for path, succeeds := range map[string]bool{"/p/500": false, "/p/503": false, "/p/429": false, "/p/408": false, "/p/404": true, "/p/succeeds": true} {
 		request := httptest.NewRequest("GET", path, nil)
 		attempt := requestAttempt(request, tier.table.Routes[0], "127.0.0.1", nil, "")
 		tier.ledger.RecordLoss(time.Now(), "", "x", []uint64{attempt.Fingerprint})
 		tier.send("GET", path, "1", "")
-		assert.Equal(t, tier.ledger.Check(time.Now(), attempt.Exact) == poison.Proven, path == "/p/succeeds", path)
-		assert.Equal(t, slices.Contains(tier.cleared, attempt.Fingerprint), path == "/p/succeeds", path)
+		assert.Equal(t, tier.ledger.Check(time.Now(), attempt.Exact) == poison.Proven, succeeds, path)
+		assert.Equal(t, slices.Contains(tier.cleared, attempt.Fingerprint), succeeds, path)
 	}
 }
 
