edge, forward: a shard that answers clears the crash reports at this shard

Cause: only an answer of all shards was evidence for a query, and a query that meets a silent replica in each attempt never has one. The shard at which an attempt was lost does answer later attempts, through another replica.

A report now names the service of the replica that has ended, and an answer that lacks shards withdraws the reports at those that it has, also if it does not reach the coverage. A query that ends the replicas of one shard each time is not cleared by the others. Older VMs ignore the new field, and withdraw as before; reports of theirs are withdrawn by a whole answer.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -311,6 +311,8 @@
 	Fingerprint uint64
 	// Exact identifies the request with its query string.
 	Exact uint64
+	// Service is that of the replica, empty in reports of older VMs.
+	Service string
 	// Attempt identifies the attempt.
 	Attempt string
 	// RequestID is the caller's name for it, empty in reports of older VMs.
--- a/pkg/edge/assumedcrash.go
+++ b/pkg/edge/assumedcrash.go
@@ -25,10 +25,10 @@
 // until then attempts would go on to reach others. It never blocks.
 func (r *crashReporter) assume(u *forward.Upstream, attempt forward.RequestAttempt) {
 	now := time.Now()
-	if r.isKnown(crashUnder(attempt, now)) {
+	if r.isKnown(crashUnder(attempt, u.Member.Service, now)) {
 		return
 	}
-	crash := assumedUnder(attempt, now)
+	crash := assumedUnder(attempt, u.Member.Service, now)
 	if !r.isNew(crash) {
 		return
 	}
@@ -45,8 +45,8 @@
 
 // assumedUnder returns the report of an assumption. It names the attempt in another way
 // than the report of a proof, which counts even if the assumption was taken back.
-func assumedUnder(attempt forward.RequestAttempt, now time.Time) discovery.Crash {
-	crash := crashUnder(attempt, now)
+func assumedUnder(attempt forward.RequestAttempt, service string, now time.Time) discovery.Crash {
+	crash := crashUnder(attempt, service, now)
 	crash.Attempt += "?"
 	return crash
 }
@@ -54,13 +54,13 @@
 // confirm reports whether an attempt under which a replica has crashed counts already
 // because that was assumed. It counts from now on whatever other replicas answer.
 func (r *crashReporter) confirm(attempt forward.RequestAttempt, now time.Time) bool {
-	name := crashObjectName(assumedUnder(attempt, now))
+	name := crashObjectName(assumedUnder(attempt, "", now))
 	r.mu.Lock()
 	_, assumed := r.assumed[name]
 	delete(r.assumed, name)
 	r.mu.Unlock()
 	if assumed {
-		r.isNew(crashUnder(attempt, now))
+		r.isNew(crashUnder(attempt, "", now))
 	}
 	return assumed
 }
@@ -70,7 +70,7 @@
 func (r *crashReporter) refute(attempts []forward.RequestAttempt) {
 	now := time.Now()
 	for _, attempt := range attempts {
-		name := crashObjectName(assumedUnder(attempt, now))
+		name := crashObjectName(assumedUnder(attempt, "", now))
 		r.drop(r.takeAssumed(func(c discovery.Crash) bool { return crashObjectName(c) == name }), "a replica has answered")
 	}
 }
--- a/pkg/edge/crash.go
+++ b/pkg/edge/crash.go
@@ -68,7 +68,7 @@
 	waiting []waitingReport
 	known   map[string]bool
 	// succeeded holds the requests whose reports are to be withdrawn.
-	succeeded []forward.RequestAttempt
+	succeeded []success
 	// assumed holds the reports, by name, of attempts without an answer that count
 	// before it is known whether a replica has crashed under them. refuted holds the names
 	// of those that are to be removed from the store.
@@ -76,6 +76,18 @@
 	refuted []string
 }
 
+// success is that of a request, at all services if services is nil.
+type success struct {
+	attempt  forward.RequestAttempt
+	services []string
+}
+
+// refutes reports whether a report of a crash is withdrawn: replicas of the service at
+// which the request was in flight have answered it.
+func (s success) refutes(c discovery.Crash) bool {
+	return c.Fingerprint == s.attempt.Fingerprint && c.Exact == s.attempt.Exact && (s.services == nil || slices.Contains(s.services, c.Service))
+}
+
 // waitingReport is a report that is to be written to the store.
 type waitingReport struct {
 	crash discovery.Crash
@@ -99,7 +111,7 @@
 func (r *crashReporter) report(u *forward.Upstream, suspects []forward.RequestAttempt) {
 	now := time.Now()
 	for _, s := range suspects {
-		crash := crashUnder(s, now)
+		crash := crashUnder(s, u.Member.Service, now)
 		if r.confirm(s, now) {
 			r.log.WithFields(logrus.Fields{"id": s.RequestID, "attempt": s.ID, "replica": u.Member.ID}).Info("request was in flight when a replica crashed: counted already")
 			continue
@@ -107,7 +119,7 @@
 		if !r.isNew(crash) {
 			continue
 		}
-		if r.controller.ledger.SucceededSince(now, s.Exact, s.StartedAt) {
+		if r.controller.ledger.SucceededSince(now, s.Exact, u.Member.Service, s.StartedAt) {
 			r.log.WithFields(logrus.Fields{"id": s.RequestID, "replica": u.Member.ID, "age_ms": now.Sub(s.StartedAt).Milliseconds()}).Info("request was in flight when a replica crashed: not counted, it has succeeded since")
 			continue
 		}
@@ -122,16 +134,17 @@
 	}
 }
 
-func crashUnder(attempt forward.RequestAttempt, now time.Time) discovery.Crash {
-	return discovery.Crash{Fingerprint: attempt.Fingerprint, Exact: attempt.Exact, Attempt: attempt.ID, RequestID: attempt.RequestID, At: now}
+func crashUnder(attempt forward.RequestAttempt, service string, now time.Time) discovery.Crash {
+	return discovery.Crash{Fingerprint: attempt.Fingerprint, Exact: attempt.Exact, Service: service, Attempt: attempt.ID, RequestID: attempt.RequestID, At: now}
 }
 
 // withdraw queues the withdrawal of the reports of a request that has succeeded: it was
-// in flight at crashes by chance. It never blocks.
-func (r *crashReporter) withdraw(attempt forward.RequestAttempt) {
+// in flight at crashes by chance, at the services named or, if services is nil, at all. It
+// never blocks.
+func (r *crashReporter) withdraw(attempt forward.RequestAttempt, services []string) {
 	r.mu.Lock()
 	if len(r.succeeded) < maxWaitingReports {
-		r.succeeded = append(r.succeeded, attempt)
+		r.succeeded = append(r.succeeded, success{attempt, services})
 	}
 	r.mu.Unlock()
 	r.wakeUp()
@@ -152,8 +165,8 @@
 	succeeded := r.succeeded
 	r.succeeded = nil
 	r.mu.Unlock()
-	for _, attempt := range succeeded {
-		matches := func(c discovery.Crash) bool { return c.Fingerprint == attempt.Fingerprint && c.Exact == attempt.Exact }
+	for _, s := range succeeded {
+		attempt, matches := s.attempt, s.refutes
 		r.mu.Lock()
 		unwritten := slices.DeleteFunc(slices.Clone(r.waiting), func(w waitingReport) bool { return !matches(w.crash) })
 		r.waiting = slices.DeleteFunc(r.waiting, func(w waitingReport) bool { return matches(w.crash) })
--- a/pkg/edge/crash_test.go
+++ b/pkg/edge/crash_test.go
@@ -154,10 +154,10 @@
 		}
 		assert.DeepEqual(t, verdicts(), []poison.Verdict{poison.Blocked, poison.Blocked, poison.Blocked})
 		other, same := forward.RequestAttempt{Fingerprint: 7, Exact: 71}, forward.RequestAttempt{Fingerprint: 7, Exact: 70}
-		fleet.vms[1].crashes.withdraw(other)
+		fleet.vms[1].crashes.withdraw(other, nil)
 		time.Sleep(time.Second)
 		assert.DeepEqual(t, verdicts(), []poison.Verdict{poison.Blocked, poison.Blocked, poison.Blocked}) // another query string has succeeded
-		fleet.vms[1].crashes.withdraw(same)
+		fleet.vms[1].crashes.withdraw(same, nil)
 		time.Sleep(time.Second)
 		assert.DeepEqual(t, verdicts(), []poison.Verdict{poison.Unknown, poison.Unknown, poison.Unknown})
 		assert.Equal(t, len(fleet.store.copied().objects[memCrashes]), 0)
@@ -204,6 +204,36 @@
 	assert.DeepEqual(t, newer, discovery.Crash{Fingerprint: 7, Exact: 70, Attempt: "1f", At: at})
 }
 
+// Guards against a query over many shards that stays refused because silent replicas leave
+// each answer without a shard, though the shards answer in turn, and against one that is
+// cleared by other shards than the one whose replicas it crashes.
+func TestSuccessAtOneServiceWithdrawsItsReports(t *testing.T) {
+	inVMFleet(t, 2, func(fleet *vmFleet) {
+		at := func(service string) *forward.Upstream {
+			u := testUpstream("r"+service, "d1")
+			u.Member.Service = service
+			return u
+		}
+		a := forward.RequestAttempt{Fingerprint: 7, Exact: 70, ID: "a", StartedAt: time.Now()}
+		b := forward.RequestAttempt{Fingerprint: 7, Exact: 70, ID: "b", StartedAt: time.Now()}
+		reporter := fleet.vms[0].crashes
+		reporter.report(at("t1"), []forward.RequestAttempt{a})
+		reporter.report(at("t2"), []forward.RequestAttempt{b})
+		time.Sleep(time.Second)
+		fleet.vms[1].crashes.withdraw(a, []string{"t2", "t3"})
+		time.Sleep(time.Second)
+		for _, vm := range fleet.vms {
+			assert.Equal(t, vm.controller.ledger.Losses(time.Now(), 7), 1)
+		}
+		c := forward.RequestAttempt{Fingerprint: 7, Exact: 70, ID: "c", StartedAt: time.Now()}
+		fleet.vms[0].controller.ledger.RecordPartialSuccess(time.Now(), 70, []string{"t1"})
+		reporter.report(at("t3"), []forward.RequestAttempt{c})
+		assert.Equal(t, fleet.vms[0].controller.ledger.Losses(time.Now(), 7), 1)
+		reporter.report(at("t1"), []forward.RequestAttempt{{Fingerprint: 7, Exact: 70, ID: "d", StartedAt: time.Now()}})
+		assert.Equal(t, fleet.vms[0].controller.ledger.Losses(time.Now(), 7), 2)
+	})
+}
+
 // Guards against attempts of a request that go on to reach replicas while it is not yet
 // known whether silent ones have crashed under earlier attempts, and against a request
 // that stays refused though they have answered.
@@ -240,7 +270,7 @@
 		time.Sleep(maxAssumptionAge + assumptionCheckInterval)
 		assert.DeepEqual(t, counted(), []int{3, 3, 3, 3}) // nothing has confirmed it
 		reporter.assume(u, attempt("e"))
-		reporter.withdraw(attempt("f"))                   // as the forwarder does after a success
+		reporter.withdraw(attempt("f"), nil)              // as the forwarder does after a success
 		assert.DeepEqual(t, counted(), []int{0, 0, 0, 0}) // the request has succeeded
 	})
 }
--- a/pkg/edge/prober.go
+++ b/pkg/edge/prober.go
@@ -47,7 +47,7 @@
 	onCrash func(u *forward.Upstream, suspects []forward.RequestAttempt)
 	// onSuspectSucceeded is called with a request that succeeded though it was in flight
 	// at a crash.
-	onSuspectSucceeded func(forward.RequestAttempt)
+	onSuspectSucceeded func(attempt forward.RequestAttempt, services []string)
 	// onSuspectUnanswered is called with a request that was in flight at a crash before
 	// and has no answer in the usual time, onNotCrashed with requests under which no
 	// replica has crashed.
@@ -136,7 +136,9 @@
 }
 
 // SuspectSucceeded implements forward.Observer.
-func (p *prober) SuspectSucceeded(attempt forward.RequestAttempt) { p.onSuspectSucceeded(attempt) }
+func (p *prober) SuspectSucceeded(attempt forward.RequestAttempt, services []string) {
+	p.onSuspectSucceeded(attempt, services)
+}
 
 // SuspectUnanswered implements forward.Observer.
 func (p *prober) SuspectUnanswered(u *forward.Upstream, sentAt time.Time, attempt forward.RequestAttempt) {
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -6,7 +6,6 @@
 import (
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -83,8 +82,9 @@
 	// SuspectAnswered reports that a replica has answered such a request after all.
 	SuspectAnswered(attempt RequestAttempt)
 	// SuspectSucceeded reports that a request succeeded that was in flight when replicas
-	// crashed.
-	SuspectSucceeded(attempt RequestAttempt)
+	// crashed. services names those that have answered if others have not, and is nil
+	// if all have.
+	SuspectSucceeded(attempt RequestAttempt, services []string)
 	// ReplicaTold reports that a replica has said that it leaves, or wants a pause.
 	ReplicaTold(u *Upstream)
 	// RequestLimitChanged reports that answers of a replica to this VM show another
@@ -222,6 +222,7 @@
 	q.releaseAdmission()
 	f.logQuery(q, refusal)
 	if refusal != nil {
+		q.recordAnsweredShards()
 		f.writeRefusal(w, id, refusal)
 		return
 	}
@@ -276,26 +277,6 @@
 	return q, nil
 }
 
-// recordSuccess records that the request has succeeded, unless a replica has failed it or
-// not answered it: an answer that lacks a shard says nothing of the replicas of that.
-func (q *query) recordSuccess(r *response) {
-	unanswered := func(s *shard) bool { return !s.answered && len(s.tried) > 0 }
-	if !showsRun(r.status) || q.brokenOff > 0 || slices.ContainsFunc(q.shards, unanswered) {
-		return
-	}
-	now := time.Now()
-	q.forwarder.ledger.RecordSuccess(now, q.attempt.Exact)
-	if v := q.forwarder.ledger.Check(now, q.attempt.Fingerprint); v == poison.Suspect || v == poison.Blocked {
-		q.forwarder.observer.SuspectSucceeded(q.attempt)
-	}
-}
-
-// showsRun reports whether a replica that answers with the status has run the request and
-// is well. With 408 and 429 it has turned the request away.
-func showsRun(status int) bool {
-	return status < http.StatusInternalServerError && status != http.StatusRequestTimeout && status != http.StatusTooManyRequests
-}
-
 // crashRefusal returns the refusal of a request that crashes replicas.
 func crashRefusal() *errs.Refusal {
 	return errs.Refuse(errs.Poisoned, "replicas crashed when they ran this request")
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -498,3 +498,40 @@
 	<-answered
 	assert.DeepEqual(t, reported(), []string{"unanswered id2", "answered id2"})
 }
+
+// Guards against an answer that lacks a shard and clears a query at the shard that is
+// missing, or nowhere.
+func TestIncompleteAnswerClearsTheShardsThatHaveAnswered(t *testing.T) {
+	shards := []string{"a", "b", "c", "d"}
+	tier := newTestTier(t, fanOutRoute(0.5, shards...))
+	for _, s := range shards {
+		tier.addReplica(tier.addService(s, 0), s+"1", func(w http.ResponseWriter, r *http.Request) {
+			if s == "b" && r.URL.Path != "/a/whole" || s != "a" && r.URL.Path == "/a/refused" {
+				closeConnection(w, r)
+				return
+			}
+			respondWith("r"+s, record(s))(w, r)
+		})
+	}
+	for _, test := range []struct {
+		path   string
+		status int
+		want   [][]string
+	}{
+		{"/a/partial", http.StatusOK, [][]string{{"a", "c", "d"}}},
+		{"/a/whole", http.StatusOK, [][]string{nil}},
+		{"/a/refused", http.StatusBadGateway, [][]string{{"a"}}},
+	} {
+		attempt := requestAttempt(httptest.NewRequest("GET", test.path, nil), tier.table.Routes[0], "127.0.0.1", nil, "")
+		tier.ledger.RecordLoss(time.Now(), "", "x", []uint64{attempt.Fingerprint})
+		tier.clearedAt = nil
+		start := time.Now()
+		status, _, _ := tier.send("GET", test.path, test.path, "")
+		assert.Equal(t, status, test.status, test.path)
+		tier.mu.Lock()
+		assert.DeepEqual(t, tier.clearedAt, test.want)
+		tier.mu.Unlock()
+		assert.Equal(t, tier.ledger.SucceededSince(time.Now(), attempt.Exact, "a", start), true, test.path)
+		assert.Assert(t, tier.ledger.SucceededSince(time.Now(), attempt.Exact, "b", start) == (test.path == "/a/whole"), test.path)
+	}
+}
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -51,6 +51,8 @@
 	suspects []string
 	// cleared holds the fingerprints of suspect requests that have succeeded.
 	cleared []uint64
+	// clearedAt holds the services at which they have, nil for all.
+	clearedAt [][]string
 }
 
 // handler answers a request at a replica.
@@ -84,10 +86,11 @@
 	tt.suspects = append(tt.suspects, "answered "+attempt.RequestID)
 }
 
-func (tt *testTier) SuspectSucceeded(attempt RequestAttempt) {
+func (tt *testTier) SuspectSucceeded(attempt RequestAttempt, services []string) {
 	tt.mu.Lock()
 	defer tt.mu.Unlock()
 	tt.cleared = append(tt.cleared, attempt.Fingerprint)
+	tt.clearedAt = append(tt.clearedAt, services)
 }
 
 func (tt *testTier) RequestUnanswered(*Upstream, time.Time, RequestAttempt) {}
--- a/pkg/forward/outcome.go
+++ b/pkg/forward/outcome.go
@@ -27,6 +27,7 @@
 		q.retry(now, s, false)
 	case r.refusal != nil:
 		q.brokenOff++
+		s.brokenOff = true
 		s.mayHaveRun = true
 		s.refusal = r.refusal
 		if q.route.Idempotent && q.poisonVerdict != poison.Suspect {
--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -125,6 +125,8 @@
 	// of another kind.
 	failedReply *exchange.Reply
 	refusal     *errs.Refusal
+	// brokenOff is set when a send has ended that may have run and got no answer.
+	brokenOff bool
 	// mayHaveRun is set when a send has ended that may have run.
 	mayHaveRun bool
 }
--- a/pkg/forward/relaysend.go
+++ b/pkg/forward/relaysend.go
@@ -207,6 +207,7 @@
 		s.attempts--
 	} else {
 		q.brokenOff++
+		s.brokenOff = true
 		s.mayHaveRun = true
 	}
 	if refusal.Code == errs.Poisoned {
--- a/pkg/forward/virtual_test.go
+++ b/pkg/forward/virtual_test.go
@@ -87,7 +87,7 @@
 func (silentObserver) ReplicaTold(*Upstream)                                                  {}
 func (silentObserver) SuspectUnanswered(*Upstream, time.Time, RequestAttempt)                 {}
 func (silentObserver) SuspectAnswered(RequestAttempt)                                         {}
-func (silentObserver) SuspectSucceeded(RequestAttempt)                                        {}
+func (silentObserver) SuspectSucceeded(RequestAttempt, []string)                              {}
 func (silentObserver) RequestLimitChanged(*Upstream)                                          {}
 func (silentObserver) RequestUnanswered(*Upstream, time.Time, RequestAttempt)                 {}
 func (silentObserver) RequestInterrupted(*Upstream, time.Time, *errs.Refusal, RequestAttempt) {}
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -139,13 +139,21 @@
 	return Unknown
 }
 
-// SucceededSince reports whether a request with the fingerprint has succeeded at or after
-// since, which may lie ProvenDuration back.
-func (l *Ledger) SucceededSince(now time.Time, fp uint64, since time.Time) bool {
+// RecordPartialSuccess records that a request has succeeded at all of its services but the
+// missing ones.
+func (l *Ledger) RecordPartialSuccess(now time.Time, fp uint64, missing []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.proven.addPartial(now, fp, missing)
+}
+
+// SucceededSince reports whether a request with the fingerprint has succeeded at a service
+// at or after since, which may lie ProvenDuration back.
+func (l *Ledger) SucceededSince(now time.Time, fp uint64, service string, since time.Time) bool {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	at, ok := l.proven.successAt(now, fp)
-	return ok && !at.Before(since)
+	at := l.proven.get(fp).at(service)
+	return now.Sub(at) <= l.proven.retention && !at.Before(since)
 }
 
 // Losses returns the number of losses that count against a fingerprint.
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -296,3 +296,27 @@
 		Fingerprint("assistance", "search", body)
 	}
 }
+
+// Guards against a success at some services that counts for one that was missing, and
+// against one that is forgotten when a later one lacks other services.
+func TestPartialSuccessCountsForTheServicesThatAnswered(t *testing.T) {
+	at := func(s int) time.Time { return time.Unix(int64(1000+s), 0) }
+	l := NewLedger(Config{ProvenDuration: 30 * time.Second})
+	since := func(service string) (s int) {
+		for s = 0; s < 20 && l.SucceededSince(at(20), 1, service, at(s)); s++ {
+		}
+		return s - 1
+	}
+	l.RecordPartialSuccess(at(1), 1, []string{"a", "b"})
+	assert.DeepEqual(t, []int{since("a"), since("b"), since("c")}, []int{-1, -1, 1})
+	l.RecordPartialSuccess(at(2), 1, []string{"b", "c"})
+	assert.DeepEqual(t, []int{since("a"), since("b"), since("c")}, []int{2, -1, 1})
+	l.RecordPartialSuccess(at(3), 1, []string{"a", "b", "c"})
+	assert.DeepEqual(t, []int{since("a"), since("b"), since("c")}, []int{2, -1, 1})
+	l.RecordSuccess(at(4), 1)
+	assert.DeepEqual(t, []int{since("a"), since("b"), since("c")}, []int{4, 4, 4})
+	l.RecordPartialSuccess(at(5), 1, []string{"b"})
+	assert.DeepEqual(t, []int{since("a"), since("b"), since("c")}, []int{5, 4, 5})
+	assert.Assert(t, !l.SucceededSince(at(36), 1, "a", at(0)), "longer ago than ProvenDuration")
+	assert.Assert(t, !l.SucceededSince(at(20), 2, "a", at(0)), "another request")
+}
--- a/pkg/poison/record.go
+++ b/pkg/poison/record.go
@@ -168,35 +168,67 @@
 // and drops the older one as a whole, which needs no scan for old fingerprints.
 type provenSet struct {
 	retention time.Duration
-	current   map[uint64]time.Time
-	previous  map[uint64]time.Time
+	current   map[uint64]successes
+	previous  map[uint64]successes
 	rotatedAt time.Time
 }
 
+// successes holds when a request last succeeded as a whole, and when in part. missing holds
+// the services that were missing then, with the time of their last success in part.
+type successes struct {
+	wholeAt, partialAt time.Time
+	missing            map[string]time.Time
+}
+
+// at returns when the request last succeeded at a service.
+func (s successes) at(service string) time.Time {
+	at := s.partialAt
+	if before, ok := s.missing[service]; ok {
+		at = before
+	}
+	if s.wholeAt.After(at) {
+		return s.wholeAt
+	}
+	return at
+}
+
 func newProvenSet(retention time.Duration) provenSet {
-	return provenSet{retention: retention, current: map[uint64]time.Time{}}
+	return provenSet{retention: retention, current: map[uint64]successes{}}
 }
 
 func (s *provenSet) add(now time.Time, fp uint64) {
+	known := s.get(fp)
+	known.wholeAt = now
+	s.put(now, fp, known)
+}
+
+func (s *provenSet) addPartial(now time.Time, fp uint64, missing []string) {
+	known := s.get(fp)
+	before := make(map[string]time.Time, len(missing))
+	for _, service := range missing {
+		before[service] = known.at(service)
+	}
+	known.partialAt, known.missing = now, before
+	s.put(now, fp, known)
+}
+
+func (s *provenSet) put(now time.Time, fp uint64, known successes) {
 	if len(s.current) >= MaxProven/2 || now.Sub(s.rotatedAt) > s.retention {
 		s.previous = s.current
-		s.current = map[uint64]time.Time{}
+		s.current = map[uint64]successes{}
 		s.rotatedAt = now
 	}
-	s.current[fp] = now
+	s.current[fp] = known
 }
 
-func (s *provenSet) has(now time.Time, fp uint64) bool {
-	_, ok := s.successAt(now, fp)
-	return ok
+// get returns the last successes of a fingerprint, which may be older than the retention.
+func (s *provenSet) get(fp uint64) successes {
+	if known, ok := s.current[fp]; ok {
+		return known
+	}
+	return s.previous[fp]
 }
 
-// successAt returns when a request with the fingerprint succeeded last, or false if it did
-// not within the retention.
-func (s *provenSet) successAt(now time.Time, fp uint64) (time.Time, bool) {
-	at, ok := s.current[fp]
-	if !ok {
-		at, ok = s.previous[fp]
-	}
-	return at, ok && now.Sub(at) <= s.retention
+func (s *provenSet) has(now time.Time, fp uint64) bool {
+	return now.Sub(s.get(fp).wholeAt) <= s.retention
 }
