edge: do not blame a query over many shards for an outage of silent replicas

A trace shows three attempts, each lost at another silent replica within two seconds, with no shard that could answer.

Cause: that a success before an attempt proves nothing holds for a replica that breaks a request off, since it ends with the request in flight. One that falls silent may have ended before the request came, and a query over many shards meets many of them.

Such a query is now blamed for a silent replica only if it has had no success within four seconds before the attempt. Requests to one service, and queries that are broken off, count as before.

--- a/pkg/edge/assumedcrash.go
+++ b/pkg/edge/assumedcrash.go
@@ -10,6 +10,7 @@
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/discovery"
 	"github.com/nutmeghitch/nutmeghitch/pkg/forward"
+	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
 )
 
 const (
@@ -25,7 +26,7 @@
 // until then attempts would go on to reach others. It never blocks.
 func (r *crashReporter) assume(u *forward.Upstream, attempt forward.RequestAttempt) {
 	now := time.Now()
-	if r.isKnown(crashUnder(attempt, u.Member.Service, now)) {
+	if r.isKnown(crashUnder(attempt, u.Member.Service, now)) || r.byChance(now, poison.LostAttempt{Attempt: attempt}, u.Member.Service) {
 		return
 	}
 	crash := assumedUnder(attempt, u.Member.Service, now)
--- a/pkg/edge/crash.go
+++ b/pkg/edge/crash.go
@@ -43,6 +43,10 @@
 // attempt and the time in which it becomes known that a replica has ended under it.
 const successMemory = 30 * time.Second
 
+// silentOutageTime is how long silent replicas may keep a query over many shards from any
+// success before the query is blamed for it.
+const silentOutageTime = 4 * time.Second
+
 // newCrashLedger returns the ledger of the requests that were in flight when replicas
 // crashed.
 func newCrashLedger() *poison.Ledger {
@@ -108,18 +112,18 @@
 
 // report records the requests that were in flight when a replica crashed and
 // queues a report of each for the store. It never blocks.
-func (r *crashReporter) report(u *forward.Upstream, suspects []forward.RequestAttempt) {
+func (r *crashReporter) report(u *forward.Upstream, suspects []poison.LostAttempt) {
 	now := time.Now()
 	for _, s := range suspects {
-		crash := crashUnder(s, u.Member.Service, now)
-		if r.confirm(s, now) {
+		crash := crashUnder(s.Attempt, u.Member.Service, now)
+		if r.confirm(s.Attempt, now) {
 			r.log.WithFields(logrus.Fields{"id": s.RequestID, "attempt": s.ID, "replica": u.Member.ID}).Info("request was in flight when a replica crashed: counted already")
 			continue
 		}
 		if !r.isNew(crash) {
 			continue
 		}
-		if r.controller.ledger.SucceededSince(now, s.Exact, u.Member.Service, s.StartedAt) {
+		if r.byChance(now, s, u.Member.Service) {
 			r.log.WithFields(logrus.Fields{"id": s.RequestID, "replica": u.Member.ID, "age_ms": now.Sub(s.StartedAt).Milliseconds()}).Info("request was in flight when a replica crashed: not counted, it has succeeded since")
 			continue
 		}
@@ -134,6 +138,18 @@
 	}
 }
 
+// byChance reports whether a success shows that a request was in flight at a crash by
+// chance: one since the attempt began or, for a query over many shards whose replica has
+// fallen silent, one shortly before. Such a query meets many replicas, and while many of
+// them are silent no attempt of it may succeed.
+func (r *crashReporter) byChance(now time.Time, s poison.LostAttempt, service string) bool {
+	since := s.StartedAt
+	if s.FanOut && !s.BrokenOff {
+		since = since.Add(-silentOutageTime)
+	}
+	return r.controller.ledger.SucceededSince(now, s.Exact, service, since)
+}
+
 func crashUnder(attempt forward.RequestAttempt, service string, now time.Time) discovery.Crash {
 	return discovery.Crash{Fingerprint: attempt.Fingerprint, Exact: attempt.Exact, Service: service, Attempt: attempt.ID, RequestID: attempt.RequestID, At: now}
 }
--- a/pkg/edge/crash_test.go
+++ b/pkg/edge/crash_test.go
@@ -83,11 +83,11 @@
 	inCrashReporter(t, func(r *crashReporter, store *crashStore) {
 		for shard := range 90 {
 			u := testUpstream(fmt.Sprint("r", shard), "d1")
-			r.report(u, []forward.RequestAttempt{{Fingerprint: 1, ID: "a"}, {Fingerprint: 2, ID: "b"}})
+			r.report(u, brokenOff([]forward.RequestAttempt{{Fingerprint: 1, ID: "a"}, {Fingerprint: 2, ID: "b"}}))
 		}
 		time.Sleep(time.Second)
 		assert.DeepEqual(t, store.takeWritten(), []string{"1 a", "2 b"})
-		r.report(testUpstream("r1", "d1"), []forward.RequestAttempt{{Fingerprint: 1, ID: "c"}})
+		r.report(testUpstream("r1", "d1"), brokenOff([]forward.RequestAttempt{{Fingerprint: 1, ID: "c"}}))
 		time.Sleep(time.Second)
 		assert.DeepEqual(t, store.takeWritten(), []string{"1 c"})
 	})
@@ -98,7 +98,7 @@
 	inCrashReporter(t, func(r *crashReporter, store *crashStore) {
 		store.setErr(errs.Ambiguous(errs.PlatformDown, "down"))
 		for i := range 12 {
-			r.report(testUpstream("r", "d1"), []forward.RequestAttempt{{Fingerprint: uint64(i), ID: "a"}})
+			r.report(testUpstream("r", "d1"), brokenOff([]forward.RequestAttempt{{Fingerprint: uint64(i), ID: "a"}}))
 		}
 		time.Sleep(8 * time.Second)
 		assert.Equal(t, len(store.takeWritten()), 0)
@@ -114,11 +114,11 @@
 	inCrashReporter(t, func(r *crashReporter, store *crashStore) {
 		r.controller.recordCrash(time.Now(), discovery.Crash{Fingerprint: 7, Attempt: "earlier", At: time.Now()})
 		for i := range 30 {
-			r.report(testUpstream("r", "d1"), []forward.RequestAttempt{{Fingerprint: uint64(100 + i), ID: "a"}})
+			r.report(testUpstream("r", "d1"), brokenOff([]forward.RequestAttempt{{Fingerprint: uint64(100 + i), ID: "a"}}))
 		}
 		time.Sleep(crashWriteInterval / 2) // no write is under way
 		store.takeWritten()
-		r.report(testUpstream("r", "d1"), []forward.RequestAttempt{{Fingerprint: 7, ID: "b"}})
+		r.report(testUpstream("r", "d1"), brokenOff([]forward.RequestAttempt{{Fingerprint: 7, ID: "b"}}))
 		time.Sleep(2*crashWriteInterval + 2*storeLatency)
 		assert.Equal(t, store.takeWritten()[0], "7 b")
 	})
@@ -128,10 +128,10 @@
 func TestRejectedCrashReportIsDropped(t *testing.T) {
 	inCrashReporter(t, func(r *crashReporter, store *crashStore) {
 		store.setErr(errs.Refuse(errs.InvalidRequest, "rejected"))
-		r.report(testUpstream("r", "d1"), []forward.RequestAttempt{{Fingerprint: 1, ID: "a"}})
+		r.report(testUpstream("r", "d1"), brokenOff([]forward.RequestAttempt{{Fingerprint: 1, ID: "a"}}))
 		time.Sleep(time.Second)
 		store.setErr(nil)
-		r.report(testUpstream("r", "d1"), []forward.RequestAttempt{{Fingerprint: 2, ID: "b"}})
+		r.report(testUpstream("r", "d1"), brokenOff([]forward.RequestAttempt{{Fingerprint: 2, ID: "b"}}))
 		time.Sleep(time.Second)
 		assert.DeepEqual(t, store.takeWritten(), []string{"2 b"})
 	})
@@ -149,7 +149,7 @@
 			return all
 		}
 		for i, vm := range fleet.vms {
-			vm.crashes.report(u, []forward.RequestAttempt{{Fingerprint: 7, Exact: 70, ID: fmt.Sprint("a", i)}})
+			vm.crashes.report(u, brokenOff([]forward.RequestAttempt{{Fingerprint: 7, Exact: 70, ID: fmt.Sprint("a", i)}}))
 			time.Sleep(time.Second)
 		}
 		assert.DeepEqual(t, verdicts(), []poison.Verdict{poison.Blocked, poison.Blocked, poison.Blocked})
@@ -167,17 +167,25 @@
 		time.Sleep(time.Second)
 		vm.controller.ledger.RecordSuccess(time.Now(), 70)
 		time.Sleep(15 * time.Second) // as long as an unanswered request is kept
-		vm.crashes.report(u, []forward.RequestAttempt{{Fingerprint: 7, Exact: 70, ID: "b", StartedAt: started}, {Fingerprint: 7, Exact: 71, ID: "c", StartedAt: started}})
+		vm.crashes.report(u, brokenOff([]forward.RequestAttempt{{Fingerprint: 7, Exact: 70, ID: "b", StartedAt: started}, {Fingerprint: 7, Exact: 71, ID: "c", StartedAt: started}}))
 		time.Sleep(time.Second)
 		assert.Equal(t, len(fleet.store.copied().objects[memCrashes]), 1, "only the one that has not succeeded since")
 		vm.controller.ledger.RecordSuccess(time.Now(), 70)
 		time.Sleep(time.Millisecond)
-		vm.crashes.report(u, []forward.RequestAttempt{{Fingerprint: 7, Exact: 70, ID: "d", StartedAt: time.Now()}})
+		vm.crashes.report(u, brokenOff([]forward.RequestAttempt{{Fingerprint: 7, Exact: 70, ID: "d", StartedAt: time.Now()}}))
 		time.Sleep(time.Second)
 		assert.Equal(t, len(fleet.store.copied().objects[memCrashes]), 2, "a success before the attempt proves nothing")
 	})
 }
 
+// brokenOff returns attempts that a replica broke off when it ended.
+func brokenOff(attempts []forward.RequestAttempt) (lost []poison.LostAttempt) {
+	for _, a := range attempts {
+		lost = append(lost, poison.LostAttempt{Attempt: a, BrokenOff: true})
+	}
+	return lost
+}
+
 // testUpstream returns a replica that does not run.
 func testUpstream(id, domain string) *forward.Upstream {
 	return &forward.Upstream{Member: &discovery.Member{Replica: discovery.Replica{ID: id, Service: "s", Addr: id + ":1", Domain: domain}}}
@@ -204,6 +212,32 @@
 	assert.DeepEqual(t, newer, discovery.Crash{Fingerprint: 7, Exact: 70, Attempt: "1f", At: at})
 }
 
+// Guards against a query over many shards that is refused after an outage of all replicas
+// that fell silent, and against other requests that a success before them keeps from being
+// counted.
+func TestSuccessBeforeAnAttemptCountsOnlyForSilentReplicasOfManyShards(t *testing.T) {
+	inCrashReporter(t, func(r *crashReporter, _ *crashStore) {
+		ledger := r.controller.ledger
+		ledger.RecordSuccess(time.Now(), 70)
+		for i, test := range []struct {
+			after             time.Duration
+			fanOut, brokenOff bool
+			want              int
+		}{
+			{time.Second, true, false, 0},
+			{time.Second, true, true, 1},
+			{time.Second, false, false, 2},
+			{silentOutageTime, true, false, 3},
+		} {
+			time.Sleep(test.after)
+			lost := poison.LostAttempt{BrokenOff: test.brokenOff}
+			lost.Fingerprint, lost.Exact, lost.ID, lost.StartedAt, lost.FanOut = 7, 70, fmt.Sprint(i), time.Now(), test.fanOut
+			r.report(testUpstream("r", "d1"), []poison.LostAttempt{lost})
+			assert.Equal(t, ledger.Losses(time.Now(), 7), test.want, i)
+		}
+	})
+}
+
 // Guards against a query over many shards that stays refused because silent replicas leave
 // each answer without a shard, though the shards answer in turn, and against one that is
 // cleared by other shards than the one whose replicas it crashes.
@@ -217,8 +251,8 @@
 		a := forward.RequestAttempt{Fingerprint: 7, Exact: 70, ID: "a", StartedAt: time.Now()}
 		b := forward.RequestAttempt{Fingerprint: 7, Exact: 70, ID: "b", StartedAt: time.Now()}
 		reporter := fleet.vms[0].crashes
-		reporter.report(at("t1"), []forward.RequestAttempt{a})
-		reporter.report(at("t2"), []forward.RequestAttempt{b})
+		reporter.report(at("t1"), brokenOff([]forward.RequestAttempt{a}))
+		reporter.report(at("t2"), brokenOff([]forward.RequestAttempt{b}))
 		time.Sleep(time.Second)
 		fleet.vms[1].crashes.withdraw(a, []string{"t2", "t3"})
 		time.Sleep(time.Second)
@@ -227,9 +261,9 @@
 		}
 		c := forward.RequestAttempt{Fingerprint: 7, Exact: 70, ID: "c", StartedAt: time.Now()}
 		fleet.vms[0].controller.ledger.RecordPartialSuccess(time.Now(), 70, []string{"t1"})
-		reporter.report(at("t3"), []forward.RequestAttempt{c})
+		reporter.report(at("t3"), brokenOff([]forward.RequestAttempt{c}))
 		assert.Equal(t, fleet.vms[0].controller.ledger.Losses(time.Now(), 7), 1)
-		reporter.report(at("t1"), []forward.RequestAttempt{{Fingerprint: 7, Exact: 70, ID: "d", StartedAt: time.Now()}})
+		reporter.report(at("t1"), brokenOff([]forward.RequestAttempt{{Fingerprint: 7, Exact: 70, ID: "d", StartedAt: time.Now()}}))
 		assert.Equal(t, fleet.vms[0].controller.ledger.Losses(time.Now(), 7), 2)
 	})
 }
@@ -251,7 +285,7 @@
 			}
 			return append(all, len(fleet.store.copied().objects[memCrashes]))
 		}
-		reporter.report(u, []forward.RequestAttempt{attempt("a")})
+		reporter.report(u, brokenOff([]forward.RequestAttempt{attempt("a")}))
 		reporter.assume(u, attempt("b"))
 		reporter.assume(u, attempt("b"))
 		reporter.assume(u, attempt("c"))
@@ -260,9 +294,9 @@
 		assert.DeepEqual(t, counted(), []int{2, 2, 2, 2})
 		reporter.assume(u, attempt("c"))
 		assert.DeepEqual(t, counted(), []int{2, 2, 2, 2}) // a replica has answered it
-		reporter.report(u, []forward.RequestAttempt{attempt("c")})
+		reporter.report(u, brokenOff([]forward.RequestAttempt{attempt("c")}))
 		assert.DeepEqual(t, counted(), []int{3, 3, 3, 3}) // another one has crashed under it
-		reporter.report(u, []forward.RequestAttempt{attempt("b")})
+		reporter.report(u, brokenOff([]forward.RequestAttempt{attempt("b")}))
 		reporter.refute([]forward.RequestAttempt{attempt("a"), attempt("b")})
 		assert.DeepEqual(t, counted(), []int{3, 3, 3, 3}) // replicas have crashed under both
 		reporter.assume(u, attempt("d"))
--- a/pkg/edge/prober.go
+++ b/pkg/edge/prober.go
@@ -44,7 +44,7 @@
 	// onCold is called when a replica reports how long it stays cold, onCrash
 	// with the requests that were in flight when a replica crashed.
 	onCold  func(u *forward.Upstream, left time.Duration)
-	onCrash func(u *forward.Upstream, suspects []forward.RequestAttempt)
+	onCrash func(u *forward.Upstream, suspects []poison.LostAttempt)
 	// onSuspectSucceeded is called with a request that succeeded though it was in flight
 	// at a crash.
 	onSuspectSucceeded func(attempt forward.RequestAttempt, services []string)
@@ -143,7 +143,7 @@
 // SuspectUnanswered implements forward.Observer.
 func (p *prober) SuspectUnanswered(u *forward.Upstream, sentAt time.Time, attempt forward.RequestAttempt) {
 	p.onSuspectUnanswered(u, attempt)
-	p.addUnanswered(u, sentAt, attempt)
+	p.addUnanswered(u, sentAt, attempt, false)
 }
 
 // SuspectAnswered implements forward.Observer.
@@ -189,7 +189,7 @@
 // and may be cold after its restart, so it is probed at once.
 func (p *prober) RequestInterrupted(u *forward.Upstream, sentAt time.Time, refusal *errs.Refusal, attempt forward.RequestAttempt) {
 	p.recordFailure(u)
-	p.addUnanswered(u, sentAt, attempt)
+	p.addUnanswered(u, sentAt, attempt, true)
 	p.mu.Lock()
 	running, reprobeIn := p.probing[u], p.reprobeIn(u)
 	p.mu.Unlock()
@@ -202,7 +202,7 @@
 
 // RequestUnanswered implements forward.Observer.
 func (p *prober) RequestUnanswered(u *forward.Upstream, sentAt time.Time, attempt forward.RequestAttempt) {
-	p.addUnanswered(u, sentAt, attempt)
+	p.addUnanswered(u, sentAt, attempt, false)
 }
 
 // reprobeIn returns the time until a replica may be probed that has answered a probe
--- a/pkg/edge/unanswered.go
+++ b/pkg/edge/unanswered.go
@@ -13,7 +13,7 @@
 )
 
 // addUnanswered records a request that a replica did not answer.
-func (p *prober) addUnanswered(u *forward.Upstream, sentAt time.Time, attempt forward.RequestAttempt) {
+func (p *prober) addUnanswered(u *forward.Upstream, sentAt time.Time, attempt forward.RequestAttempt, brokenOff bool) {
 	p.mu.Lock()
 	unanswered := p.unanswered[u]
 	if unanswered == nil {
@@ -23,11 +23,11 @@
 	before := unanswered.Attempts()
 	unanswered.Answered(u.Tracker.AnsweredSentAt())
 	cleared := missingFrom(before, unanswered.Attempts())
-	ended := unanswered.Add(time.Now(), sentAt, attempt)
+	ended := unanswered.Add(time.Now(), sentAt, attempt, brokenOff)
 	p.mu.Unlock()
 	p.notCrashed(cleared)
 	if ended {
-		p.onCrash(u, []forward.RequestAttempt{attempt})
+		p.onCrash(u, []poison.LostAttempt{{Attempt: attempt, BrokenOff: brokenOff}})
 	}
 }
 
@@ -35,7 +35,7 @@
 // requests that it did not answer, and reports those under which it has crashed. at is
 // when the probe was sent, or the dial has failed.
 func (p *prober) judge(u *forward.Upstream, at time.Time, refusal *errs.Refusal) {
-	p.decide(u, func(unanswered *poison.Unanswered, now time.Time) []forward.RequestAttempt {
+	p.decide(u, func(unanswered *poison.Unanswered, now time.Time) []poison.LostAttempt {
 		unanswered.Answered(u.Tracker.AnsweredSentAt())
 		switch {
 		case refusal == nil:
@@ -57,7 +57,7 @@
 	for _, u := range p.undecided(func(m *discovery.Member) bool {
 		return m.Born < started.Born && (m.Addr == started.Addr || m.ID == started.ID)
 	}) {
-		p.decide(u, func(unanswered *poison.Unanswered, now time.Time) []forward.RequestAttempt {
+		p.decide(u, func(unanswered *poison.Unanswered, now time.Time) []poison.LostAttempt {
 			return unanswered.Ended(now)
 		})
 	}
@@ -66,7 +66,7 @@
 // entryLapsed tells that the entry of a replica is gone.
 func (p *prober) entryLapsed(id string) {
 	for _, u := range p.undecided(func(m *discovery.Member) bool { return m.ID == id }) {
-		p.decide(u, func(unanswered *poison.Unanswered, now time.Time) []forward.RequestAttempt {
+		p.decide(u, func(unanswered *poison.Unanswered, now time.Time) []poison.LostAttempt {
 			return unanswered.Lapsed(now)
 		})
 	}
@@ -87,7 +87,7 @@
 
 // decide applies a decision to the unanswered requests of a replica, and reports those
 // under which it has crashed.
-func (p *prober) decide(u *forward.Upstream, decision func(*poison.Unanswered, time.Time) []forward.RequestAttempt) {
+func (p *prober) decide(u *forward.Upstream, decision func(*poison.Unanswered, time.Time) []poison.LostAttempt) {
 	p.mu.Lock()
 	unanswered := p.unanswered[u]
 	if unanswered == nil {
@@ -99,13 +99,17 @@
 	crashed := decision(unanswered, time.Now())
 	left := unanswered.Attempts()
 	p.mu.Unlock()
-	cleared := missingFrom(before, slices.Concat(crashed, left))
+	for _, c := range crashed {
+		left = append(left, c.Attempt)
+	}
+	cleared := missingFrom(before, left)
+	undecided := len(left) - len(crashed)
 	p.notCrashed(cleared)
 	if len(crashed) > 0 {
 		p.onCrash(u, crashed)
 	}
-	if len(before) != len(left) || expired > 0 {
-		p.log.WithFields(logrus.Fields{"replica": u.Member.ID, "crashed": len(crashed), "cleared": len(cleared), "expired": expired, "undecided": len(left)}).Info("unanswered requests of a replica decided")
+	if len(before) != undecided || expired > 0 {
+		p.log.WithFields(logrus.Fields{"replica": u.Member.ID, "crashed": len(crashed), "cleared": len(cleared), "expired": expired, "undecided": undecided}).Info("unanswered requests of a replica decided")
 	}
 }
 
--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -169,7 +169,7 @@
 		}
 	}
 	q.attempt = requestAttempt(r, route, q.caller, body, id)
-	q.attempt.StartedAt = start
+	q.attempt.StartedAt, q.attempt.FanOut = start, route.FanOut()
 	q.head = f.requestHead(r)
 	services := route.Shards
 	if !route.FanOut() {
--- a/pkg/forward/relay_test.go
+++ b/pkg/forward/relay_test.go
@@ -362,7 +362,7 @@
 // ID, that all count as one.
 func TestRelayedAttemptOfOlderVersionIsIdentified(t *testing.T) {
 	older := relayedAttempt(&wire.RelayRequest{RequestID: "a", Fingerprint: 7, Exact: 70}, time.Unix(1, 0))
-	assert.Equal(t, older, RequestAttempt{Fingerprint: 7, Exact: 70, ID: "a", RequestID: "a", StartedAt: time.Unix(1, 0)})
+	assert.Equal(t, older, RequestAttempt{Fingerprint: 7, Exact: 70, ID: "a", RequestID: "a", StartedAt: time.Unix(1, 0), FanOut: true})
 	newer := relayedAttempt(&wire.RelayRequest{RequestID: "a", Attempt: "1f", Fingerprint: 7, Exact: 70}, time.Unix(1, 0))
-	assert.Equal(t, newer, RequestAttempt{Fingerprint: 7, Exact: 70, ID: "1f", RequestID: "a", StartedAt: time.Unix(1, 0)})
+	assert.Equal(t, newer, RequestAttempt{Fingerprint: 7, Exact: 70, ID: "1f", RequestID: "a", StartedAt: time.Unix(1, 0), FanOut: true})
 }
--- a/pkg/forward/relayserve.go
+++ b/pkg/forward/relayserve.go
@@ -126,7 +126,7 @@
 // version name only its request ID.
 func relayedAttempt(request *wire.RelayRequest, start time.Time) RequestAttempt {
 	return RequestAttempt{
-		Fingerprint: request.Fingerprint, Exact: request.Exact, RequestID: request.RequestID, StartedAt: start,
+		Fingerprint: request.Fingerprint, Exact: request.Exact, RequestID: request.RequestID, StartedAt: start, FanOut: true,
 		ID: cmp.Or(request.Attempt, request.RequestID),
 	}
 }
--- a/pkg/poison/unanswered.go
+++ b/pkg/poison/unanswered.go
@@ -29,6 +29,8 @@
 	ID string
 	// StartedAt is when this VM began with the attempt.
 	StartedAt time.Time
+	// FanOut is set for a query over many shards.
+	FanOut bool
 	// RequestID is the caller's name for the attempt. Callers may give the same one to
 	// several attempts.
 	RequestID string
@@ -47,10 +49,19 @@
 	endedAt time.Time
 }
 
+// LostAttempt is an attempt under which a replica has ended.
+type LostAttempt struct {
+	Attempt
+	// BrokenOff is set if the replica broke the attempt off. It has then ended with the
+	// attempt in flight; else it may have ended before.
+	BrokenOff bool
+}
+
 // unanswered is a request without an answer.
 type unanswered struct {
-	attempt  Attempt
-	failedAt time.Time
+	attempt   Attempt
+	failedAt  time.Time
+	brokenOff bool
 	// unreachableSince is when no connection could be opened first after the request had
 	// failed, zero if none has failed. Later answers may be those of the next process.
 	unreachableSince time.Time
@@ -58,9 +69,10 @@
 
 func (r unanswered) unreachable() bool { return !r.unreachableSince.IsZero() }
 
-// Add records that a request sent at sentAt was not answered. It reports whether the
+// Add records that a request sent at sentAt was not answered; brokenOff tells that the
+// replica broke it off. It reports whether the
 // process is known to have ended since then; the request is not kept in this case.
-func (u *Unanswered) Add(now, sentAt time.Time, a Attempt) (ended bool) {
+func (u *Unanswered) Add(now, sentAt time.Time, a Attempt, brokenOff bool) (ended bool) {
 	if sentAt.Before(u.endedAt) {
 		return true
 	}
@@ -71,7 +83,7 @@
 	if len(u.requests) >= maxUnanswered {
 		u.requests = u.requests[1:]
 	}
-	u.requests = append(u.requests, unanswered{attempt: a, failedAt: now})
+	u.requests = append(u.requests, unanswered{attempt: a, failedAt: now, brokenOff: brokenOff})
 	return false
 }
 
@@ -87,7 +99,7 @@
 // Unreachable records that no connection to the replica could be opened. networkWorked is
 // the latest time at which the network to the replica's failure domain is known to have
 // worked. The result holds the requests under which the process has ended.
-func (u *Unanswered) Unreachable(now, networkWorked time.Time) []Attempt {
+func (u *Unanswered) Unreachable(now, networkWorked time.Time) []LostAttempt {
 	u.markUnreachable(now)
 	return u.take(now, func(r unanswered) bool {
 		return now.Sub(r.unreachableSince) >= unreachableTime && r.unreachableSince.Before(networkWorked)
@@ -96,7 +108,7 @@
 
 // Refused is Unreachable for an address at which nothing listened. A network that fails
 // may refuse connections too.
-func (u *Unanswered) Refused(now, networkWorked time.Time) []Attempt {
+func (u *Unanswered) Refused(now, networkWorked time.Time) []LostAttempt {
 	u.markUnreachable(now)
 	return u.take(now, func(r unanswered) bool { return r.failedAt.Before(networkWorked) })
 }
@@ -111,27 +123,27 @@
 
 // Lapsed records that the replica's entry has lapsed. A process that neither this VM nor
 // the store has heard of any more has ended.
-func (u *Unanswered) Lapsed(now time.Time) []Attempt {
+func (u *Unanswered) Lapsed(now time.Time) []LostAttempt {
 	return u.take(now, unanswered.unreachable)
 }
 
 // Ended records that the process has certainly ended, for instance because another one
 // has its address.
-func (u *Unanswered) Ended(now time.Time) []Attempt {
+func (u *Unanswered) Ended(now time.Time) []LostAttempt {
 	u.endedAt = now
 	return u.take(now, func(unanswered) bool { return true })
 }
 
 // take removes the requests for which ended holds and returns them. If there is one,
 // the process has ended.
-func (u *Unanswered) take(now time.Time, ended func(unanswered) bool) []Attempt {
+func (u *Unanswered) take(now time.Time, ended func(unanswered) bool) []LostAttempt {
 	u.prune(now)
-	var taken []Attempt
+	var taken []LostAttempt
 	u.requests = slices.DeleteFunc(u.requests, func(r unanswered) bool {
 		if !ended(r) {
 			return false
 		}
-		taken = append(taken, r.attempt)
+		taken = append(taken, LostAttempt{r.attempt, r.brokenOff})
 		return true
 	})
 	if len(taken) > 0 {
