--- a/pkg/poison/unanswered.go
+++ b/pkg/poison/unanswered.go
@@ -166,9 +166,6 @@
 	return attempts
 }
 
-// Len returns the number of requests that are undecided.
-func (u *Unanswered) Len() int { return len(u.requests) }
-
 // Expire drops the requests that no longer count, and returns their number.
 func (u *Unanswered) Expire(now time.Time) int {
 	before := len(u.requests)
