--- a/pkg/edge/crash.go
+++ b/pkg/edge/crash.go
@@ -294,7 +294,7 @@
 }
 
 // writeWaiting writes the waiting reports to the store, each until the store has taken
-// or rejected it. What has turned out to be wrong is removed before each.
+// or rejected it. Reports that were withdrawn or refuted are removed before each.
 func (r *crashReporter) writeWaiting(ctx context.Context) {
 	for {
 		r.withdrawSucceeded(ctx)
