forward, routes: route a request by the path that is sent

Cause: the route was selected by net/http's decoded path, while the replica got the path as it came. The fingerprint used a third reading, the target as received.

Ruled out: the replicas' reading; the case's replicas take the path as sent.

Change: one value, routes.Target, is read once from the request target and Host and selects the route, makes the fingerprint and is sent. Paths are compared segment by segment, so an encoded slash is data (RFC 3986, 2.2). A path that selects another route as bytes, or without its dot segments, is refused with 400, and so are targets without a path, with a fragment, credentials or another scheme, ports that are no number, and X-Request-Id or X-Deadline-Ms with two values. An absolute form is sent in origin form by its own bytes. A deadline beyond the route's timeout is cut before its conversion, which yielded the past on x86-64 above 9.2e12 ms and the far future on arm64. "OPTIONS *" is no longer answered 200 by net/http itself.

Fingerprints of requests in origin form are as before, so builds agree on them.

--- a/pkg/edge/callers.go
+++ b/pkg/edge/callers.go
@@ -56,6 +56,8 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		// The server would answer "OPTIONS *" itself, with a success.
+		DisableGeneralOptionsHandler: true,
 	}
 	if err := serve(scope, s.server, s.settings.CallersAddr); err != nil {
 		return err
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/http"
-	"strings"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/model"
 	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
@@ -15,12 +13,11 @@
 // requestAttempt identifies an attempt of a request by what all attempts have in common:
 // the host of its route, the caller's address, the method, the path and the body. The
 // query string may differ between attempts.
-func requestAttempt(r *http.Request, route *routes.Route, caller string, body []byte, id string) RequestAttempt {
-	path, _, _ := strings.Cut(r.RequestURI, "?")
+func requestAttempt(method string, target routes.Target, route *routes.Route, caller string, body []byte, id string) RequestAttempt {
 	from := model.ServiceID(route.Host + " " + caller)
 	return RequestAttempt{
-		Fingerprint: poison.Fingerprint(from, r.Method+" "+path, body),
-		Exact:       poison.Fingerprint(from, "exact "+r.Method+" "+r.RequestURI, body),
+		Fingerprint: poison.Fingerprint(from, method+" "+target.Path, body),
+		Exact:       poison.Fingerprint(from, "exact "+method+" "+target.URI, body),
 		ID:          newAttemptID(),
 		RequestID:   id,
 	}
--- a/pkg/forward/elsewhere_test.go
+++ b/pkg/forward/elsewhere_test.go
@@ -106,7 +106,7 @@
 	request, err := http.NewRequest("GET", "/p/bad", nil)
 	assert.NilError(t, err)
 	request.RequestURI, request.Host = "/p/bad", "h.example"
-	attempt := requestAttempt(request, other.table.Routes[0], "127.0.0.1", nil, "")
+	attempt := requestAttempt(request.Method, targetOf(request), other.table.Routes[0], "127.0.0.1", nil, "")
 	for _, id := range []string{"a", "b", "c"} {
 		other.ledger.RecordLoss(time.Now(), "", id, []uint64{attempt.Fingerprint})
 	}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -193,13 +193,18 @@
 	if f.closeConnections.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	id := r.Header.Get(f.headers.RequestID)
-	match, refusal := f.matchRoute(r)
+	head, refusal := f.readHead(r)
+	id := head.id
 	if refusal != nil {
 		f.refuse(w, id, "", start, refusal)
 		return
 	}
-	q, refusal := f.readQuery(w, r, id, match, start)
+	match, refusal := f.matchRoute(head.target)
+	if refusal != nil {
+		f.refuse(w, id, "", start, refusal)
+		return
+	}
+	q, refusal := f.readQuery(w, r, head, match, start)
 	if refusal != nil {
 		f.refuse(w, id, match.Name, start, refusal)
 		return
@@ -238,14 +243,17 @@
 }
 
 // matchRoute returns the route of a request.
-func (f *Forwarder) matchRoute(r *http.Request) (routeMatch, *errs.Refusal) {
+func (f *Forwarder) matchRoute(target routes.Target) (routeMatch, *errs.Refusal) {
 	view := f.view.Load()
 	if view == nil || view.Table == nil {
 		return routeMatch{}, errs.Refuse(errs.NotReady, "no configuration is known yet").WithRetryAfter(notReadyRetryAfter)
 	}
-	route := view.Table.Match(r.Host, r.URL.Path)
+	route, refusal := view.Table.Match(target)
+	if refusal != nil {
+		return routeMatch{}, refusal
+	}
 	if route == nil {
-		return routeMatch{}, errs.Refuse(errs.UnknownService, "no route for host %q path %q in version %d", r.Host, r.URL.Path, view.Table.Version)
+		return routeMatch{}, errs.Refuse(errs.UnknownService, "no route for host %q path %q in version %d", target.Host, target.Path, view.Table.Version)
 	}
 	return routeMatch{Route: route, view: view}, nil
 }
@@ -260,7 +268,7 @@
 // readQuery reads a request, whose size must be within the configured limits, and
 // returns its query. A request that is blocked because it crashed replicas is
 // refused.
-func (f *Forwarder) readQuery(w http.ResponseWriter, r *http.Request, id string, match routeMatch, start time.Time) (*query, *errs.Refusal) {
+func (f *Forwarder) readQuery(w http.ResponseWriter, r *http.Request, head callerHead, match routeMatch, start time.Time) (*query, *errs.Refusal) {
 	limits := match.view.Table.Limits
 	if n := requestHeadBytes(r); limits.HeaderBytes > 0 && n > limits.HeaderBytes {
 		return nil, errs.Refuse(errs.HeaderTooLarge, "head of %d bytes exceeds %d", n, limits.HeaderBytes)
@@ -269,7 +277,7 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	q := f.newQuery(r, id, body, match.view, match.Route, start)
+	q := f.newQuery(r, head, body, match.view, match.Route, start)
 	if q.poisonVerdict = f.ledger.Check(start, q.attempt.Fingerprint); q.poisonVerdict == poison.Blocked {
 		return nil, crashRefusal()
 	}
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -228,3 +228,12 @@
 
 // record returns a 16-byte record that begins with the given character.
 func record(first string) string { return first + strings.Repeat(".", 15) }
+
+// targetOf returns the target of a request as a replica gets it.
+func targetOf(r *http.Request) routes.Target {
+	target, refusal := routes.ParseTarget(r.Host, r.RequestURI)
+	if refusal != nil {
+		panic(refusal)
+	}
+	return target
+}
--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -153,10 +153,10 @@
 	refusal *errs.Refusal
 }
 
-func (f *Forwarder) newQuery(r *http.Request, id string, body []byte, view *View, route *routes.Route, start time.Time) *query {
+func (f *Forwarder) newQuery(r *http.Request, head callerHead, body []byte, view *View, route *routes.Route, start time.Time) *query {
 	q := &query{
-		forwarder: f, id: id, method: r.Method, body: body, view: view, route: route, start: start,
-		deadline:    start.Add(requestTimeout(r.Header.Get(f.headers.Deadline), route)),
+		forwarder: f, id: head.id, method: r.Method, body: body, view: view, route: route, start: start,
+		deadline:    start.Add(requestTimeout(head.deadline, route)),
 		hedgePolicy: view.HedgeDelays[route.Name],
 		caller:      callerAddr(r.RemoteAddr),
 		holding:     f.memory.NewHolding(),
@@ -168,9 +168,9 @@
 			q.cutoff = forwarded.cutoff
 		}
 	}
-	q.attempt = requestAttempt(r, route, q.caller, body, id)
+	q.attempt = requestAttempt(r.Method, head.target, route, q.caller, body, head.id)
 	q.attempt.StartedAt, q.attempt.FanOut = start, route.FanOut()
-	q.head = f.requestHead(r)
+	q.head = f.requestHead(r, head)
 	services := route.Shards
 	if !route.FanOut() {
 		services = []string{route.Pick(randomFraction())}
@@ -191,10 +191,12 @@
 		limit = defaultTimeout
 	}
 	ms, err := strconv.ParseFloat(deadlineHeader, 64)
-	if err != nil || ms < 0 || math.IsNaN(ms) {
+	// A greater number than that of the limit may not fit into a Duration, and what its
+	// conversion then yields differs between processors.
+	if err != nil || ms < 0 || math.IsNaN(ms) || ms >= float64(limit)/float64(time.Millisecond) {
 		return limit
 	}
-	return min(limit, time.Duration(ms*float64(time.Millisecond)))
+	return time.Duration(ms * float64(time.Millisecond))
 }
 
 // isBlocked reports whether the request is known to crash replicas. Other VMs may report
--- a/pkg/forward/relay_test.go
+++ b/pkg/forward/relay_test.go
@@ -345,7 +345,7 @@
 func TestRelayedRequestThatCrashesReplicasIsRefused(t *testing.T) {
 	inRelayFleet(t, 0.5, func(r *relayFleet) {
 		request := httptest.NewRequest("GET", "http://h.example/a/x", nil)
-		fp := requestAttempt(request, r.view.Table.Routes[0], callerAddr(request.RemoteAddr), nil, "").Fingerprint
+		fp := requestAttempt(request.Method, targetOf(request), r.view.Table.Routes[0], callerAddr(request.RemoteAddr), nil, "").Fingerprint
 		for _, id := range []string{"x", "y", "z"} {
 			r.far.forwarder.ledger.RecordLoss(time.Now(), "", id, []uint64{fp})
 		}
--- a/pkg/routes/routes.go
+++ b/pkg/routes/routes.go
@@ -87,17 +87,18 @@
 	Limits   Limits
 	Routes   []*Route
 	Services map[string]*Service
-	// hosts maps a host name in lower case to its routes, the longest prefix first.
-	hosts map[string][]*Route
+	// hosts maps a host name in lower case to its routes.
+	hosts map[string]*hostRoutes
 }
 
 // NewTable indexes the routes of one version. It fails with an *errs.Refusal that
 // names the first route without a host, a valid path prefix or a service.
 func NewTable(version uint64, limits Limits, all []*Route, services []*Service) (*Table, error) {
-	t := &Table{Version: version, Limits: limits, Routes: all, Services: map[string]*Service{}, hosts: map[string][]*Route{}}
+	t := &Table{Version: version, Limits: limits, Routes: all, Services: map[string]*Service{}, hosts: map[string]*hostRoutes{}}
 	for _, s := range services {
 		t.Services[s.Name] = s
 	}
+	byHost := map[string][]*Route{}
 	for _, r := range all {
 		if r.Host == "" || !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
 			return nil, errs.Refuse(errs.SettingsInvalid, "route %q: host %q and prefix %q select nothing", r.Name, r.Host, r.Prefix)
@@ -107,33 +108,16 @@
 		}
 		r.Attempts = max(1, r.Attempts)
 		r.shardSetKey = strings.Join(r.Shards, ",")
-		host := strings.ToLower(r.Host)
-		t.hosts[host] = append(t.hosts[host], r)
+		host := strings.ToLower(strings.TrimSuffix(r.Host, "."))
+		byHost[host] = append(byHost[host], r)
 	}
-	for _, list := range t.hosts {
+	for host, list := range byHost {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+		t.hosts[host] = newHostRoutes(list)
 	}
 	return t, nil
 }
 
-// Match returns the route of a request, or nil. The port in host is ignored. If
-// several prefixes match the path, the longest is used.
-func (t *Table) Match(host, path string) *Route {
-	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
-		host = host[:i]
-	}
-	list, ok := t.hosts[host]
-	if !ok {
-		list = t.hosts[strings.ToLower(host)]
-	}
-	for _, r := range list {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r
-		}
-	}
-	return nil
-}
-
 // Pick returns the service for one request, given a random number draw from the
 // uniform distribution on [0, 1). If no weight is positive, all services are equally
 // likely.
--- a/pkg/routes/routes_test.go
+++ b/pkg/routes/routes_test.go
@@ -34,7 +34,9 @@
 		{"a.example", "/x", ""},
 	} {
 		got := ""
-		if r := built.Match(c.host, c.path); r != nil {
+		r, refusal := built.Match(Target{Host: c.host, Path: c.path})
+		assert.Assert(t, refusal == nil)
+		if r != nil {
 			got = r.Name
 		}
 		assert.Equal(t, got, c.want, "%s %s", c.host, c.path)
