forward: promise only what is known in final answers

What callers saw: a request that is not idempotent and had run was answered 503, a replica's own failure without the mark that it did not run.

Cause: a replica's status was passed on whatever it said. Only refusals of the VM were changed to 502 where the request may have run.

Ruled out: the routes' attempts and retries; each request reached one replica.

A replica's 408, 429 or 503 that does not say that the request did not run becomes a 502 of the VM, without the receipt, if the route is not idempotent. An answer that an older VM passes on is told by its receipt. Idempotent requests get the status unchanged (decision 0022).

--- a/pkg/forward/elsewhere.go
+++ b/pkg/forward/elsewhere.go
@@ -106,6 +106,12 @@
 		switch {
 		case refusal == nil && reply.Header.Get(notTaken) == "":
 			q.answeredBy = h.Peer.VM
+			if refusal := q.passedOn(&reply, fromOtherVM, "VM "+h.Peer.VM); refusal != nil {
+				if stream != nil {
+					stream.end(refusal)
+				}
+				return nil, refusal, true
+			}
 			r := responseFrom(&reply)
 			r.stream = stream
 			return r, nil, true
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -316,24 +316,6 @@
 	_, _ = w.Write([]byte(content))
 }
 
-// refusalStatus returns the HTTP status of a refusal. 503 tells the caller that
-// the request did not run, so a request that may have run is never answered with
-// it.
-func refusalStatus(refusal *errs.Refusal) int {
-	code := refusal.HTTPStatus()
-	if refusal.Code == errs.Poisoned {
-		// A 4xx status would tell the caller that its request is invalid.
-		return http.StatusServiceUnavailable
-	}
-	if refusal.RunState == errs.MayHaveRun && (code == http.StatusServiceUnavailable || code == http.StatusTooManyRequests) {
-		return http.StatusBadGateway
-	}
-	if refusal.RunState == errs.DidNotRun && (code == http.StatusBadGateway || code == http.StatusGatewayTimeout) {
-		return http.StatusServiceUnavailable
-	}
-	return code
-}
-
 // requestHeadBytes returns the length of the request line and the header fields as
 // they are sent, with a colon, a space and a line end for each field.
 func requestHeadBytes(r *http.Request) int {
--- a/pkg/forward/outcome.go
+++ b/pkg/forward/outcome.go
@@ -52,6 +52,10 @@
 		}
 	}()
 	success := reply.Status >= 200 && reply.Status < 300
+	var notPassedOn *errs.Refusal
+	if !success && !q.route.FanOut() {
+		notPassedOn = q.passedOn(&reply, fromReplica, r.upstream.Member.ID)
+	}
 	switch {
 	case s.answered:
 		// Another send was faster. The records of a shard must not be merged twice.
@@ -60,6 +64,8 @@
 		if q.route.Idempotent {
 			q.retry(now, s, true)
 		}
+	case notPassedOn != nil:
+		s.refusal = notPassedOn
 	case success || (reply.Status < http.StatusInternalServerError && !q.route.FanOut()):
 		accepted = true
 		s.answered, s.reply, s.stream = true, &reply, r.stream
