forward, edge: send by the view in force, not by that of the head

Cause: routes, replicas and the verdict on crashing requests were read when the head was in, and used after something that takes time. The class, each wait between a read of the view and a send: the body; admission; the queue for a connection; dialling; hedges and retries. A relayed or forwarded request is decided by the other VM when it arrives there, after its own waits in the same code.

Ruled out: Server-Leaving; no answer of the replica reached the VM in between.

Change: the route is matched again when the body is in, the verdict is read then and after admission, and each send picks among the replicas of the view in force. A replica that is no longer usable is withdrawn on its own state, which all views share, so it is not picked from any; replicas of a service that the configuration has dropped are watched for that until they leave. After the waits for a connection, and before a byte is written, replica and verdict are checked again.

A query over many shards keeps its route, as all parts come from one version.

--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -75,6 +75,9 @@
 	// lostLimits holds the IDs of those that the store has lost.
 	lostLimits map[string]bool
 	upstreams  map[replicaKey]*forward.Upstream
+	// formerUpstreams holds usable replicas of services that the configuration no longer
+	// has. Requests that began before may still be sent to them.
+	formerUpstreams map[replicaKey][]*forward.Upstream
 	// relayPeers holds the VMs to which requests are relayed.
 	relayPeers map[discovery.VM]*relay.Peer
 	// retryBudgets holds the budget for extra sends of each service by name.
@@ -98,6 +101,7 @@
 		limits:          map[string]discovery.RequestLimit{},
 		lostLimits:      map[string]bool{},
 		upstreams:       map[replicaKey]*forward.Upstream{},
+		formerUpstreams: map[replicaKey][]*forward.Upstream{},
 		relayPeers:      map[discovery.VM]*relay.Peer{},
 		retryBudgets:    map[string]*hedge.Policy{},
 		hedgePolicies:   map[string]*hedge.Policy{},
@@ -150,12 +154,7 @@
 		}
 		v.ReplicaSets[name] = replicaSet
 	}
-	for k, u := range s.upstreams {
-		if !current[k] {
-			u.Pool.Close()
-			delete(s.upstreams, k)
-		}
-	}
+	s.removeUpstreams(current, members)
 	for _, r := range s.table().Routes {
 		policy, ok := s.hedgePolicies[r.Name]
 		if !ok {
@@ -167,6 +166,37 @@
 	return v
 }
 
+// removeUpstreams removes the replicas that are not among the current ones, and withdraws
+// those that are no longer usable: requests that began before know them still.
+func (s *state) removeUpstreams(current map[replicaKey]bool, members map[string][]*discovery.Member) {
+	for k, u := range s.upstreams {
+		if !current[k] {
+			u.Pool.Close()
+			delete(s.upstreams, k)
+			s.formerUpstreams[k] = append(s.formerUpstreams[k], u)
+		}
+	}
+	if len(s.formerUpstreams) == 0 {
+		return
+	}
+	usable := map[replicaKey]bool{}
+	for _, list := range members {
+		for _, m := range list {
+			usable[replicaKeyOf(m)] = true
+		}
+	}
+	for k, list := range s.formerUpstreams {
+		if usable[k] {
+			continue
+		}
+		for _, u := range list {
+			u.Tracker.Withdraw()
+			s.log.WithFields(logrus.Fields{"replica": u.Member.ID, "service": u.Member.Service, "addr": u.Member.Addr, "revision": u.Member.Revision}).Info("replica withdrawn: it drains, has left or is out of service")
+		}
+		delete(s.formerUpstreams, k)
+	}
+}
+
 // currentRelayPeers returns the VMs to which this VM relays requests. It closes the
 // connections to the others.
 func (s *state) currentRelayPeers() []*relay.Peer {
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -200,15 +200,26 @@
 		return
 	}
 	match, refusal := f.matchRoute(head.target)
-	if refusal != nil {
+	if refusal != nil { // its body is not needed
 		f.refuse(w, id, "", start, refusal)
 		return
 	}
-	q, refusal := f.readQuery(w, r, head, match, start)
+	body, refusal := readRequest(w, r, match.view.Table.Limits)
 	if refusal != nil {
 		f.refuse(w, id, match.Name, start, refusal)
 		return
 	}
+	// The body may have taken seconds, in which the routes may have changed.
+	if match, refusal = f.matchRoute(head.target); refusal != nil {
+		f.refuse(w, id, "", start, refusal)
+		return
+	}
+	q := f.newQuery(r, head, body, match.view, match.Route, start)
+	if q.isBlocked(time.Now()) {
+		f.refuse(w, id, match.Name, start, crashRefusal())
+		return
+	}
+	q.recordPrimarySends()
 	if f.stop.tooLate(time.Now(), match.Target) {
 		f.refuse(w, id, match.Name, start, stopRefusal())
 		return
@@ -217,7 +228,8 @@
 		f.refuse(w, id, match.Name, start, refusal)
 		return
 	}
-	if q.isBlocked(time.Now()) { // it may have waited
+	// It may have waited, and it may have become a suspect or blocked meanwhile.
+	if q.poisonVerdict = f.ledger.Check(time.Now(), q.attempt.Fingerprint); q.poisonVerdict == poison.Blocked {
 		q.releaseAdmission()
 		f.refuse(w, id, match.Name, start, crashRefusal())
 		return
@@ -258,31 +270,22 @@
 	return routeMatch{Route: route, view: view}, nil
 }
 
-// routeMatch is the route of a request with the view that contains it. The request
-// uses both until it ends, even if the view is replaced.
+// routeMatch is the route of a request with the view that contains it. A request keeps
+// the route from its first send on, even if the view is replaced: all parts of an answer
+// come from the shards of one version. Its replicas are those of the view in force at
+// each send.
 type routeMatch struct {
 	*routes.Route
 	view *View
 }
 
-// readQuery reads a request, whose size must be within the configured limits, and
-// returns its query. A request that is blocked because it crashed replicas is
-// refused.
-func (f *Forwarder) readQuery(w http.ResponseWriter, r *http.Request, head callerHead, match routeMatch, start time.Time) (*query, *errs.Refusal) {
-	limits := match.view.Table.Limits
+// readRequest returns the body of a request, whose size must be within the configured
+// limits.
+func readRequest(w http.ResponseWriter, r *http.Request, limits routes.Limits) ([]byte, *errs.Refusal) {
 	if n := requestHeadBytes(r); limits.HeaderBytes > 0 && n > limits.HeaderBytes {
 		return nil, errs.Refuse(errs.HeaderTooLarge, "head of %d bytes exceeds %d", n, limits.HeaderBytes)
 	}
-	body, refusal := readBody(w, r, limits)
-	if refusal != nil {
-		return nil, refusal
-	}
-	q := f.newQuery(r, head, body, match.view, match.Route, start)
-	if q.poisonVerdict = f.ledger.Check(start, q.attempt.Fingerprint); q.poisonVerdict == poison.Blocked {
-		return nil, crashRefusal()
-	}
-	q.recordPrimarySends()
-	return q, nil
+	return readBody(w, r, limits)
 }
 
 // crashRefusal returns the refusal of a request that crashes replicas.
--- a/pkg/forward/plan.go
+++ b/pkg/forward/plan.go
@@ -104,6 +104,7 @@
 	usableShards, expectedAnswers := 0, 0.0
 	q.isolated = q.forwarder.isolated.Load()
 	for i, s := range q.shards {
+		q.useCurrentReplicas(s)
 		if s.replicas == nil {
 			continue
 		}
--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -52,10 +52,11 @@
 	method    string
 	head      []byte // of every send, without the header fields of sendHead
 	body      []byte
-	view      *View
-	route     *routes.Route
-	start     time.Time
-	deadline  time.Time
+	// view is the one by which the route was chosen.
+	view     *View
+	route    *routes.Route
+	start    time.Time
+	deadline time.Time
 	// cutoff is the time after start at which a response that lacks some shards is
 	// better than a late one.
 	cutoff        time.Duration
@@ -359,7 +360,7 @@
 	silent := q.silentRelays()
 	for peer := range silent {
 		if q.hedgeRounds > 1 {
-			q.view.relayFailed(peer)
+			q.forwarder.view.Load().relayFailed(peer)
 		}
 	}
 	for _, s := range q.shards {
--- a/pkg/forward/relaysend.go
+++ b/pkg/forward/relaysend.go
@@ -36,7 +36,8 @@
 		q.sendDirect(now, q.shards)
 		return
 	}
-	groups, direct := planRelays(now, q.usualLatency(), q.shards, q.view.RelayPeers, int(randomFraction()*float64(len(q.view.RelayPeers)+1)))
+	peers := q.forwarder.view.Load().RelayPeers
+	groups, direct := planRelays(now, q.usualLatency(), q.shards, peers, int(randomFraction()*float64(len(peers)+1)))
 	for i := range groups {
 		q.sendThrough(now, &groups[i])
 	}
@@ -86,7 +87,7 @@
 			return
 		}
 		if q.ctx.Err() == nil {
-			q.view.relayFailed(g.peer)
+			q.forwarder.view.Load().relayFailed(g.peer)
 		}
 		q.results <- sendResult{relay: &relayOutcome{group: g, refusal: refusal}}
 	}()
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -19,9 +19,19 @@
 // as attempts.
 const maxExtraSends = 4
 
+// useCurrentReplicas replaces the replicas of a shard by those of the view in force. A
+// service that this no longer has keeps those that it had when the query began, without
+// the withdrawn ones.
+func (q *query) useCurrentReplicas(s *shard) {
+	if current := q.forwarder.view.Load().ReplicaSets[s.service]; current != nil {
+		s.replicas = current
+	}
+}
+
 // sendToCheapest sends the request to the replica of a shard with the lowest cost.
 // It reports false if no replica is available or no send is worthwhile any more.
 func (q *query) sendToCheapest(now time.Time, s *shard) bool {
+	q.useCurrentReplicas(s)
 	if s.replicas == nil || q.deadline.Sub(now) < minTimeToSend || len(s.tried) >= q.route.Attempts+maxExtraSends {
 		return false
 	}
@@ -45,6 +55,7 @@
 // sendExtra is sendToCheapest for a hedge or a retry, which takeBudget takes from
 // the budget of the shard.
 func (q *query) sendExtra(now time.Time, s *shard, takeBudget func(*hedge.Policy) error) bool {
+	q.useCurrentReplicas(s)
 	if s.replicas == nil || s.replicas.cheapest(now, q.usualLatency(), s.tried) == nil {
 		return false
 	}
@@ -65,7 +76,7 @@
 	u.Tracker.CountSend(kind)
 	call := exchange.Call{
 		Method: q.method, Head: q.forwarder.sendHead(q.head, u, q.sendDeadline(start).Sub(start)), Body: q.body,
-		IDHeader: q.forwarder.headers.RequestID, ID: q.id, Holding: q.holding, Check: refuseUnwanted(u),
+		IDHeader: q.forwarder.headers.RequestID, ID: q.id, Holding: q.holding, Check: q.forwarder.checkSend(u, q.attempt.Fingerprint),
 	}
 	if !q.route.Idempotent {
 		call.MaxIdleTime = maxIdleNonIdempotent
@@ -150,7 +161,7 @@
 	case refusal.Code == errs.MemoryLimit:
 		u.Tracker.End(now, start, replica.Abandoned)
 		f.log.WithFields(logrus.Fields{"id": attempt.RequestID, "replica": u.Member.ID, "detail": refusal.Detail}).Warn("response of a replica dropped: no memory left to buffer it")
-	case refusal.Code == errs.UpstreamDraining:
+	case refusal.Code == errs.UpstreamDraining || refusal.Code == errs.Poisoned: // checkSend has kept it back
 		u.Tracker.End(now, start, replica.Abandoned)
 	case refusal.RunState == errs.DidNotRun:
 		u.Tracker.End(now, start, replica.Failed)
--- a/pkg/forward/told.go
+++ b/pkg/forward/told.go
@@ -10,6 +10,7 @@
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/exchange"
+	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
 	"github.com/nutmeghitch/nutmeghitch/pkg/replica"
 	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
 )
@@ -58,13 +59,20 @@
 	}
 }
 
-// refuseUnwanted returns what keeps a request from being sent to a replica that has said
-// meanwhile that it wants none, nil if it may be sent.
-func refuseUnwanted(u *Upstream) func() *errs.Refusal {
+// checkSend returns what keeps a request from being written to a replica that was picked
+// for it, nil if it may be written. It is asked after the waits for a connection, in which
+// the replica may have been withdrawn, or the request have crashed others.
+func (f *Forwarder) checkSend(u *Upstream, fingerprint uint64) func() *errs.Refusal {
 	return func() *errs.Refusal {
-		if u.Tracker.Wants(time.Now()) {
-			return nil
+		now := time.Now()
+		switch {
+		case u.Tracker.Withdrawn():
+			return errs.Refuse(errs.UpstreamDraining, "%s drains, has left or is out of service", u.Member.ID)
+		case !u.Tracker.Wants(now):
+			return errs.Refuse(errs.UpstreamDraining, "%s leaves or wants a pause", u.Member.ID)
+		case f.ledger.Check(now, fingerprint) == poison.Blocked:
+			return crashRefusal()
 		}
-		return errs.Refuse(errs.UpstreamDraining, "%s leaves or wants a pause", u.Member.ID)
+		return nil
 	}
 }
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -68,8 +68,11 @@
 	answeredSentAt time.Time
 	down           bool
 	told           Told
-	coldLimit      coldLimiter
-	requestLimit   requestLimit
+	// withdrawn is set once the replica is no longer among those that requests may be
+	// sent to.
+	withdrawn    bool
+	coldLimit    coldLimiter
+	requestLimit requestLimit
 }
 
 // NewTracker returns the tracker of a replica of which nothing has been observed.
@@ -238,7 +241,7 @@
 // usable reports whether the replica is reachable and its limits allow a request
 // now. t.mu is held.
 func (t *Tracker) usable(now time.Time) bool {
-	return !t.down && t.told.wants(now) && (!now.Before(t.coldLimit.until) || t.coldLimit.hasRoom(now)) && t.requestLimit.hasRoom(now)
+	return !t.down && !t.withdrawn && t.told.wants(now) && (!now.Before(t.coldLimit.until) || t.coldLimit.hasRoom(now)) && t.requestLimit.hasRoom(now)
 }
 
 // expectedLatency implements ExpectedLatency. t.mu is held.
--- a/pkg/replica/told.go
+++ b/pkg/replica/told.go
@@ -41,4 +41,20 @@
 	return t.told.wants(now)
 }
 
+// Withdraw records that no more requests may be sent to the replica: it drains, it has
+// left, or its failure domain was taken out of service. Requests that began before and
+// still know it are kept from it.
+func (t *Tracker) Withdraw() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.withdrawn = true
+}
+
+// Withdrawn reports whether Withdraw was called.
+func (t *Tracker) Withdrawn() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.withdrawn
+}
+
 func (t Told) wants(now time.Time) bool { return !t.Leaving && !now.Before(t.PausedUntil) }
