forward: write the time left and the end of a connection as they are at the write

Read off the code while looking for beliefs that are used after a wait, and shown by tests.

Cause: the deadline of a send was computed before the wait for a connection. After a dial of 2 s a replica was handed 5,000 ms where 3,000 were left. "Connection: close" was decided when the head was read, so a caller whose request was in progress when a stop began kept its connection to the VM.

Change: the header fields that differ between sends are appended when the request is written, also for relayed and forwarded requests, and the connection's end is decided when the answer is written.

Before: TestDeadlineIsThatOfTheWrite saw 5,000; TestConnectionsAreClosedByTheStateAtTheAnswer saw no "close". After: both pass.

--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -34,6 +34,9 @@
 	// Head is the request line and the header lines, without Content-Length and
 	// without the empty line at the end.
 	Head []byte
+	// AppendFields appends further header lines when the request is written, which may be
+	// long after Do was called; nil appends none.
+	AppendFields func(b []byte) []byte
 	// Body is sent with a Content-Length header unless it is nil.
 	Body []byte
 	// IDHeader is the name of the header that replicas copy from the request into
@@ -146,6 +149,9 @@
 // goroutine while the response is read; the channel then receives the result.
 func (c *conn) send(call Call) (<-chan error, error) {
 	b := append(c.scratch[:0], call.Head...)
+	if call.AppendFields != nil {
+		b = call.AppendFields(b)
+	}
 	if call.Body != nil {
 		b = append(b, "Content-Length: "...)
 		b = strconv.AppendInt(b, int64(len(call.Body)), 10)
--- a/pkg/forward/elsewhere.go
+++ b/pkg/forward/elsewhere.go
@@ -153,7 +153,7 @@
 	go func() {
 		streaming := false
 		call := exchange.Call{
-			Method: q.method, Head: q.forwardHead(time.Now()), Body: q.body,
+			Method: q.method, Head: q.head, AppendFields: q.forwardFields, Body: q.body,
 			IDHeader: q.forwarder.headers.RequestID, ID: q.id, Holding: q.holding,
 			StreamResponse: func(reply exchange.Reply, rest io.Reader) error {
 				streaming = true
@@ -174,19 +174,12 @@
 	return r.reply, r.stream, r.refusal
 }
 
-// forwardHead returns the head of the request to another VM.
-func (q *query) forwardHead(now time.Time) []byte {
-	b := append(make([]byte, 0, len(q.head)+256), q.head...)
-	field := func(name string, value int64) {
-		b = append(b, name...)
-		b = append(b, ": "...)
-		b = strconv.AppendInt(b, value, 10)
-		b = append(b, "\r\n"...)
-	}
-	field(q.forwarder.headers.Deadline, max(1, q.deadline.Sub(now).Milliseconds()))
-	field(forwardedVersion, int64(q.view.Table.Version))
+// forwardFields appends the header lines for another VM.
+func (q *query) forwardFields(b []byte) []byte {
+	b = appendMilliseconds(b, q.forwarder.headers.Deadline, time.Until(q.deadline))
+	b = appendNumber(b, forwardedVersion, int64(q.view.Table.Version))
 	if q.route.FanOut() {
-		field(forwardedCutoff, max(1, q.start.Add(q.cutoff).Sub(now).Milliseconds()))
+		b = appendMilliseconds(b, forwardedCutoff, time.Until(q.start.Add(q.cutoff)))
 	}
 	return append(b, forwardedCaller+": "+q.caller+"\r\n"...)
 }
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -190,9 +190,6 @@
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
-	if f.closeConnections.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	head, refusal := f.readHead(r)
 	id := head.id
 	if refusal != nil {
@@ -246,14 +243,27 @@
 	f.metrics.requestLatency.RecordDuration(time.Since(start))
 	if response.stream == nil {
 		q.recordSuccess(response)
-		response.write(w)
+		f.writeResponse(w, response)
 		return
 	}
-	response.write(w)
+	f.writeResponse(w, response)
 	q.forwardStream(r.Context(), w, response.stream) // does not return if the rest is not complete
 	q.recordSuccess(response)
 }
 
+// setConnection asks the caller to close its connection if it should connect to another
+// VM. It is called when the answer is written: the request may have taken long.
+func (f *Forwarder) setConnection(w http.ResponseWriter) {
+	if f.closeConnections.Load() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
+func (f *Forwarder) writeResponse(w http.ResponseWriter, r *response) {
+	f.setConnection(w)
+	r.write(w)
+}
+
 // matchRoute returns the route of a request.
 func (f *Forwarder) matchRoute(target routes.Target) (routeMatch, *errs.Refusal) {
 	view := f.view.Load()
@@ -303,6 +313,7 @@
 
 func (f *Forwarder) writeRefusal(w http.ResponseWriter, id string, refusal *errs.Refusal) {
 	f.metrics.refusals.Inc(1)
+	f.setConnection(w)
 	h := w.Header()
 	if id != "" {
 		h.Set(f.headers.RequestID, id)
--- a/pkg/forward/oldview_test.go
+++ b/pkg/forward/oldview_test.go
@@ -150,3 +150,32 @@
 		assert.Assert(t, !slow.Tracker.Down() && slow.Tracker.FailureRate(time.Now()) == 0)
 	})
 }
+
+// Guards against a replica that is handed more time than is left, because the request
+// waited for a connection to it.
+func TestDeadlineIsThatOfTheWrite(t *testing.T) {
+	inVirtualTime(t, singleRoute(false), func(v *virtualTier) {
+		r := v.addReplica("s", "r", 0, always(time.Millisecond))
+		r.dialTime = 2 * time.Second
+		assert.Equal(t, v.send(nil, "/p/x", "1").Code, 200)
+		assert.Equal(t, r.leftMS.Load(), int64(3000))
+		assert.Equal(t, v.post("/p/x", "2", 500*time.Millisecond, func() {}), 200)
+		assert.Equal(t, r.leftMS.Load(), int64(4500))
+	})
+}
+
+// Guards against a caller that keeps its connection to a VM that stops, because the stop
+// began while its request was in progress.
+func TestConnectionsAreClosedByTheStateAtTheAnswer(t *testing.T) {
+	inVirtualTime(t, singleRoute(false), func(v *virtualTier) {
+		v.addReplica("s", "r", 0, always(time.Second))
+		go func() {
+			time.Sleep(500 * time.Millisecond)
+			v.forwarder.SetCloseConnections(true)
+		}()
+		assert.Equal(t, v.send(nil, "/p/x", "1").Header().Get("Connection"), "close")
+		assert.Equal(t, v.send(nil, "/unknown", "2").Header().Get("Connection"), "close")
+		v.forwarder.SetCloseConnections(false)
+		assert.Equal(t, v.send(nil, "/p/x", "3").Header().Get("Connection"), "")
+	})
+}
--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -50,7 +50,7 @@
 	forwarder *Forwarder
 	id        string
 	method    string
-	head      []byte // of every send, without the header fields of sendHead
+	head      []byte // of every send, without the header fields of sendFields
 	body      []byte
 	// view is the one by which the route was chosen.
 	view     *View
--- a/pkg/forward/relayserve.go
+++ b/pkg/forward/relayserve.go
@@ -106,7 +106,7 @@
 			u.Tracker.Begin(start)
 			u.Tracker.CountSend(replica.RelayedSend)
 			reply, refusal := u.Pool.Do(ctx, exchange.Call{
-				Method: request.Method, Head: f.sendHead(request.Head, u, left), Body: request.Body,
+				Method: request.Method, Head: request.Head, AppendFields: f.sendFields(u, start.Add(left)), Body: request.Body,
 				IDHeader: f.headers.RequestID, ID: request.RequestID, Holding: holding, Check: f.checkSend(u, request.Fingerprint),
 			})
 			now := time.Now()
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -75,7 +75,7 @@
 	u.Tracker.Begin(start)
 	u.Tracker.CountSend(kind)
 	call := exchange.Call{
-		Method: q.method, Head: q.forwarder.sendHead(q.head, u, q.sendDeadline(start).Sub(start)), Body: q.body,
+		Method: q.method, Head: q.head, AppendFields: q.forwarder.sendFields(u, q.sendDeadline(start)), Body: q.body,
 		IDHeader: q.forwarder.headers.RequestID, ID: q.id, Holding: q.holding, Check: q.forwarder.checkSend(u, q.attempt.Fingerprint),
 	}
 	if !q.route.Idempotent {
@@ -100,18 +100,27 @@
 	}
 }
 
-// sendHead returns the head of a send: head, which all sends of a request share, and
-// the header fields that differ between them, the time left and the target replica.
-func (f *Forwarder) sendHead(head []byte, u *Upstream, left time.Duration) []byte {
-	b := make([]byte, 0, len(head)+96)
-	b = append(b, head...)
-	b = append(b, f.headers.Deadline...)
-	b = append(b, ": "...)
-	b = strconv.AppendInt(b, max(1, left.Milliseconds()), 10)
-	b = append(b, "\r\n"...)
-	b = append(b, f.headers.TargetReplica...)
+// sendFields returns what appends the header fields in which the sends of a request
+// differ: the time left until the deadline when the send is written, and the replica.
+func (f *Forwarder) sendFields(u *Upstream, deadline time.Time) func(b []byte) []byte {
+	return func(b []byte) []byte {
+		b = appendMilliseconds(b, f.headers.Deadline, time.Until(deadline))
+		b = append(b, f.headers.TargetReplica...)
+		b = append(b, ": "...)
+		b = append(b, u.Member.ID...)
+		return append(b, "\r\n"...)
+	}
+}
+
+// appendMilliseconds appends a header line with a time that is left, at least 1 ms.
+func appendMilliseconds(b []byte, name string, left time.Duration) []byte {
+	return appendNumber(b, name, max(1, left.Milliseconds()))
+}
+
+func appendNumber(b []byte, name string, n int64) []byte {
+	b = append(b, name...)
 	b = append(b, ": "...)
-	b = append(b, u.Member.ID...)
+	b = strconv.AppendInt(b, n, 10)
 	return append(b, "\r\n"...)
 }
 
--- a/pkg/forward/virtual_test.go
+++ b/pkg/forward/virtual_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -55,6 +56,8 @@
 	// accepted counts the connections, requests the requests, canceled those whose
 	// connection was closed before they were answered.
 	accepted, requests, canceled atomic.Int64
+	// leftMS is the deadline header of the last request.
+	leftMS atomic.Int64
 }
 
 // inVirtualTime runs f in virtual time with a forwarder for the route.
@@ -128,6 +131,9 @@
 			return
 		}
 		r.requests.Add(1)
+		if left, err := strconv.ParseInt(request.Header.Get("Left"), 10, 64); err == nil {
+			r.leftMS.Store(left)
+		}
 		if r.arrived != nil {
 			r.arrived()
 		}
