forward: bound the time and the memory of callers' bodies

A caller that stalls within its body held its connection and a handler without limit, and memory for the whole stated length. A trial on besides: a 404 for a request whose body had not arrived waited for it (no answer within 2 s).

Cause: the body was read without a deadline, into a buffer of the stated length. The HTTP server reads the rest of a body before it writes an answer.

Change: each byte of a body has to come within bounds.body_stall_s (10 s), and the body before the deadline of its request, after which an answer is of no use. The first ends with 408, the second with 503; neither has run. Bodies beyond 8 KB count, as they arrive, against a tenth of the VM's memory, apart from the memory for answers; what finds none is refused with 503. A refusal waits 20 ms for the rest of a body.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -37,6 +37,9 @@
 	// bufferedShare of the VM's memory is for responses of replicas that are
 	// buffered until their query ends. Beyond it, long responses fail.
 	bufferedShare = 0.25
+	// bodyShare of the VM's memory is for bodies of requests that are longer than a few
+	// kilobytes. Beyond it such requests are refused.
+	bodyShare = 0.1
 	// stopReserve is the part of the stop grace period that is reserved for the
 	// exit of the process.
 	stopReserve = 300 * time.Millisecond
@@ -147,8 +150,10 @@
 	ledger := newCrashLedger()
 	f := forward.New(forward.Config{
 		Headers: c.Headers, Observer: p, Ledger: ledger, Memory: exchange.NewMemory(int64(bufferedShare * float64(c.Settings.MemoryBytes))),
-		Log: c.Log.WithField("part", "forward"), Scope: c.Metrics.Scope, Buckets: metrics.LatencyBuckets,
+		Bodies: exchange.NewMemory(int64(bodyShare * float64(c.Settings.MemoryBytes))),
+		Log:    c.Log.WithField("part", "forward"), Scope: c.Metrics.Scope, Buckets: metrics.LatencyBuckets,
 	})
+	f.SetBodyStall(c.Settings.Bounds.BodyStall)
 	dialer := netconn.Dialer(dialTimeout, deadUpstreamTimeout)
 	s := newState(c.Settings, c.Log.WithField("part", "control"), dialer.DialContext)
 	service := &controllerService{config: c, forwarder: f, prober: p, controller: newController(s, f, p, ready, ledger, c.Store, c.Log.WithField("part", "control"))}
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -44,7 +44,7 @@
 	p := newProber(testHeaders, log)
 	p.start(t.Context(), func(*forward.Upstream, time.Duration) {})
 	ledger := newCrashLedger()
-	f := forward.New(forward.Config{Headers: testHeaders, Observer: p, Ledger: ledger, Memory: exchange.NewMemory(0), Log: log, Scope: tally.NoopScope, Buckets: tally.DefaultBuckets})
+	f := forward.New(forward.Config{Headers: testHeaders, Observer: p, Ledger: ledger, Memory: exchange.NewMemory(0), Bodies: exchange.NewMemory(0), Log: log, Scope: tally.NoopScope, Buckets: tally.DefaultBuckets})
 	return newController(s, f, p, newReadiness(), ledger, testStore{}, log)
 }
 
--- a/pkg/edge/reload.go
+++ b/pkg/edge/reload.go
@@ -31,6 +31,7 @@
 	s.config.Log.WithField("part", "control").WithFields(fields).Info("settings applied")
 	next.keepRestartOnly(*before)
 	s.settings.Store(&next)
+	s.forwarder.SetBodyStall(next.Bounds.BodyStall)
 	s.controller.post(ctx, func(time.Time) bool {
 		s.controller.state.apply(next)
 		return true
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -33,6 +33,9 @@
 type Bounds struct {
 	// StopGrace is the time between the request to stop and the kill.
 	StopGrace time.Duration
+	// BodyStall is the longest time without a byte of the body of a caller's request; 0
+	// stands for forward.DefaultBodyStall.
+	BodyStall time.Duration
 	// RetryRatio and RetrySlack limit the sends beyond the first of each
 	// request: in any window, at most RetryRatio of the requests plus RetrySlack
 	// sends. A token bucket that holds RetrySlack tokens and gains RetryRatio per
@@ -59,6 +62,7 @@
 	check(s.StoreAddr != "", "the address of the store is missing")
 	check(s.MemoryBytes >= 0, "the memory limit is negative")
 	check(s.Bounds.StopGrace >= 0, "the grace time is negative")
+	check(s.Bounds.BodyStall >= 0, "the time without a byte of a body is negative")
 	check(s.Bounds.RetryRatio >= 0 && s.Bounds.RetrySlack >= 0, "the retry budget is negative")
 	if len(problems) == 0 {
 		return nil
--- a/pkg/edge/stop_test.go
+++ b/pkg/edge/stop_test.go
@@ -45,7 +45,7 @@
 	log.SetOutput(io.Discard)
 	f := forward.New(forward.Config{
 		Headers:  forward.HeaderNames{RequestID: "Id", Deadline: "Left", TargetReplica: "For", Receipt: "Receipt", NotRun: "Not-Run"},
-		Observer: c.prober, Ledger: poison.NewLedger(poison.Config{LossLimit: maxCrashAttempts}), Memory: exchange.NewMemory(0),
+		Observer: c.prober, Ledger: poison.NewLedger(poison.Config{LossLimit: maxCrashAttempts}), Memory: exchange.NewMemory(0), Bodies: exchange.NewMemory(0),
 		Log: log, Scope: tally.NoopScope, Buckets: tally.DefaultBuckets,
 	})
 	f.SetView(c.state.view(start))
--- a/pkg/errs/errs.go
+++ b/pkg/errs/errs.go
@@ -21,6 +21,7 @@
 	UnknownOperation     Code = "unknown_operation"
 	TooLarge             Code = "too_large"
 	HeaderTooLarge       Code = "header_too_large"
+	BodyTimeout          Code = "body_timeout"
 	Unauthorized         Code = "unauthorized"
 	KeyRequired          Code = "key_required"
 	KeyReused            Code = "key_reused"
@@ -152,6 +153,8 @@
 		return http.StatusRequestEntityTooLarge
 	case HeaderTooLarge:
 		return http.StatusRequestHeaderFieldsTooLarge
+	case BodyTimeout:
+		return http.StatusRequestTimeout
 	case KeyReused, Poisoned:
 		return http.StatusUnprocessableEntity
 	case OutcomeUnknown:
--- a/pkg/exchange/body.go
+++ b/pkg/exchange/body.go
@@ -79,7 +79,7 @@
 		return errs.Ambiguous(errs.Canceled, "the request has ended")
 	}
 	if !h.memory.take(n) {
-		return errs.Ambiguous(errs.MemoryLimit, "the answers that this VM buffers would exceed %d bytes", h.memory.limitBytes)
+		return errs.Ambiguous(errs.MemoryLimit, "the bodies that this VM buffers would exceed %d bytes", h.memory.limitBytes)
 	}
 	h.bytes += n
 	return nil
@@ -166,10 +166,10 @@
 	return nil
 }
 
-// readBody buffers a body of up to limitBytes, or the first limitBytes+1 bytes of a
+// ReadBody buffers a body of up to limitBytes, or the first limitBytes+1 bytes of a
 // longer one. The buffer grows with what arrives, whatever length the head states,
 // and what it holds counts against the holding.
-func readBody(r io.Reader, contentLength int64, limitBytes int, holding *Holding) ([]byte, error) {
+func ReadBody(r io.Reader, contentLength int64, limitBytes int, holding *Holding) ([]byte, error) {
 	if contentLength >= 0 && contentLength <= freeBodyBytes {
 		body := make([]byte, contentLength)
 		_, err := io.ReadFull(r, body)
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -186,7 +186,7 @@
 			return Reply{}, false, err
 		}
 		content := head.bodyReader(c.reader)
-		body, err := readBody(content, head.contentLength, call.bufferLimitBytes(), call.Holding)
+		body, err := ReadBody(content, head.contentLength, call.bufferLimitBytes(), call.Holding)
 		if err != nil {
 			return Reply{}, false, err
 		}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
@@ -102,6 +101,9 @@
 	observer Observer
 	ledger   *poison.Ledger
 	memory   *exchange.Memory
+	// bodies bounds the bodies of requests, and bodyStall the time without a byte of one.
+	bodies    *exchange.Memory
+	bodyStall atomic.Int64
 	// fanOutLimiter bounds the fan-out queries in flight.
 	fanOutLimiter *admit.Limiter
 	log           logrus.FieldLogger
@@ -138,7 +140,9 @@
 	Observer Observer
 	Ledger   *poison.Ledger
 	// Memory bounds the replicas' responses that are buffered at the same time.
-	Memory  *exchange.Memory
+	Memory *exchange.Memory
+	// Bodies bounds the bodies of requests that are held at the same time.
+	Bodies  *exchange.Memory
 	Log     logrus.FieldLogger
 	Scope   tally.Scope
 	Buckets tally.Buckets
@@ -147,8 +151,8 @@
 // New returns a forwarder that refuses all requests until SetView is called.
 func New(c Config) *Forwarder {
 	scope := c.Scope.SubScope("forward")
-	return &Forwarder{
-		headers: c.Headers, observer: c.Observer, ledger: c.Ledger, memory: c.Memory, fanOutLimiter: admit.New(), log: c.Log, started: time.Now(), stop: newPlannedStop(),
+	f := &Forwarder{
+		headers: c.Headers, observer: c.Observer, ledger: c.Ledger, memory: c.Memory, bodies: c.Bodies, fanOutLimiter: admit.New(), log: c.Log, started: time.Now(), stop: newPlannedStop(),
 		metrics: forwardMetrics{
 			answers: map[bool]tally.Counter{
 				true:  scope.Tagged(map[string]string{"outcome": "whole"}).Counter("answers"),
@@ -162,6 +166,8 @@
 			replicaLatency: scope.Histogram("replica_latency", c.Buckets),
 		},
 	}
+	f.SetBodyStall(0)
+	return f
 }
 
 // SetView replaces the view that new requests use.
@@ -193,16 +199,21 @@
 	head, refusal := f.readHead(r)
 	id := head.id
 	if refusal != nil {
+		boundUnreadBody(w, r)
 		f.refuse(w, id, "", start, refusal)
 		return
 	}
 	match, refusal := f.matchRoute(head.target)
-	if refusal != nil { // its body is not needed
+	if refusal != nil {
+		boundUnreadBody(w, r)
 		f.refuse(w, id, "", start, refusal)
 		return
 	}
-	body, refusal := readRequest(w, r, match.view.Table.Limits)
+	holding := f.bodies.NewHolding()
+	defer holding.End()
+	body, refusal := f.readRequest(w, r, head, match, start, holding)
 	if refusal != nil {
+		boundUnreadBody(w, r)
 		f.refuse(w, id, match.Name, start, refusal)
 		return
 	}
@@ -290,12 +301,13 @@
 }
 
 // readRequest returns the body of a request, whose size must be within the configured
-// limits.
-func readRequest(w http.ResponseWriter, r *http.Request, limits routes.Limits) ([]byte, *errs.Refusal) {
+// limits. The body counts against holding.
+func (f *Forwarder) readRequest(w http.ResponseWriter, r *http.Request, head callerHead, match routeMatch, start time.Time, holding *exchange.Holding) ([]byte, *errs.Refusal) {
+	limits := match.view.Table.Limits
 	if n := requestHeadBytes(r); limits.HeaderBytes > 0 && n > limits.HeaderBytes {
 		return nil, errs.Refuse(errs.HeaderTooLarge, "head of %d bytes exceeds %d", n, limits.HeaderBytes)
 	}
-	return readBody(w, r, limits)
+	return f.readBody(w, r, limits, start.Add(requestTimeout(head.deadline, match.Route)), holding)
 }
 
 // crashRefusal returns the refusal of a request that crashes replicas.
@@ -343,29 +355,6 @@
 	return n
 }
 
-// readBody returns the whole body of a request, nil if the request has none.
-func readBody(w http.ResponseWriter, r *http.Request, limits routes.Limits) ([]byte, *errs.Refusal) {
-	if r.Body == nil || r.Body == http.NoBody || (r.ContentLength == 0 && len(r.TransferEncoding) == 0) {
-		return nil, nil
-	}
-	limit := limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if r.ContentLength > limit {
-		return nil, errs.Refuse(errs.TooLarge, "body of %d bytes exceeds %d", r.ContentLength, limit)
-	}
-	body, err := readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
-	if err == nil {
-		return body, nil
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, errs.Refuse(errs.TooLarge, "body exceeds %d bytes", limit)
-	}
-	return nil, errs.Refuse(errs.Canceled, "reading the body: %v", err)
-}
-
 func milliseconds(d time.Duration) float64 {
 	return float64(d.Round(10*time.Microsecond)) / float64(time.Millisecond)
 }
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -107,7 +107,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	return New(Config{
-		Headers: testHeaders, Observer: o, Ledger: ledger, Memory: exchange.NewMemory(0),
+		Headers: testHeaders, Observer: o, Ledger: ledger, Memory: exchange.NewMemory(0), Bodies: exchange.NewMemory(0),
 		Log: log, Scope: tally.NoopScope, Buckets: tally.DefaultBuckets,
 	})
 }
--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -200,14 +199,3 @@
 	fields["code"], fields["run_state"], fields["detail"] = refusal.Code, refusal.RunState, refusal.Detail
 	f.log.WithFields(fields).Info("request failed")
 }
-
-// readAll reads a body of the given length, or to its end if the length is
-// negative.
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(r)
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(r, body)
-	return body, err
-}
