forward, wire: hear replicas through a VM that answers for this one

What callers saw: a VM without links passed on answers with Server-Leaving through another VM.

Cause: the answer of another VM was passed on unread, and it does not name its replica. What a replica says was read from direct answers, relays and probes, in three places.

Ruled out: the probes; the replica was not asked during the cut, so none came before.

Change: the answering VM adds a header field with what the replicas of the request have said and still holds (leaving, pause, request limit), with service, identifier and start of the process, also to its refusals. The other one takes the field off and records it before it passes the answer on. Relays use the same function. ForwardOpen says that the sender reads the field; builds before ignore that, and get no field.

--- a/pkg/edge/forwarded.go
+++ b/pkg/edge/forwarded.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/forward"
 )
 
 // forwardedIdleTimeout closes a connection of another VM without a request. That VM
@@ -27,11 +29,26 @@
 
 func newForwardedServer(handler http.HandlerFunc, log logrus.FieldLogger) *forwardedServer {
 	return &forwardedServer{
-		server: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: forwardedIdleTimeout, MaxHeaderBytes: maxHeaderBytes},
+		server: &http.Server{Handler: handler, ConnContext: forwardedConnContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: forwardedIdleTimeout, MaxHeaderBytes: maxHeaderBytes},
 		conns:  make(chan net.Conn), closed: make(chan struct{}), log: log,
 	}
 }
 
+// forwardedConn is a connection of another VM.
+type forwardedConn struct {
+	net.Conn
+	// readsReports is set if the VM reads the reports of replicas.
+	readsReports bool
+}
+
+// forwardedConnContext is the ConnContext hook of the HTTP server.
+func forwardedConnContext(ctx context.Context, c net.Conn) context.Context {
+	if of, ok := c.(forwardedConn); ok && of.readsReports {
+		return forward.WithReplicaReports(ctx)
+	}
+	return ctx
+}
+
 // run serves until stop or ctx ends.
 func (s *forwardedServer) run(ctx context.Context) error {
 	end := context.AfterFunc(ctx, func() {
--- a/pkg/forward/elsewhere.go
+++ b/pkg/forward/elsewhere.go
@@ -56,7 +56,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := wire.Write(c, 0, &wire.ForwardOpen{VM: self}, maxOpenFrameBytes); err != nil {
+		if err := wire.Write(c, 0, &wire.ForwardOpen{VM: self, Reports: true}, maxOpenFrameBytes); err != nil {
 			_ = c.Close() // it is not used
 			return nil, err
 		}
@@ -106,14 +106,15 @@
 		switch {
 		case refusal == nil && reply.Header.Get(notTaken) == "":
 			q.answeredBy = h.Peer.VM
+			r := responseFrom(&reply)
+			r.stream = stream
+			q.takeReplicaReports(time.Now(), r, h.Peer.VM)
 			if refusal := q.passedOn(&reply, fromOtherVM, "VM "+h.Peer.VM); refusal != nil {
 				if stream != nil {
 					stream.end(refusal)
 				}
 				return nil, refusal, true
 			}
-			r := responseFrom(&reply)
-			r.stream = stream
 			return r, nil, true
 		case refusal == nil:
 			refusal = errs.Refuse(errs.Stopping, "%s", reply.Header.Get(notTaken))
--- a/pkg/forward/elsewhere_test.go
+++ b/pkg/forward/elsewhere_test.go
@@ -21,9 +21,13 @@
 // helperServer serves requests that another VM forwards. breakNext makes it close the
 // next connection when a request has arrived.
 type helperServer struct {
-	server    *http.Server
-	listener  net.Listener
+	server   *http.Server
+	listener net.Listener
+	// older makes it a VM of a version without reports of replicas.
+	older     bool
 	breakNext atomic.Bool
+	// reports is set if the other VM reads the reports of replicas.
+	reports atomic.Bool
 	// served counts the requests that have arrived.
 	served atomic.Int64
 }
@@ -35,10 +39,12 @@
 		return nil, err
 	}
 	_, m, err := wire.NewReader(c, maxOpenFrameBytes).Next()
-	if _, ok := m.(*wire.ForwardOpen); err != nil || !ok {
+	open, ok := m.(*wire.ForwardOpen)
+	if err != nil || !ok {
 		_ = c.Close() // nothing was sent on it
 		return nil, net.ErrClosed
 	}
+	h.reports.Store(open.Reports)
 	return c, nil
 }
 
@@ -55,6 +61,9 @@
 		if h.breakNext.Swap(false) {
 			panic(http.ErrAbortHandler)
 		}
+		if h.reports.Load() && !h.older {
+			r = r.WithContext(WithReplicaReports(r.Context()))
+		}
 		other.forwarder.ServeForwarded(w, r)
 	})}
 	go func() { _ = h.server.Serve(h) }() // ends with Close
--- a/pkg/forward/finalanswer_test.go
+++ b/pkg/forward/finalanswer_test.go
@@ -42,7 +42,9 @@
 func failWith(status int, body string) handler {
 	return func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Receipt", "own")
-		w.Header().Set("Retry-After", "1")
+		if w.Header().Get("Retry-After") == "" {
+			w.Header().Set("Retry-After", "1")
+		}
 		w.WriteHeader(status)
 		fmt.Fprint(w, body)
 	}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -248,10 +248,12 @@
 	f.logQuery(q, refusal)
 	if refusal != nil {
 		q.recordAnsweredShards()
+		q.addReplicaReports(time.Now(), w.Header())
 		f.writeRefusal(w, id, refusal)
 		return
 	}
 	f.metrics.requestLatency.RecordDuration(time.Since(start))
+	q.addReplicaReports(time.Now(), response.header)
 	if response.stream == nil {
 		q.recordSuccess(response)
 		f.writeResponse(w, response)
--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -82,6 +82,8 @@
 	// the VM to which this one has forwarded it.
 	forwarded  bool
 	answeredBy string
+	// readsReports is set if that VM reads the reports of replicas.
+	readsReports bool
 	// reportedSuspect is set once the query was reported as an unanswered suspect.
 	reportedSuspect bool
 	// brokenOff counts the sends that may have run and got no answer.
@@ -165,6 +167,7 @@
 	q.cutoff = cutoffAfter(route, nextRequestRoundTrips(r.Context()))
 	if forwarded := forwardedFrom(r.Context()); forwarded != nil {
 		q.forwarded = true
+		q.readsReports, _ = r.Context().Value(readsReportsKey{}).(bool)
 		if forwarded.cutoff > 0 {
 			q.cutoff = forwarded.cutoff
 		}
--- a/pkg/forward/relaysend.go
+++ b/pkg/forward/relaysend.go
@@ -79,7 +79,6 @@
 		refusal := g.peer.Do(q.ctx, request, func(reply *wire.RelayReply) {
 			now := time.Now()
 			t.record(now, reply)
-			q.forwarder.recordRelayedLimits(now, replicaSets, reply, q.id)
 			q.forwarder.hearRelayed(now, replicaSets, reply, q.id)
 			q.results <- sendResult{relay: &relayOutcome{group: g, reply: reply}}
 		})
--- a/pkg/forward/requestlimit.go
+++ b/pkg/forward/requestlimit.go
@@ -10,7 +10,6 @@
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/exchange"
 	"github.com/nutmeghitch/nutmeghitch/pkg/replica"
-	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
 )
 
 // recordRequestLimit records the request limit that a replica's answer names. An
@@ -35,21 +34,6 @@
 	}
 }
 
-// recordRelayedLimits records the request limits that another VM reports of replicas
-// in its failure domain. This VM may not have had an answer of them itself.
-func (f *Forwarder) recordRelayedLimits(now time.Time, replicaSets []*ReplicaSet, reply *wire.RelayReply, requestID string) {
-	for _, l := range reply.Limits {
-		if l.Service < 0 || l.Service >= len(replicaSets) || !validLimit(l.PerSecond) {
-			continue
-		}
-		for _, u := range replicaSets[l.Service].Upstreams {
-			if u.Member.ID == l.Replica {
-				f.applyRequestLimit(u, now, now, replica.RequestLimit{PerSecond: l.PerSecond, Named: true}, requestID)
-			}
-		}
-	}
-}
-
 // validLimit reports whether a number can be a request limit.
 func validLimit(perSecond float64) bool { return perSecond >= 0 && !math.IsInf(perSecond, 0) }
 
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -86,8 +86,7 @@
 		call.StreamResponse = func(reply exchange.Reply, rest io.Reader) error {
 			stream := newResponseStream(rest)
 			resultSent = true
-			q.forwarder.recordRequestLimit(u, time.Now(), start, reply, q.id) // the answer may take long
-			q.forwarder.Hear(u, time.Now(), reply, q.id)
+			q.forwarder.hearAnswer(u, time.Now(), start, reply, q.id) // the answer may take long
 			q.results <- sendResult{shard: s, upstream: u, start: start, reply: reply, stream: stream}
 			return stream.wait(q.ctx)
 		}
@@ -145,8 +144,7 @@
 	if refusal == nil {
 		u.Tracker.RecordAnswer(start)
 		f.lastAnswer.Store(int64(now.Sub(f.started)))
-		f.recordRequestLimit(u, now, start, reply, attempt.RequestID)
-		f.Hear(u, now, reply, attempt.RequestID)
+		f.hearAnswer(u, now, start, reply, attempt.RequestID)
 	}
 	switch {
 	case refusal == nil && f.notRun(reply):
--- a/pkg/forward/told.go
+++ b/pkg/forward/told.go
@@ -19,8 +19,15 @@
 // tried once in this time.
 const maxReplicaPause = time.Minute
 
+// hearAnswer records what an answer of a replica, to a request sent at sentAt, says of the
+// replica itself: that it leaves, wants a pause, or names a request limit.
+func (f *Forwarder) hearAnswer(u *Upstream, now, sentAt time.Time, reply exchange.Reply, requestID string) {
+	f.recordRequestLimit(u, now, sentAt, reply, requestID)
+	f.Hear(u, now, reply, requestID)
+}
+
 // Hear records what an answer of a replica says of the replica itself: that it leaves, or
-// that it wants a pause.
+// that it wants a pause. The answers to health probes name no request limit.
 func (f *Forwarder) Hear(u *Upstream, now time.Time, reply exchange.Reply, requestID string) {
 	told := replica.Told{Leaving: reply.Header.Get(f.headers.Leaving) == "1"}
 	if value := reply.Header.Get("Retry-After"); value != "" && reply.Status == http.StatusServiceUnavailable {
@@ -45,18 +52,19 @@
 	f.observer.ReplicaTold(u)
 }
 
-// hearRelayed records which replicas have said to another VM that they leave.
+// hearRelayed records what replicas have said to another VM that relays for this one.
 func (f *Forwarder) hearRelayed(now time.Time, replicaSets []*ReplicaSet, reply *wire.RelayReply, requestID string) {
-	for _, l := range reply.Leaving {
-		if l.Service < 0 || l.Service >= len(replicaSets) {
-			continue
-		}
-		for _, u := range replicaSets[l.Service].Upstreams {
-			if u.Member.ID == l.Replica {
-				f.hear(u, now, replica.Told{Leaving: true}, requestID)
-			}
+	hear := func(service int, report wire.ReplicaReport) {
+		if service >= 0 && service < len(replicaSets) {
+			f.hearReport(now, replicaSets[service], report, requestID)
 		}
 	}
+	for _, l := range reply.Leaving {
+		hear(l.Service, wire.ReplicaReport{Replica: l.Replica, Leaving: true})
+	}
+	for _, l := range reply.Limits {
+		hear(l.Service, wire.ReplicaReport{Replica: l.Replica, Limited: true, PerSecond: l.PerSecond})
+	}
 }
 
 // checkSend returns what keeps a request from being written to a replica that was picked
--- a/pkg/wire/relay.go
+++ b/pkg/wire/relay.go
@@ -1,6 +1,13 @@
 package wire
 
-import "time"
+import (
+	"encoding/base64"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+)
 
 // RelayRequest asks a VM to send a fan-out query to one replica of each of some
 // services in its own failure domain, and to merge what they answer.
@@ -90,7 +97,45 @@
 type ForwardOpen struct {
 	// VM is the VM that sends the requests.
 	VM string `msgpack:"vm"`
+	// Reports is set if the sender reads ReplicaReports. VMs of older versions do not.
+	Reports bool `msgpack:"reports"`
 }
 
 // Kind implements Message.
 func (*ForwardOpen) Kind() Kind { return KindForwardOpen }
+
+// ReplicaReport is what a replica has said of itself to a VM that answered a request in
+// place of another one, which passes the answer on. As text it is the value of a header
+// field between VMs.
+type ReplicaReport struct {
+	Service string `msgpack:"service"`
+	Replica string `msgpack:"replica"`
+	// Born is the start of the replica's process, in Unix milliseconds.
+	Born int64 `msgpack:"born"`
+	// Leaving is set if it leaves, and Pause is the time for which it wants no requests.
+	Leaving bool          `msgpack:"leaving"`
+	Pause   time.Duration `msgpack:"pause"`
+	// Limited is set if it accepts PerSecond requests a second from all VMs together.
+	Limited   bool    `msgpack:"limited"`
+	PerSecond float64 `msgpack:"rate"`
+}
+
+// EncodeReplicaReports returns the reports as text.
+func EncodeReplicaReports(reports []ReplicaReport) (string, error) {
+	content, err := msgpack.Marshal(reports)
+	return base64.RawURLEncoding.EncodeToString(content), err
+}
+
+// DecodeReplicaReports returns the reports of a text. Its error is an *errs.Refusal with
+// code FrameMalformed.
+func DecodeReplicaReports(text string) ([]ReplicaReport, error) {
+	var reports []ReplicaReport
+	content, err := base64.RawURLEncoding.DecodeString(text)
+	if err == nil {
+		err = msgpack.Unmarshal(content, &reports)
+	}
+	if err != nil {
+		return nil, errs.Refuse(errs.FrameMalformed, "reports of replicas: %v", err)
+	}
+	return reports, nil
+}
