storewatch: do not take a cut watch for an outage

Cause: a watch that ended without an answer counted as a failed store, and each failure started the 2.2 s anew for which replicas without entries are kept.

Ruled out: the order of changes; the deletions arrived, and were held back.

Change: the error of a waiting watch is kept until the next call, which comes after 50 to 100 ms. If the store answers that within 0.5 s of the cut, it was not away; nothing lapses in so short a time. Else, or if it fails too, the error is reported as before, ahead of what the store then says.

Before: a cut watch was reported at once. After: TestCutWatchIsNoOutage passes.

--- a/pkg/edge/topic.go
+++ b/pkg/edge/topic.go
@@ -326,6 +326,11 @@
 	s.topic.controller.post(s.ctx, func(time.Time) bool { s.topic.controller.storeCallFailed(s.topic.name, err); return false })
 }
 
+// Cut implements storewatch.Sink.
+func (s topicSink[T]) Cut(err error) {
+	s.topic.controller.log.WithFields(logrus.Fields{"kind": s.topic.name, "error": err}).Info("watch was cut off, the store answers")
+}
+
 // Synced implements storewatch.Sink.
 func (s topicSink[T]) Synced(at storewatch.Position) {
 	s.topic.controller.post(s.ctx, func(now time.Time) bool {
--- a/pkg/storewatch/storewatch.go
+++ b/pkg/storewatch/storewatch.go
@@ -24,6 +24,10 @@
 	// again: all others wait for their feeds.
 	minRetryPause = 100 * time.Millisecond
 	maxRetryPause = 500 * time.Millisecond
+	// maxCutTime is the time from the end of a waiting watch without an answer to the
+	// answer of the next one up to which the store was not away: it may cut watches off at
+	// any time, and nothing lapses in so short a time.
+	maxCutTime = 500 * time.Millisecond
 )
 
 // Item is the decoded state of one object.
@@ -70,6 +74,9 @@
 	Changed(Batch[T])
 	// Failed gets the error of a call to the store.
 	Failed(error)
+	// Cut gets the error of a waiting watch that the store has cut off, if it answered the
+	// next call soon: it was not away.
+	Cut(error)
 	// Synced gets the position up to which all changes have been passed on.
 	Synced(Position)
 }
@@ -143,6 +150,10 @@
 	// confirmSoon makes watch calls return soon until one has succeeded: a store that
 	// answers again must not count as unreachable until a long wait ends.
 	confirmSoon bool
+	// cut is the error of a waiting watch that ended at cutAt without an answer, nil once
+	// another call has shown whether the store is away.
+	cut   error
+	cutAt time.Time
 }
 
 // list passes all objects to the sink and returns their position.
@@ -185,21 +196,29 @@
 func (w *watcher[T]) watch(ctx context.Context, after Position) {
 	for ctx.Err() == nil {
 		var batch Batch[T]
+		waited := false
 		err := w.call(ctx, func(probe bool) (err error) {
 			maxWait := w.maxWait
 			if probe || w.confirmSoon {
 				maxWait = min(maxWait, maxProbeWait)
 			}
+			waited = maxWait > maxProbeWait
 			batch, err = w.watchOnce(ctx, after, maxWait)
 			return err
 		})
 		switch {
 		case errs.Is(err, errs.PlatformWatchGap):
+			w.endCut(ctx)
 			w.sink.Failed(err)
 			return
+		case err != nil && waited && errs.Is(err, errs.PlatformDown):
+			w.cut, w.cutAt, w.confirmSoon = err, time.Now(), true
+			wait.Sleep(ctx, w.retryPause/2+rand.N(w.retryPause/2))
 		case err != nil:
+			w.reportCut(ctx)
 			w.failed(ctx, err)
 		default:
+			w.endCut(ctx)
 			after.Revision = max(after.Revision, batch.Revision)
 			if len(batch.Items) > 0 {
 				w.sink.Changed(batch)
@@ -244,6 +263,24 @@
 	w.retryPause = min(2*w.retryPause, maxRetryPause)
 }
 
+// endCut is called when the store has answered: it was away if that took long, for
+// instance because the call waited for another one that found it away.
+func (w *watcher[T]) endCut(ctx context.Context) {
+	if w.cut != nil && time.Since(w.cutAt) <= maxCutTime {
+		w.sink.Cut(w.cut)
+		w.cut = nil
+	}
+	w.reportCut(ctx)
+}
+
+// reportCut reports the end of a waiting watch after which the store was away.
+func (w *watcher[T]) reportCut(ctx context.Context) {
+	if w.cut != nil && ctx.Err() == nil {
+		w.sink.Failed(w.cut)
+	}
+	w.cut = nil
+}
+
 // Retry calls f until it succeeds or ctx ends. It waits between calls as
 // ListAndWatch does after a failed call.
 func Retry(ctx context.Context, f func() error) {
--- a/pkg/storewatch/storewatch_test.go
+++ b/pkg/storewatch/storewatch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -52,6 +53,7 @@
 }
 func (r *recordingSink) Failed(err error) { r.lines = append(r.lines, string(errs.As(err).Code)) }
 func (r *recordingSink) Synced(Position)  {}
+func (r *recordingSink) Cut(error)        {}
 
 func batch(revision int64, names ...string) func() (Batch[string], error) {
 	b := Batch[string]{Position: Position{Revision: revision}}
@@ -211,3 +213,34 @@
 		assert.DeepEqual(t, sink.lines, []string{"listed 5", "platform_watch_gap", "listed 5"})
 	})
 }
+
+// Guards against an outage that is seen in each watch which the store cuts off: replicas
+// without entries are kept for seconds after an outage.
+func TestCutWatchIsNoOutage(t *testing.T) {
+	down := refusal(errs.PlatformDown)
+	late := func() (Batch[string], error) {
+		time.Sleep(maxCutTime)
+		return batch(7, "b")()
+	}
+	for name, c := range map[string]struct {
+		steps []func() (Batch[string], error)
+		lines []string
+	}{
+		"cut once":         {[]func() (Batch[string], error){batch(5), down, batch(6, "a")}, []string{"listed 5", "changed 6"}},
+		"cut repeatedly":   {[]func() (Batch[string], error){batch(5), down, batch(5), down, batch(5), down, batch(6, "a")}, []string{"listed 5", "changed 6"}},
+		"away":             {[]func() (Batch[string], error){batch(5), down, down, batch(6, "a")}, []string{"listed 5", "platform_down", "platform_down", "changed 6"}},
+		"back after a bit": {[]func() (Batch[string], error){batch(5), down, late}, []string{"listed 5", "platform_down", "changed 7"}},
+		"back in another era": {[]func() (Batch[string], error){batch(5), down, func() (Batch[string], error) {
+			time.Sleep(maxCutTime)
+			return refusal(errs.PlatformWatchGap)()
+		}, batch(3)}, []string{"listed 5", "platform_down", "platform_watch_gap", "listed 3"}},
+		"turned away": {[]func() (Batch[string], error){batch(5), refusal(errs.PlatformThrottled), batch(6, "a")}, []string{"listed 5", "platform_throttled", "changed 6"}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, stop := context.WithCancel(t.Context())
+			sink := &recordingSink{}
+			ListAndWatch(ctx, &scriptedSource{stop: stop, steps: c.steps}, NewBreaker(), Position{}, 2*time.Second, sink)
+			assert.Check(t, slices.Equal(sink.lines, c.lines), "%s: %v", name, sink.lines)
+		})
+	}
+}
