edge: go on after a connection of a VM could not be accepted

What was seen: read in the code by the review. A failed accept on the peer port, as at the limit of open files, ended the whole process, while the callers' server goes on.

Change: it is logged and tried again after 5 ms to 1 s; only a closed listener ends the server.

Before: run returned the error of the first failed accept.

--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -13,6 +13,7 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/feed"
 	"github.com/nutmeghitch/nutmeghitch/pkg/relay"
+	"github.com/nutmeghitch/nutmeghitch/pkg/wait"
 	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
 )
 
@@ -22,6 +23,10 @@
 	// maxFirstMessageBytes bounds that message. Memory for a longer one must not be
 	// taken before the VM knows what it is.
 	maxFirstMessageBytes = 64 << 10
+	// minAcceptPause and maxAcceptPause bound the pause after a connection could not be
+	// accepted. Each further failure doubles it.
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = time.Second
 )
 
 // peerServer serves the connections of other VMs: feeds, relayed requests, and requests
@@ -39,15 +44,22 @@
 	defer stop()
 	var running sync.WaitGroup
 	defer running.Wait()
-	for {
+	for pause := minAcceptPause; ; {
 		c, err := l.Accept()
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			return nil
-		}
-		if err != nil {
+		case errors.Is(err, net.ErrClosed):
 			return errs.Refuse(errs.PeerUnreachable, "accepting connections of VMs: %v", err)
+		case err != nil:
+			// The limit of open files, for instance, which other connections may leave soon.
+			s.log.WithFields(logrus.Fields{"error": err, "pause_ms": pause.Milliseconds()}).Warn("accepting a connection of a VM failed")
+			wait.Sleep(ctx, pause)
+			pause = min(2*pause, maxAcceptPause)
+		default:
+			pause = minAcceptPause
+			running.Go(func() { s.serve(ctx, c) })
 		}
-		running.Go(func() { s.serve(ctx, c) })
 	}
 }
 
