discovery: let an entry of an unknown service take no address

What was seen: read in the code by the review. An entry of a service that is in no configuration, with the address of a sound replica, took that replica out of use.

Cause: an address belongs to the newest entry, whoever wrote it.

Change: only entries of services of the configuration in force take an address. When a configuration brings new services, their entries do then, so the order in which entries and configuration arrive does not matter.

Before: the replica was removed at once. After: TestEntryOfAnUnknownServiceTakesNoAddress passes in both orders.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -83,6 +83,8 @@
 	departed map[string]departure
 	// withholdUntil is when the restored entries of such replicas count again.
 	withholdUntil time.Time
+	// services holds the services of the configuration; nil if all count.
+	services map[string]bool
 }
 
 // departure records that the process of a replica has left.
@@ -165,9 +167,27 @@
 	return changed
 }
 
+// SetServices sets the services of the configuration. Until it is called, all services
+// count.
+func (r *Registry) SetServices(now time.Time, services []string) {
+	r.services = map[string]bool{}
+	for _, s := range services {
+		r.services[s] = true
+	}
+	for _, m := range slices.Collect(maps.Values(r.members)) {
+		if !m.withheld && r.members[m.ID] == m {
+			r.removeFormerHolders(now, m)
+		}
+	}
+}
+
 // removeFormerHolders removes the replicas with older entries for current's
-// address. An address belongs to one replica at a time.
+// address. An address belongs to one replica at a time. An entry of a service that the
+// configuration does not have may come from another writer and proves nothing.
 func (r *Registry) removeFormerHolders(now time.Time, current *Member) {
+	if r.services != nil && !r.services[current.Service] {
+		return
+	}
 	for id, m := range r.members {
 		if id != current.ID && m.Addr == current.Addr && m.Revision < current.Revision {
 			r.remove(now, m)
--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -63,6 +63,32 @@
 	assert.DeepEqual(t, usableIDs(r), []string{"b"})
 }
 
+// Guards against a sound replica that is not used any more because an entry of a service
+// which the configuration does not have names its address, and against a former holder
+// that stays when the configuration has the service.
+func TestEntryOfAnUnknownServiceTakesNoAddress(t *testing.T) {
+	foreign := entry("x", "1")
+	foreign.Service = "unknown"
+	for _, early := range []bool{false, true} {
+		r := NewRegistry()
+		r.SetServices(start, nil)
+		if early {
+			r.SetServices(start, []string{"s"})
+		}
+		r.Put(start, entry("a", "1"), 1)
+		r.Put(start, foreign, 2)
+		r.SetServices(start, []string{"s"})
+		assert.DeepEqual(t, usableIDs(r), []string{"a"})
+		r.Put(start, entry("b", "1"), 3)
+		assert.DeepEqual(t, usableIDs(r), []string{"b"})
+		foreign.Service = "t"
+		r.Put(start, foreign, 4)
+		assert.DeepEqual(t, usableIDs(r), []string{"b"})
+		r.SetServices(start, []string{"s", "t"})
+		assert.Equal(t, len(usableIDs(r)), 0, "its replica has started at the address of b")
+	}
+}
+
 // Guards against losing live replicas whose entries lapsed while the store was
 // unreachable, and against keeping dead ones after the grace period.
 func TestEntriesThatLapsedWhileStoreWasUnreachable(t *testing.T) {
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -62,6 +62,8 @@
 	log      logrus.FieldLogger
 	dial     exchange.DialFunc
 	registry *discovery.Registry
+	// registeredTable is the configuration whose services the registry knows.
+	registeredTable *routes.Table
 	// configs holds the configuration in force.
 	configs configHistory
 	// configEra is the era of the store in which configurations are read.
@@ -93,9 +95,11 @@
 }
 
 func newState(s Settings, log logrus.FieldLogger, dial exchange.DialFunc) *state {
+	registry := discovery.NewRegistry()
+	registry.SetServices(time.Now(), nil) // none before the first configuration
 	return &state{
 		settings: s, log: log, dial: dial,
-		registry:        discovery.NewRegistry(),
+		registry:        registry,
 		vms:             map[string]discovery.VM{},
 		crashes:         map[string]discovery.Crash{},
 		limits:          map[string]discovery.RequestLimit{},
@@ -143,6 +147,10 @@
 	position, _ := slices.BinarySearch(vms, s.settings.VM)
 	v := &forward.View{Table: s.table(), ReplicaSets: map[string]*forward.ReplicaSet{}, HedgeDelays: map[string]*hedge.Policy{}, VMs: len(vms), RelayPeers: s.currentRelayPeers()}
 	current := map[replicaKey]bool{}
+	if s.registeredTable != s.table() {
+		s.registeredTable = s.table()
+		s.registry.SetServices(now, slices.Collect(maps.Keys(s.table().Services)))
+	}
 	members := s.registry.View().Services
 	for name, service := range s.table().Services {
 		replicaSet := &forward.ReplicaSet{Service: name, Budget: s.retryBudget(name, len(vms))}
