forward: keep the pause that a replica asks for up to ten minutes

Cause: pauses were cut to 60 s, and the idle replica was then the cheapest.

Change: the bound is ten minutes, as long as what replicas say is remembered. Callers are refused with the time until the pause ends where no other replica can serve them. A replica that asks for more than ten minutes is still asked after ten; its answer renews the pause. VMs do not come back at the same moment by this code: each counts from its own answer.

After: TestReplicaReportsBelongToOneProcess and the tests of told_test.go pass with the new bound.

--- a/pkg/forward/told.go
+++ b/pkg/forward/told.go
@@ -15,9 +15,9 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
 )
 
-// maxReplicaPause bounds the pause that a replica can ask for. One that asks for more is
-// tried once in this time.
-const maxReplicaPause = time.Minute
+// maxReplicaPause bounds the pause that a replica can ask for. It is as long as what
+// replicas say is remembered; a longer pause is more likely a mistake than a wish.
+const maxReplicaPause = 10 * time.Minute
 
 // hearAnswer records what an answer of a replica, to a request sent at sentAt, says of the
 // replica itself: that it leaves, wants a pause, or names a request limit.
