forward: split the reading of a request from its start

ServeHTTP reads the query, asks whether it may start, runs it and writes the answer; each refusal is logged in one place.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -4,6 +4,7 @@
 package forward
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -196,50 +197,15 @@
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
-	head, refusal := f.readHead(r)
-	id := head.id
-	if refusal != nil {
-		boundUnreadBody(w, r)
-		f.refuse(w, id, "", start, refusal)
-		return
-	}
-	match, refusal := f.matchRoute(head.target)
-	if refusal != nil {
-		boundUnreadBody(w, r)
-		f.refuse(w, id, "", start, refusal)
-		return
-	}
-	holding := f.bodies.NewHolding()
-	defer holding.End()
-	body, refusal := f.readRequest(w, r, head, match, start, holding)
+	bodyHolding := f.bodies.NewHolding()
+	defer bodyHolding.End()
+	q, label, refusal := f.readQuery(w, r, start, bodyHolding)
 	if refusal != nil {
-		boundUnreadBody(w, r)
-		f.refuse(w, id, match.Name, start, refusal)
-		return
-	}
-	// The body may have taken seconds, in which the routes may have changed.
-	if match, refusal = f.matchRoute(head.target); refusal != nil {
-		f.refuse(w, id, "", start, refusal)
+		f.refuse(w, label, start, refusal)
 		return
 	}
-	q := f.newQuery(r, head, body, match.view, match.Route, start)
-	if q.isBlocked(time.Now()) {
-		f.refuse(w, id, match.Name, start, crashRefusal())
-		return
-	}
-	q.recordPrimarySends()
-	if f.stop.tooLate(time.Now(), match.Target) {
-		f.refuse(w, id, match.Name, start, stopRefusal())
-		return
-	}
-	if refusal := q.admit(r.Context()); refusal != nil {
-		f.refuse(w, id, match.Name, start, refusal)
-		return
-	}
-	// It may have waited, and it may have become a suspect or blocked meanwhile.
-	if q.poisonVerdict = f.ledger.Check(time.Now(), q.attempt.Fingerprint); q.poisonVerdict == poison.Blocked {
-		q.releaseAdmission()
-		f.refuse(w, id, match.Name, start, crashRefusal())
+	if refusal := q.mayStart(r.Context()); refusal != nil {
+		f.refuse(w, label, start, refusal)
 		return
 	}
 	defer q.cancelSends()
@@ -249,7 +215,7 @@
 	if refusal != nil {
 		q.recordAnsweredShards()
 		q.addReplicaReports(time.Now(), w.Header())
-		f.writeRefusal(w, id, refusal)
+		f.writeRefusal(w, q.id, refusal)
 		return
 	}
 	f.metrics.requestLatency.RecordDuration(time.Since(start))
@@ -302,14 +268,68 @@
 	view *View
 }
 
+// requestLabel names a request in the log. Its fields are empty while they are not known.
+type requestLabel struct{ id, route string }
+
+// readQuery reads a request and returns its query. The body counts against bodyHolding.
+func (f *Forwarder) readQuery(w http.ResponseWriter, r *http.Request, start time.Time, bodyHolding *exchange.Holding) (*query, requestLabel, *errs.Refusal) {
+	head, refusal := f.readHead(r)
+	label := requestLabel{id: head.id}
+	if refusal != nil {
+		boundUnreadBody(w, r)
+		return nil, label, refusal
+	}
+	match, refusal := f.matchRoute(head.target)
+	if refusal != nil {
+		boundUnreadBody(w, r)
+		return nil, label, refusal
+	}
+	label.route = match.Name
+	body, refusal := f.readRequest(w, r, head, match, start, bodyHolding)
+	if refusal != nil {
+		boundUnreadBody(w, r)
+		return nil, label, refusal
+	}
+	// The body may have taken seconds, in which the routes may have changed.
+	match, refusal = f.matchRoute(head.target)
+	if refusal != nil {
+		return nil, label, refusal
+	}
+	label.route = match.Name
+	q := f.newQuery(r, head, body, match.view, match.Route, start)
+	if q.isBlocked(time.Now()) {
+		return nil, label, crashRefusal()
+	}
+	q.recordPrimarySends()
+	return q, label, nil
+}
+
 // readRequest returns the body of a request, whose size must be within the configured
-// limits. The body counts against holding.
-func (f *Forwarder) readRequest(w http.ResponseWriter, r *http.Request, head callerHead, match routeMatch, start time.Time, holding *exchange.Holding) ([]byte, *errs.Refusal) {
+// limits. The body counts against bodyHolding.
+func (f *Forwarder) readRequest(w http.ResponseWriter, r *http.Request, head callerHead, match routeMatch, start time.Time, bodyHolding *exchange.Holding) ([]byte, *errs.Refusal) {
 	limits := match.view.Table.Limits
 	if n := requestHeadBytes(r); limits.HeaderBytes > 0 && n > limits.HeaderBytes {
 		return nil, errs.Refuse(errs.HeaderTooLarge, "head of %d bytes exceeds %d", n, limits.HeaderBytes)
 	}
-	return f.readBody(w, r, limits, start.Add(requestTimeout(head.deadline, match.Route)), holding)
+	return f.readBody(w, r, limits, start.Add(requestTimeout(head.deadline, match.Route)), bodyHolding)
+}
+
+// mayStart waits for the admission of a query. It returns the refusal of one that may not
+// run, which then holds no admission.
+func (q *query) mayStart(caller context.Context) *errs.Refusal {
+	f := q.forwarder
+	if f.stop.tooLate(time.Now(), q.route.Target) {
+		return stopRefusal()
+	}
+	if refusal := q.admit(caller); refusal != nil {
+		return refusal
+	}
+	// It may have waited, and it may have become a suspect or blocked meanwhile.
+	if q.poisonVerdict = f.ledger.Check(time.Now(), q.attempt.Fingerprint); q.poisonVerdict == poison.Blocked {
+		q.releaseAdmission()
+		return crashRefusal()
+	}
+	return nil
 }
 
 // crashRefusal returns the refusal of a request that crashes replicas.
@@ -318,11 +338,11 @@
 }
 
 // refuse logs and answers a request that was not sent to any replica.
-func (f *Forwarder) refuse(w http.ResponseWriter, id, route string, start time.Time, refusal *errs.Refusal) {
+func (f *Forwarder) refuse(w http.ResponseWriter, label requestLabel, start time.Time, refusal *errs.Refusal) {
 	f.log.WithFields(logrus.Fields{
-		"id": id, "route": route, "code": refusal.Code, "detail": refusal.Detail, "duration_ms": milliseconds(time.Since(start)),
+		"id": label.id, "route": label.route, "code": refusal.Code, "detail": refusal.Detail, "duration_ms": milliseconds(time.Since(start)),
 	}).Info("request refused before it was sent to a replica")
-	f.writeRefusal(w, id, refusal)
+	f.writeRefusal(w, label.id, refusal)
 }
 
 func (f *Forwarder) writeRefusal(w http.ResponseWriter, id string, refusal *errs.Refusal) {
