--- a/pkg/forward/body_test.go
+++ b/pkg/forward/body_test.go
@@ -155,6 +155,11 @@
 		assert.NilError(t, err)
 		status, ends, _ := readStatus(t, c)
 		assert.Assert(t, status == 404 && !ends)
+		time.Sleep(5 * time.Second)
+		_, err = io.WriteString(c, bodyHead("/p/x", "2", 0))
+		assert.NilError(t, err)
+		status, _, _ = readStatus(t, c)
+		assert.Equal(t, status, http.StatusOK)
 	})
 }
 
