--- a/pkg/forward/body_test.go
+++ b/pkg/forward/body_test.go
@@ -201,3 +201,16 @@
 		assert.Equal(t, v.forwarder.bodies.Held(), int64(0))
 	})
 }
+
+// Guards against a stall that is taken for a broken connection on real sockets, where
+// the error of a read is wrapped, with a length and in chunks.
+func TestStalledBodyOnASocket(t *testing.T) {
+	tier := newTestTier(t, singleRoute(false))
+	tier.addReplica(tier.addService("s", 0), "r1", respondWith("x", "y"))
+	tier.forwarder.SetBodyStall(50 * time.Millisecond)
+	for _, framing := range []string{"Content-Length: 9\r\n\r\nfour", "Transfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n", "Transfer-Encoding: chunked\r\n\r\n9\r\nfour"} {
+		status, body := tier.sendRaw("POST /p/x HTTP/1.1\r\nHost: h.example\r\nId: 1\r\n" + framing)
+		assert.Check(t, status == http.StatusRequestTimeout && strings.Contains(body, "4 had arrived"), "%q: %d %s", framing, status, body)
+	}
+	assert.Equal(t, len(tier.received()), 0)
+}
