exchange: do not change a failure that others hold

A long 503 of another VM is replaced by a 502, whose text was written to the caller while its detail got the address of the VM.

Cause: the refusal that takes the answer's place also ends its stream, and comes back to the exchange, which wrote the address into it. The stream's other ends hand over a refusal of their own or an error of the reader.

Ruled out: a fault of the test.

Change: the exchange names the address in a copy, so an error that ended a stream may be held elsewhere.

After: pkg/forward and pkg/exchange pass with the race detector, and the tests of answers through another VM 15 times.

--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -112,8 +112,9 @@
 	case errors.Is(err, errNotIdle):
 		return errs.Refuse(errs.Canceled, "%s: %v", addr, ctx.Err())
 	case errors.As(err, &refusal):
-		refusal.Detail = addr + ": " + refusal.Detail
-		return refusal
+		named := *refusal // others may hold the original, which ended a stream
+		named.Detail = addr + ": " + refusal.Detail
+		return &named
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return errs.Ambiguous(errs.DeadlineExceeded, "%s: %v", addr, err)
 	case ctx.Err() != nil:
