exchange: end a trailer with CRLF only

Cause: the line that ends a trailer was taken with or without a carriage return. Readers of HTTP differ there (RFC 9112, 2.2 allows both), so they disagree on where the answer ends.

Change: a trailer has to end with CRLF; else the answer is not valid.

--- a/pkg/exchange/body.go
+++ b/pkg/exchange/body.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net/http/httputil"
+	"strings"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -157,6 +158,11 @@
 	if err != nil {
 		return err
 	}
+	// Other readers of HTTP do not take a bare line feed for the end of a trailer, and
+	// would read on where this one stops.
+	if t := string(trailer); t != "\r\n" && !strings.HasSuffix(t, "\r\n\r\n") {
+		return invalidResponse("the trailer ends without an empty line of CRLF")
+	}
 	line, rest := cutLine(string(trailer))
 	for ; line != ""; line, rest = cutLine(rest) {
 		if _, ok := parseField(line); !ok {
