--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -174,8 +174,8 @@
 	for _, s := range services {
 		r.services[s] = true
 	}
-	for _, m := range slices.Collect(maps.Values(r.members)) {
-		if !m.withheld && r.members[m.ID] == m {
+	for _, m := range r.members {
+		if !m.withheld {
 			r.removeFormerHolders(now, m)
 		}
 	}
--- a/pkg/exchange/body.go
+++ b/pkg/exchange/body.go
@@ -154,16 +154,17 @@
 
 // skipTrailer reads the lines after the last chunk up to the empty one.
 func skipTrailer(r *bufio.Reader) error {
-	trailer, err := readHeadBytes(r, nil, maxTrailerBytes)
+	raw, err := readHeadBytes(r, nil, maxTrailerBytes)
 	if err != nil {
 		return err
 	}
+	trailer := string(raw)
 	// Other readers of HTTP do not take a bare line feed for the end of a trailer, and
 	// would read on where this one stops.
-	if t := string(trailer); t != "\r\n" && !strings.HasSuffix(t, "\r\n\r\n") {
+	if trailer != "\r\n" && !strings.HasSuffix(trailer, "\r\n\r\n") {
 		return invalidResponse("the trailer ends without an empty line of CRLF")
 	}
-	line, rest := cutLine(string(trailer))
+	line, rest := cutLine(trailer)
 	for ; line != ""; line, rest = cutLine(rest) {
 		if _, ok := parseField(line); !ok {
 			return invalidResponse("malformed trailer line %.40q", line)
--- a/pkg/forward/body.go
+++ b/pkg/forward/body.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"io"
 	"net/http"
 	"os"
 	"time"
@@ -71,9 +72,7 @@
 
 // boundedBody is a body that fails if a byte of it does not arrive in time.
 type boundedBody struct {
-	body interface {
-		Read(p []byte) (int, error)
-	}
+	body     io.Reader
 	conn     *http.ResponseController
 	stall    time.Duration
 	deadline time.Time
--- a/pkg/forward/elsewhere.go
+++ b/pkg/forward/elsewhere.go
@@ -109,7 +109,7 @@
 			r := responseFrom(&reply)
 			r.stream = stream
 			q.takeReplicaReports(time.Now(), r, h.Peer.VM)
-			if refusal := q.passedOn(&reply, fromOtherVM, "VM "+h.Peer.VM); refusal != nil {
+			if refusal := q.refusalInPlaceOf(&reply, fromOtherVM, "VM "+h.Peer.VM); refusal != nil {
 				if stream != nil {
 					stream.end(refusal)
 				}
--- a/pkg/forward/finalanswer.go
+++ b/pkg/forward/finalanswer.go
@@ -78,9 +78,9 @@
 	return a.callerStatus()
 }
 
-// passedOn returns nil if the answer of a replica or another VM may be passed on to the
-// caller, and else the refusal that takes its place.
-func (q *query) passedOn(reply *exchange.Reply, from source, name string) *errs.Refusal {
+// refusalInPlaceOf returns the refusal that takes the place of an answer of a replica or
+// another VM, nil if the answer may be passed on to the caller.
+func (q *query) refusalInPlaceOf(reply *exchange.Reply, from source, name string) *errs.Refusal {
 	a := lastAnswer{
 		source: from, status: reply.Status, idempotent: q.route.Idempotent,
 		notRun: q.forwarder.notRun(*reply), receipt: reply.Header.Get(q.forwarder.headers.Receipt) != "",
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -268,34 +268,32 @@
 	view *View
 }
 
+// name returns the name of the route, "" if there is none.
+func (m routeMatch) name() string {
+	if m.Route == nil {
+		return ""
+	}
+	return m.Name
+}
+
 // requestLabel names a request in the log. Its fields are empty while they are not known.
 type requestLabel struct{ id, route string }
 
 // readQuery reads a request and returns its query. The body counts against bodyHolding.
 func (f *Forwarder) readQuery(w http.ResponseWriter, r *http.Request, start time.Time, bodyHolding *exchange.Holding) (*query, requestLabel, *errs.Refusal) {
-	head, refusal := f.readHead(r)
-	label := requestLabel{id: head.id}
-	if refusal != nil {
-		boundUnreadBody(w, r)
-		return nil, label, refusal
-	}
-	match, refusal := f.matchRoute(head.target)
-	if refusal != nil {
-		boundUnreadBody(w, r)
-		return nil, label, refusal
-	}
-	label.route = match.Name
-	body, refusal := f.readRequest(w, r, head, match, start, bodyHolding)
+	head, match, body, refusal := f.receive(w, r, start, bodyHolding)
+	label := requestLabel{id: head.id, route: match.name()}
 	if refusal != nil {
 		boundUnreadBody(w, r)
 		return nil, label, refusal
 	}
 	// The body may have taken seconds, in which the routes may have changed.
-	match, refusal = f.matchRoute(head.target)
-	if refusal != nil {
-		return nil, label, refusal
+	if f.view.Load() != match.view {
+		if match, refusal = f.matchRoute(head.target); refusal != nil {
+			return nil, label, refusal
+		}
+		label.route = match.name()
 	}
-	label.route = match.Name
 	q := f.newQuery(r, head, body, match.view, match.Route, start)
 	if q.isBlocked(time.Now()) {
 		return nil, label, crashRefusal()
@@ -304,6 +302,19 @@
 	return q, label, nil
 }
 
+// receive reads the head of a request, selects its route and reads the body. What is
+// known by then is returned also if the request is refused.
+func (f *Forwarder) receive(w http.ResponseWriter, r *http.Request, start time.Time, bodyHolding *exchange.Holding) (head callerHead, match routeMatch, body []byte, refusal *errs.Refusal) {
+	if head, refusal = f.readHead(r); refusal != nil {
+		return head, match, nil, refusal
+	}
+	if match, refusal = f.matchRoute(head.target); refusal != nil {
+		return head, match, nil, refusal
+	}
+	body, refusal = f.readRequest(w, r, head, match, start, bodyHolding)
+	return head, match, body, refusal
+}
+
 // readRequest returns the body of a request, whose size must be within the configured
 // limits. The body counts against bodyHolding.
 func (f *Forwarder) readRequest(w http.ResponseWriter, r *http.Request, head callerHead, match routeMatch, start time.Time, bodyHolding *exchange.Holding) ([]byte, *errs.Refusal) {
--- a/pkg/forward/outcome.go
+++ b/pkg/forward/outcome.go
@@ -52,9 +52,9 @@
 		}
 	}()
 	success := reply.Status >= 200 && reply.Status < 300
-	var notPassedOn *errs.Refusal
+	var inPlace *errs.Refusal
 	if !success && !q.route.FanOut() {
-		notPassedOn = q.passedOn(&reply, fromReplica, r.upstream.Member.ID)
+		inPlace = q.refusalInPlaceOf(&reply, fromReplica, r.upstream.Member.ID)
 	}
 	switch {
 	case s.answered:
@@ -64,8 +64,8 @@
 		if q.route.Idempotent {
 			q.retry(now, s, true)
 		}
-	case notPassedOn != nil:
-		s.refusal = notPassedOn
+	case inPlace != nil:
+		s.refusal = inPlace
 	case success || (reply.Status < http.StatusInternalServerError && !q.route.FanOut()):
 		accepted = true
 		s.answered, s.reply, s.stream = true, &reply, r.stream
--- a/pkg/forward/reading_test.go
+++ b/pkg/forward/reading_test.go
@@ -166,8 +166,6 @@
 		}
 		if !removeDots || (s != "." && s != "..") {
 			segments = append(segments, s)
-		} else {
-			continue
 		}
 	}
 	// A removed last segment leaves the slash before it.
--- a/pkg/forward/told.go
+++ b/pkg/forward/told.go
@@ -41,7 +41,7 @@
 	f.hear(u, now, told, requestID)
 }
 
-// hear records what a replica has said to this VM or to one that relays for it.
+// hear records what a replica has said to this VM, or to one that relays or answers for it.
 func (f *Forwarder) hear(u *Upstream, now time.Time, told replica.Told, requestID string) {
 	if told == (replica.Told{}) || !u.Tracker.Hear(told) {
 		return
--- a/pkg/routes/target.go
+++ b/pkg/routes/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/url"
+	"slices"
 	"strings"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
@@ -125,23 +126,13 @@
 	var longest *Route
 	length := 0
 	for i, prefix := range h.segments {
-		if len(prefix) > length && len(path) > len(prefix) && equalSegments(path, prefix) {
+		if len(prefix) > length && len(path) > len(prefix) && slices.Equal(path[:len(prefix)], prefix) {
 			longest, length = h.routes[i], len(prefix)
 		}
 	}
 	return longest
 }
 
-// equalSegments reports whether path begins with prefix, which is not longer.
-func equalSegments(path, prefix []string) bool {
-	for i := range prefix {
-		if path[i] != prefix[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // decodedSegments splits a path at its slashes and decodes each segment. One that is not
 // valid percent-encoding is left as it is.
 func decodedSegments(path string) []string {
@@ -158,16 +149,15 @@
 func withoutDotSegments(segments []string) []string {
 	kept := make([]string, 0, len(segments))
 	for i, s := range segments {
-		switch last := i == len(segments)-1; {
-		case s == ".." && len(kept) > 1:
-			kept = kept[:len(kept)-1]
-			fallthrough
-		case s == "." || s == "..":
-			if last {
-				kept = append(kept, "")
-			}
-		default:
+		if s != "." && s != ".." {
 			kept = append(kept, s)
+			continue
+		}
+		if s == ".." && len(kept) > 1 {
+			kept = kept[:len(kept)-1]
+		}
+		if i == len(segments)-1 {
+			kept = append(kept, "") // the path still ends with a slash
 		}
 	}
 	return kept
--- a/pkg/storewatch/storewatch.go
+++ b/pkg/storewatch/storewatch.go
@@ -213,7 +213,7 @@
 			return
 		case err != nil && waited && errs.Is(err, errs.PlatformDown):
 			w.cut, w.cutAt, w.confirmSoon = err, time.Now(), true
-			wait.Sleep(ctx, w.retryPause/2+rand.N(w.retryPause/2))
+			sleepAbout(ctx, w.retryPause)
 		case err != nil:
 			w.reportCut(ctx)
 			w.failed(ctx, err)
@@ -251,15 +251,18 @@
 	w.sink.Synced(at)
 }
 
-// failed reports err to the sink and waits before the next call. The pause is
-// random, so that the VMs do not all call a recovering store at the same moment.
+// sleepAbout waits for half of d to d. The pause is random, so that the VMs do not all
+// call a recovering store at the same moment.
+func sleepAbout(ctx context.Context, d time.Duration) { wait.Sleep(ctx, d/2+rand.N(d/2)) }
+
+// failed reports err to the sink and waits before the next call.
 func (w *watcher[T]) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
 	}
 	w.sink.Failed(err)
 	w.confirmSoon = true
-	wait.Sleep(ctx, w.retryPause/2+rand.N(w.retryPause/2))
+	sleepAbout(ctx, w.retryPause)
 	w.retryPause = min(2*w.retryPause, maxRetryPause)
 }
 
@@ -286,7 +289,7 @@
 func Retry(ctx context.Context, f func() error) {
 	pause := minRetryPause
 	for ctx.Err() == nil && f() != nil {
-		wait.Sleep(ctx, pause/2+rand.N(pause/2))
+		sleepAbout(ctx, pause)
 		pause = min(2*pause, maxRetryPause)
 	}
 }
