--- a/pkg/edge/crashfleet_test.go
+++ b/pkg/edge/crashfleet_test.go
@@ -62,6 +62,11 @@
 	queries bool
 	// sameRequestID gives all attempts one request ID.
 	sameRequestID bool
+	// manyCallers lets each attempt come from another caller.
+	manyCallers bool
+	// popular lets all other callers ask for the same few paths, each with its own query
+	// string.
+	popular bool
 	// soundFor is how long the request succeeds before replicas begin to end under it.
 	soundFor time.Duration
 	// pauseAfter is the number of attempts after which the request pauses for pause.
@@ -335,7 +340,10 @@
 func (s *crashSite) sendOthers(caller string, sent *sync.WaitGroup) {
 	for n, end := 0, time.Now().Add(crashRunTime+s.soundFor); time.Now().Before(end); n++ {
 		target := "/one/hot"
-		if !s.hot {
+		switch {
+		case s.popular:
+			target = []string{"/one/popular", "/all/popular", fmt.Sprint("/one/popular?of=", caller, n), fmt.Sprint("/all/popular?of=", caller, n)}[n%4]
+		case !s.hot:
 			target = []string{"/one/again", fmt.Sprint("/one/", n), fmt.Sprint("/all/", n), "/all/again", fmt.Sprint("/all/x/", n)}[n%5]
 		}
 		sent.Go(func() {
@@ -390,7 +398,11 @@
 		if s.sameRequestID {
 			id = "crash"
 		}
-		sent.Go(func() { s.send("10.9.9.9", again, id, fmt.Sprint(n)) })
+		caller := "10.9.9.9"
+		if s.manyCallers {
+			caller = fmt.Sprintf("10.9.%d.%d", n/200, n%200)
+		}
+		sent.Go(func() { s.send(caller, again, id, fmt.Sprint(n)) })
 		s.mu.Lock()
 		gap := time.Duration((0.5 + s.random.Float64()) * float64(s.gap))
 		s.mu.Unlock()
@@ -470,8 +482,12 @@
 		"silent_fan-out": func(p *crashPlan) {
 			p.fanOut, p.silent = true, true
 		},
-		"other_queries":       func(p *crashPlan) { p.queries = true },
-		"same_request_ID":     func(p *crashPlan) { p.sameRequestID = true },
+		"other_queries":   func(p *crashPlan) { p.queries = true },
+		"same_request_ID": func(p *crashPlan) { p.sameRequestID = true },
+		"many_callers":    func(p *crashPlan) { p.manyCallers = true },
+		"many_callers_fan-out": func(p *crashPlan) {
+			p.manyCallers, p.fanOut, p.shards, p.gap = true, true, 10, 130*time.Millisecond
+		},
 		"sound_before":        func(p *crashPlan) { p.soundFor, p.gap = 4*time.Second, 300*time.Millisecond },
 		"silent_sound_before": func(p *crashPlan) { p.soundFor, p.gap, p.silent = 4*time.Second, 300*time.Millisecond, true },
 		"domains":             func(p *crashPlan) { p.domains = 4 },
@@ -503,6 +519,19 @@
 	}
 }
 
+// Guards against a popular path that is refused because many attempts for it, of many
+// callers, were in flight when half of the replicas ended.
+func TestPopularPathIsNotRefusedAfterManyReplicasHaveEnded(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		for seed := range uint64(2) {
+			t.Run(fmt.Sprintf("silent_%t/%d", silent, seed), func(t *testing.T) {
+				p := crashPlan{seed: seed, vms: 5, shards: 6, silent: silent, popular: true, massCrash: 3 * time.Second, downFor: 3 * time.Second, gap: time.Hour, otherGap: 10 * time.Millisecond}
+				p.play(t).check(t)
+			})
+		}
+	}
+}
+
 // Guards against a request that goes on to crash replicas because its attempts are not
 // counted, or no longer.
 func TestDrawnPlansOfRecurringCrashes(t *testing.T) {
