forward: admit by priority where the configuration names several

What callers saw: while replicas could not serve all requests, an urgent query waited behind the others or was refused, and requests to one replica were sent however many were in flight.

Change: with more than one priority among the routes, fan-out queries and requests to one replica are admitted by overload.Queue, with the places of overload.Limit. A request to one replica is refused at once if no replica is expected to answer within its target or by its deadline; one that is silent for unresponsiveTime leaves its place. Refusals carry a Retry-After from the expected drain. New: log fields priority, reason, retry_after_ms and admission_wait_ms, metric forward_admission_refusals by priority and reason. With one priority the admission is as before.

Ruled out: the time until half of the shards have answered at this VM as the sample: a relay reports its shards together at the hedge delay, up to half of the target. The latencies that the other VM reports are used instead.

The effect on a deployment is not measured yet.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -7,7 +7,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -107,8 +106,12 @@
 	bodyStall atomic.Int64
 	// fanOutLimiter bounds the fan-out queries in flight.
 	fanOutLimiter *admit.Limiter
-	log           logrus.FieldLogger
-	view          atomic.Pointer[View]
+	// ranked is set while the configuration names more than one priority. Requests are
+	// then admitted by rankedAdmission, and by fanOutLimiter otherwise.
+	ranked          atomic.Bool
+	rankedAdmission *rankedAdmission
+	log             logrus.FieldLogger
+	view            atomic.Pointer[View]
 	// closeConnections is set while callers should connect to another VM.
 	closeConnections atomic.Bool
 	// isolated is set while this VM reaches no other failure domain.
@@ -126,13 +129,14 @@
 
 type forwardMetrics struct {
 	// answers is keyed by whether all shards are included.
-	answers        map[bool]tally.Counter
-	refusals       tally.Counter
-	hedges         tally.Counter
-	retries        tally.Counter
-	budgetRefusals tally.Counter
-	requestLatency tally.Histogram
-	replicaLatency tally.Histogram
+	answers           map[bool]tally.Counter
+	refusals          tally.Counter
+	hedges            tally.Counter
+	retries           tally.Counter
+	budgetRefusals    tally.Counter
+	admissionRefusals admissionRefusals
+	requestLatency    tally.Histogram
+	replicaLatency    tally.Histogram
 }
 
 // Config holds what a Forwarder needs.
@@ -153,18 +157,19 @@
 func New(c Config) *Forwarder {
 	scope := c.Scope.SubScope("forward")
 	f := &Forwarder{
-		headers: c.Headers, observer: c.Observer, ledger: c.Ledger, memory: c.Memory, bodies: c.Bodies, fanOutLimiter: admit.New(), log: c.Log, started: time.Now(), stop: newPlannedStop(),
+		headers: c.Headers, observer: c.Observer, ledger: c.Ledger, memory: c.Memory, bodies: c.Bodies, fanOutLimiter: admit.New(), log: c.Log, rankedAdmission: newRankedAdmission(), started: time.Now(), stop: newPlannedStop(),
 		metrics: forwardMetrics{
 			answers: map[bool]tally.Counter{
 				true:  scope.Tagged(map[string]string{"outcome": "whole"}).Counter("answers"),
 				false: scope.Tagged(map[string]string{"outcome": "partial"}).Counter("answers"),
 			},
-			refusals:       scope.Counter("refusals"),
-			hedges:         scope.Counter("hedges"),
-			retries:        scope.Counter("retries"),
-			budgetRefusals: scope.Counter("budget_refusals"),
-			requestLatency: scope.Histogram("request_latency", c.Buckets),
-			replicaLatency: scope.Histogram("replica_latency", c.Buckets),
+			refusals:          scope.Counter("refusals"),
+			hedges:            scope.Counter("hedges"),
+			retries:           scope.Counter("retries"),
+			budgetRefusals:    scope.Counter("budget_refusals"),
+			admissionRefusals: newAdmissionRefusals(scope),
+			requestLatency:    scope.Histogram("request_latency", c.Buckets),
+			replicaLatency:    scope.Histogram("replica_latency", c.Buckets),
 		},
 	}
 	f.SetBodyStall(0)
@@ -180,6 +185,8 @@
 		}
 	}
 	f.fanOutLimiter.Configure(limits)
+	f.rankedAdmission.keep(v.Table)
+	f.ranked.Store(isRanked(v.Table))
 	f.view.Store(v)
 }
 
@@ -205,6 +212,7 @@
 		return
 	}
 	if refusal := q.mayStart(r.Context()); refusal != nil {
+		label.priority, label.reason = q.ranked.priority, q.ranked.refusal
 		f.refuse(w, label, start, refusal)
 		return
 	}
@@ -276,9 +284,6 @@
 	return m.Name
 }
 
-// requestLabel names a request in the log. Its fields are empty while they are not known.
-type requestLabel struct{ id, route string }
-
 // readQuery reads a request and returns its query. The body counts against bodyHolding.
 func (f *Forwarder) readQuery(w http.ResponseWriter, r *http.Request, start time.Time, bodyHolding *exchange.Holding) (*query, requestLabel, *errs.Refusal) {
 	head, match, body, refusal := f.receive(w, r, start, bodyHolding)
@@ -348,33 +353,6 @@
 	return errs.Refuse(errs.Poisoned, "replicas crashed when they ran this request")
 }
 
-// refuse logs and answers a request that was not sent to any replica.
-func (f *Forwarder) refuse(w http.ResponseWriter, label requestLabel, start time.Time, refusal *errs.Refusal) {
-	f.log.WithFields(logrus.Fields{
-		"id": label.id, "route": label.route, "code": refusal.Code, "detail": refusal.Detail, "duration_ms": milliseconds(time.Since(start)),
-	}).Info("request refused before it was sent to a replica")
-	f.writeRefusal(w, label.id, refusal)
-}
-
-func (f *Forwarder) writeRefusal(w http.ResponseWriter, id string, refusal *errs.Refusal) {
-	f.metrics.refusals.Inc(1)
-	f.setConnection(w)
-	h := w.Header()
-	if id != "" {
-		h.Set(f.headers.RequestID, id)
-	}
-	h.Set("Content-Type", "text/plain; charset=utf-8")
-	if refusal.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64))
-	}
-	content := refusal.Error() + "\n"
-	h.Set("Content-Length", strconv.Itoa(len(content)))
-	w.WriteHeader(refusalStatus(refusal))
-	// The write fails only if the caller has disconnected; net/http then closes
-	// the connection.
-	_, _ = w.Write([]byte(content))
-}
-
 // requestHeadBytes returns the length of the request line and the header fields as
 // they are sent, with a colon, a space and a line end for each field.
 func requestHeadBytes(r *http.Request) int {
--- a/pkg/forward/outcome.go
+++ b/pkg/forward/outcome.go
@@ -19,6 +19,7 @@
 	switch {
 	case r.refusal == nil && r.stream == nil && q.forwarder.notRun(r.reply):
 		s.attempts--
+		q.ranked.sheds++
 		s.refusal = errs.Refuse(errs.UpstreamShed, "%s refused with status %d", r.upstream.Member.ID, r.reply.Status)
 		q.retry(now, s, true)
 	case r.refusal != nil && r.refusal.RunState == errs.DidNotRun:
@@ -69,6 +70,7 @@
 	case success || (reply.Status < http.StatusInternalServerError && !q.route.FanOut()):
 		accepted = true
 		s.answered, s.reply, s.stream = true, &reply, r.stream
+		q.recordAnswerLatency(now.Sub(r.start))
 		if q.hedgePolicy != nil {
 			q.hedgePolicy.Observe(now.Sub(r.start))
 		}
--- a/pkg/forward/overload.go
+++ b/pkg/forward/overload.go
@@ -40,8 +40,14 @@
 // block others.
 func (q *query) admit(ctx context.Context) *errs.Refusal {
 	q.releaseAdmission = func() {}
-	if !q.route.FanOut() || q.forwarded {
-		return nil // the VM of the caller has admitted a forwarded request
+	if q.forwarded {
+		return nil // the VM of the caller has admitted it
+	}
+	if q.forwarder.ranked.Load() {
+		return q.admitRanked(ctx)
+	}
+	if !q.route.FanOut() {
+		return nil
 	}
 	f, shardSet := q.forwarder, model.ServiceID(q.route.ShardSetKey())
 	f.fanOutLimiter.SetLimits(shardSet, q.view.fanOutLimits(q.route, f.cutOff.Load()))
--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -72,6 +72,7 @@
 	// that open sends can finish.
 	ctx    context.Context
 	cancel context.CancelFunc
+	ranked rankedState
 	// releaseAdmission lets another query run. It may be called more than once.
 	releaseAdmission func()
 	// The remaining fields are counts for the log.
@@ -163,6 +164,7 @@
 		hedgePolicy: view.HedgeDelays[route.Name],
 		caller:      callerAddr(r.RemoteAddr),
 		holding:     f.memory.NewHolding(),
+		ranked:      rankedState{priority: route.Priority},
 	}
 	q.cutoff = cutoffAfter(route, nextRequestRoundTrips(r.Context()))
 	if forwarded := forwardedFrom(r.Context()); forwarded != nil {
@@ -236,6 +238,7 @@
 	if q.route.FanOut() && q.poisonVerdict == poison.Suspect {
 		q.holdBack()
 	} else {
+		q.ranked.sentAt = now
 		q.sendAll(now)
 	}
 	hedgeTimer := time.NewTimer(q.hedgeDelay())
@@ -267,6 +270,7 @@
 			q.releaseAdmission()
 		case now := <-unresponsive.C:
 			q.reportUnresponsive(now)
+			q.releaseUnresponsive()
 		case <-caller.Done():
 			return nil, q.abort(errs.Canceled, "the caller has left")
 		case <-q.forwarder.stop.ctx.Done():
--- a/pkg/forward/relaysend.go
+++ b/pkg/forward/relaysend.go
@@ -109,6 +109,7 @@
 			// the merged ones, so its own are left out.
 			s.openSendCount--
 			s.mayHaveRun, s.answered, merged = true, true, true
+			q.recordAnswerLatency(a.Latency)
 			s.reply = &exchange.Reply{Header: exchange.Header{{Name: q.forwarder.headers.Receipt, Value: a.Receipt}}}
 			if q.hedgePolicy != nil {
 				q.hedgePolicy.Observe(a.Latency)
--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -177,6 +177,9 @@
 	} else if n := len(q.shards[0].tried); n > 0 {
 		fields["service"], fields["replica"] = q.shards[0].service, q.shards[0].tried[n-1].Member.ID
 	}
+	if q.ranked.wait > 0 {
+		fields["priority"], fields["admission_wait_ms"] = q.ranked.priority, milliseconds(q.ranked.wait)
+	}
 	if q.poisonVerdict == poison.Suspect {
 		fields["suspect"], fields["fingerprint"] = true, fmt.Sprintf("%016x", q.attempt.Fingerprint)
 	}
