overload: keep a grown limit while it is used; bound the wait by the caller's deadline

A limit above the start fell back to it five seconds after its last growth, also while the VM used it, so that a VM with steadily many callers refused some of them each time.

Change: the time counts from the last sample that showed more places in use than those of the start. A fan-out query whose caller gives up before the cutoff is admitted only if it can end by then.

--- a/pkg/forward/ranked.go
+++ b/pkg/forward/ranked.go
@@ -195,6 +195,7 @@
 	defer r.admission.mu.Unlock()
 	if took > 0 {
 		sample := overload.Sample{Took: took, Target: target, Limited: r.queue.Limited()}
+		sample.InUse, _ = r.queue.Load()
 		if !p.fanOut {
 			sample.Alone = r.queue.Alone(class)
 		}
@@ -231,7 +232,7 @@
 	}
 	deadline := q.deadline
 	if q.route.FanOut() {
-		deadline = q.start.Add(q.cutoff)
+		deadline = q.start.Add(min(q.cutoff, deadline.Sub(q.start)))
 	}
 	p, decision := f.rankedAdmission.offer(now, resourceKey(q.route, q.shards[0].service), overload.Request{
 		Rank: q.ranked.priority, Tenant: q.caller, Class: q.route.Name, Arrived: q.start, Target: q.rankedTarget(), Deadline: deadline,
--- a/pkg/overload/limit.go
+++ b/pkg/overload/limit.go
@@ -37,8 +37,8 @@
 	leastShare, leastPlaces = 0.25, 0.1
 	// growth is the factor by which a limit below one place grows with each sample.
 	growth = 1.25
-	// growthKept is how long a limit above the start is kept without new evidence
-	// that the replicas have room: a few bursts of callers.
+	// growthKept is how long a limit above the start is kept while no more places
+	// than those of the start are used: a few bursts of callers.
 	growthKept = 5 * time.Second
 )
 
@@ -66,7 +66,7 @@
 type Limit struct {
 	least, start, most float64
 	places             float64
-	grownAt, loweredAt time.Time
+	usedAt, loweredAt  time.Time
 }
 
 // SetRoom sets the places of all VMs together and the number of VMs.
@@ -87,7 +87,7 @@
 
 // Places returns the places that the VM may take now.
 func (l *Limit) Places(now time.Time) float64 {
-	if l.places > l.start && now.Sub(l.grownAt) > growthKept {
+	if l.places > l.start && now.Sub(l.usedAt) > growthKept {
 		l.places = l.start
 	}
 	return max(1, math.Floor(l.places))
@@ -114,12 +114,17 @@
 	// shard is a small part of the target: a VM that has known the replicas only
 	// when they were overloaded takes it for longer than it is, and floods them.
 	Alone time.Duration
-	// Limited is set if the VM uses all of its places.
+	// InUse is the number of places that the VM uses, and Limited is set if these
+	// are all.
+	InUse   float64
 	Limited bool
 }
 
 // Observe adds a sample.
 func (l *Limit) Observe(now time.Time, s Sample) {
+	if s.InUse > l.start {
+		l.usedAt = now
+	}
 	target, alone := float64(s.Target), float64(s.Alone)
 	congested := max(congestedShare*target, min(congestedFloors*alone, latestShare*target))
 	room := max(roomShare*target, min(roomFloors*alone, congestedShare*target))
@@ -135,6 +140,6 @@
 		} else {
 			l.places = min(l.most, l.places+1/l.places)
 		}
-		l.grownAt = now
+		l.usedAt = now
 	}
 }
--- a/pkg/overload/overload_test.go
+++ b/pkg/overload/overload_test.go
@@ -166,8 +166,7 @@
 		v.places = func() float64 { return start }
 		if adaptive {
 			v.places, v.pause = func() float64 { return l.Places(s.now) }, l.Pause
-			v.observe = func(took time.Duration, limited bool) {
-				sample := Sample{Took: took, Target: testTarget, Limited: limited}
+			v.observe = func(sample Sample) {
 				if oneReplica {
 					sample.Alone = v.queue.Alone("")
 				}
--- a/pkg/overload/sim_test.go
+++ b/pkg/overload/sim_test.go
@@ -98,7 +98,7 @@
 	queue   *Queue
 	// places returns the limit, observe gets how long requests took.
 	places  func() float64
-	observe func(took time.Duration, limited bool)
+	observe func(sample Sample)
 	// pause returns how long a place is kept empty after a request; it may be nil.
 	pause func(took time.Duration) time.Duration
 	// workError is the factor by which the observed work of a class is wrong.
@@ -149,8 +149,9 @@
 					took = o.Target
 				}
 				if v.observe != nil {
-					inUse, _ := v.queue.Load()
-					v.observe(took, inUse >= v.places())
+					sample := Sample{Took: took, Target: o.Target, Limited: v.queue.Limited()}
+					sample.InUse, _ = v.queue.Load()
+					v.observe(sample)
 				}
 				if ran {
 					observed = Observation{Duration: took, Work: took}
