overload: of equal priority, start requests with less work first

What callers saw: nothing yet. In simulations of twice the capacity the queue served requests of 7.5 ms of work as often as those of 2.5 ms, though a refusal of one of them makes room for three.

Change: a rank is divided by the size of the work, less than usual, usual or more; each part keeps its floor.

--- a/pkg/overload/queue.go
+++ b/pkg/overload/queue.go
@@ -4,6 +4,7 @@
 package overload
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -16,8 +17,9 @@
 	// so that a small rank is never served more often than a better one.
 	FloorShare = 0.05
 	// maxFloorCredit bounds, in places, what a rank collects of its floor, so that
-	// a rank that was quiet does not hold up the others with a burst.
-	maxFloorCredit = 2.0
+	// a rank that was quiet does not hold up the others with a burst. It is enough
+	// for one request of the greatest work.
+	maxFloorCredit = maxWork
 	// MaxWaitShare of the target is the longest wait. A caller that is refused
 	// within a quarter of the target can still be served in time by another VM.
 	MaxWaitShare = 0.2
@@ -47,8 +49,9 @@
 // Queue admits the requests of one VM to one set of replicas. It answers a lasting or
 // short excess of requests over what the replicas can do.
 //
-// Requests start by rank, within a rank in rounds over the tenants, and within a round
-// by the time until which they have their full value. Each rank keeps a floor. A
+// Requests start by rank and then by the size of their work, the smaller first. Where
+// these are alike they start in rounds over the tenants, and within a round by the time
+// until which they have their full value. Each rank and size keeps a floor. A
 // request that would start too late is refused at once, and a waiting one gives way to
 // one of a better rank when the queue is full. What has started is never taken back. A
 // Queue is not safe for concurrent use.
@@ -63,10 +66,13 @@
 	estimate estimates
 }
 
-// rank holds the waiting requests of one priority.
+// rank holds the waiting requests of one priority and size of work.
 type rank struct {
 	number int
-	queue  *fairqueue.Queue
+	// size is that of the work of its requests: of equal priority those with less work
+	// go first, because a refusal of the others makes more room.
+	size  int
+	queue *fairqueue.Queue
 	// order holds the IDs of the waiting requests in order of arrival.
 	order []uint64
 	// credit is the work that the rank may start by its floor, in places.
@@ -105,7 +111,8 @@
 // Offer decides on a new request. The decisions on other requests follow the one on
 // the new one.
 func (q *Queue) Offer(now time.Time, in Request) []Decision {
-	r := &request{Request: in, rank: q.rankOf(in.Rank), work: q.estimate.work(in.Class)}
+	r := &request{Request: in, work: q.estimate.work(in.Class)}
+	r.rank = q.rankOf(in.Rank, sizeOf(r.work))
 	r.latestStart = q.latestStart(now, r)
 	r.rank.offered.add(now, r.work)
 	r.rank.credit = min(maxFloorCredit, r.rank.credit+FloorShare*r.work)
@@ -265,11 +272,22 @@
 	r.rank.order = slices.DeleteFunc(r.rank.order, func(id uint64) bool { return id == r.ID })
 }
 
-// rankOf returns the rank with the given number, and creates it if it is new.
-func (q *Queue) rankOf(number int) *rank {
-	at, ok := slices.BinarySearchFunc(q.ranks, number, func(r *rank, n int) int { return r.number - n })
+// compare is negative if r is better than other, and positive if it is worse.
+func (r *rank) compare(other *rank) int {
+	return cmp.Or(cmp.Compare(r.number, other.number), cmp.Compare(r.size, other.size))
+}
+
+// sizeOf returns the size of work: 1 for the usual work, 0 for less, 2 for more.
+func sizeOf(work float64) int {
+	return cmp.Compare(work, 1) + 1
+}
+
+// rankOf returns the rank with the given number and size of work, and creates it if it is new.
+func (q *Queue) rankOf(number, size int) *rank {
+	in := &rank{number: number, size: size}
+	at, ok := slices.BinarySearchFunc(q.ranks, in, (*rank).compare)
 	if !ok {
-		q.ranks = slices.Insert(q.ranks, at, &rank{number: number, queue: fairqueue.New(q.limits.MaxWaiting)})
+		q.ranks = slices.Insert(q.ranks, at, &rank{number: number, size: size, queue: fairqueue.New(q.limits.MaxWaiting)})
 	}
 	return q.ranks[at]
 }
@@ -281,7 +299,7 @@
 func (q *Queue) displaceable(in *request) *request {
 	byFloor := in.rank.floorDue(in.work) && len(in.rank.order) == 0
 	for _, rank := range slices.Backward(q.ranks) {
-		if rank.number < in.rank.number && !byFloor || rank == in.rank {
+		if rank.compare(in.rank) < 0 && !byFloor || rank == in.rank {
 			continue
 		}
 		if len(rank.order) == 0 || len(rank.order) == 1 && rank.floorDue(q.nextWork(rank)) {
@@ -328,7 +346,7 @@
 	ahead, _ := r.rank.queue.CountAhead(r.Tenant, r.Arrived.Add(r.Target))
 	work := (float64(ahead) + 0.5) * r.work
 	for _, better := range q.ranks {
-		if better.number >= r.rank.number {
+		if better.compare(r.rank) >= 0 {
 			break
 		}
 		for _, id := range better.order {
