forward: refuse with 503 also a tenant that holds its share of the queue

What callers saw: nothing yet. A request beyond the share of its caller in the queue was refused with 429, as a client error, although its tenant was within its cap; the requirements allow one valid request in 500 to get 4xx.

Change: all refusals of the admission by priority are 503. The latencies of a query are collected in one allocation.

--- a/pkg/forward/ranked.go
+++ b/pkg/forward/ranked.go
@@ -317,22 +317,23 @@
 // recordAnswerLatency records how long a replica took to answer.
 func (q *query) recordAnswerLatency(d time.Duration) {
 	if q.forwarder.ranked.Load() {
+		if q.ranked.latencies == nil {
+			q.ranked.latencies = make([]time.Duration, 0, len(q.shards))
+		}
 		q.ranked.latencies = append(q.ranked.latencies, d)
 	}
 }
 
-// refuseAdmission counts and returns the refusal of a request that was not admitted.
+// refuseAdmission counts and returns the refusal of a request that was not admitted. The
+// status is 503 also if the tenant holds its share of the queue: 429 is left to usage
+// caps, which do not depend on the load.
 func (q *query) refuseAdmission(d overload.Decision, detail string) *errs.Refusal {
-	code := errs.Overloaded
-	if d.Reason == overload.ShareExceeded {
-		code = errs.ShareExceeded
-	}
 	if detail == "" {
 		detail = "not admitted"
 	}
 	q.ranked.refusal = d.Reason
 	q.forwarder.metrics.admissionRefusals.count(q.ranked.priority, d.Reason)
-	return errs.Refuse(code, "%s: %s, priority %d", detail, d.Reason, q.ranked.priority).WithRetryAfter(max(minOverloadRetryAfter, d.RetryAfter))
+	return errs.Refuse(errs.Overloaded, "%s: %s, priority %d", detail, d.Reason, q.ranked.priority).WithRetryAfter(max(minOverloadRetryAfter, d.RetryAfter))
 }
 
 // releaseUnresponsive releases the place of a request to one replica that has not
