forward: keep the priority in the query; pass requests without replicas on to the plan

What callers saw: with admission by priority a request to a service without replicas waited for one place and was refused as overloaded, although planShards names what is missing.

Change: nothing is admitted where no slot is known; planShards refuses such a request.

--- a/pkg/forward/body.go
+++ b/pkg/forward/body.go
@@ -110,3 +110,16 @@
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyGrace))
 	}
 }
+
+// requestHeadBytes returns the length of the request line and the header fields as
+// they are sent, with a colon, a space and a line end for each field.
+func requestHeadBytes(r *http.Request) int {
+	const fieldSeparators = len(": \r\n")
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("Host") + len(r.Host) + 2*fieldSeparators
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + fieldSeparators
+		}
+	}
+	return n
+}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,7 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/exchange"
 	"github.com/nutmeghitch/nutmeghitch/pkg/model"
+	"github.com/nutmeghitch/nutmeghitch/pkg/overload"
 	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
 	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
 )
@@ -212,7 +214,7 @@
 		return
 	}
 	if refusal := q.mayStart(r.Context()); refusal != nil {
-		label.priority, label.reason = q.ranked.priority, q.ranked.refusal
+		label.priority, label.reason = q.priority, q.ranked.refusal
 		f.refuse(w, label, start, refusal)
 		return
 	}
@@ -284,6 +286,14 @@
 	return m.Name
 }
 
+// requestLabel names a request in the log. Its fields are empty while they are not known.
+type requestLabel struct {
+	id, route string
+	// reason tells why the request was not admitted by its priority, "" if it was.
+	reason   overload.Reason
+	priority int
+}
+
 // readQuery reads a request and returns its query. The body counts against bodyHolding.
 func (f *Forwarder) readQuery(w http.ResponseWriter, r *http.Request, start time.Time, bodyHolding *exchange.Holding) (*query, requestLabel, *errs.Refusal) {
 	head, match, body, refusal := f.receive(w, r, start, bodyHolding)
@@ -353,21 +363,35 @@
 	return errs.Refuse(errs.Poisoned, "replicas crashed when they ran this request")
 }
 
-// requestHeadBytes returns the length of the request line and the header fields as
-// they are sent, with a colon, a space and a line end for each field.
-func requestHeadBytes(r *http.Request) int {
-	const fieldSeparators = len(": \r\n")
-	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("Host") + len(r.Host) + 2*fieldSeparators
-	for name, values := range r.Header {
-		for _, v := range values {
-			n += len(name) + len(v) + fieldSeparators
-		}
+// refuse logs and answers a request that was not sent to any replica.
+func (f *Forwarder) refuse(w http.ResponseWriter, label requestLabel, start time.Time, refusal *errs.Refusal) {
+	fields := logrus.Fields{
+		"id": label.id, "route": label.route, "code": refusal.Code, "detail": refusal.Detail, "duration_ms": milliseconds(time.Since(start)),
+	}
+	if label.reason != "" {
+		fields["reason"], fields["priority"], fields["retry_after_ms"] = label.reason, label.priority, milliseconds(refusal.RetryAfter)
 	}
-	return n
+	f.log.WithFields(fields).Info("request refused before it was sent to a replica")
+	f.writeRefusal(w, label.id, refusal)
 }
 
-func milliseconds(d time.Duration) float64 {
-	return float64(d.Round(10*time.Microsecond)) / float64(time.Millisecond)
+func (f *Forwarder) writeRefusal(w http.ResponseWriter, id string, refusal *errs.Refusal) {
+	f.metrics.refusals.Inc(1)
+	f.setConnection(w)
+	h := w.Header()
+	if id != "" {
+		h.Set(f.headers.RequestID, id)
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	if refusal.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	content := refusal.Error() + "\n"
+	h.Set("Content-Length", strconv.Itoa(len(content)))
+	w.WriteHeader(refusalStatus(refusal))
+	// The write fails only if the caller has disconnected; net/http then closes
+	// the connection.
+	_, _ = w.Write([]byte(content))
 }
 
 // randomFraction returns a random number from the uniform distribution on [0, 1).
--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -72,7 +72,9 @@
 	// that open sends can finish.
 	ctx    context.Context
 	cancel context.CancelFunc
-	ranked rankedState
+	// priority is that of the route; 0 is the highest.
+	priority int
+	ranked   rankedState
 	// releaseAdmission lets another query run. It may be called more than once.
 	releaseAdmission func()
 	// The remaining fields are counts for the log.
@@ -164,7 +166,7 @@
 		hedgePolicy: view.HedgeDelays[route.Name],
 		caller:      callerAddr(r.RemoteAddr),
 		holding:     f.memory.NewHolding(),
-		ranked:      rankedState{priority: route.Priority},
+		priority:    route.Priority,
 	}
 	q.cutoff = cutoffAfter(route, nextRequestRoundTrips(r.Context()))
 	if forwarded := forwardedFrom(r.Context()); forwarded != nil {
--- a/pkg/forward/ranked.go
+++ b/pkg/forward/ranked.go
@@ -45,8 +45,6 @@
 
 // rankedState is what a request notes for its admission by priority.
 type rankedState struct {
-	// priority is that of the route; 0 is the highest.
-	priority int
 	// wait is the time from the arrival to the admission, and refusal why the request
 	// was not admitted.
 	wait    time.Duration
@@ -234,9 +232,13 @@
 	if q.route.FanOut() {
 		deadline = q.start.Add(min(q.cutoff, deadline.Sub(q.start)))
 	}
+	c := q.capacity()
+	if c.slots == 0 {
+		return nil // planShards refuses a request that lacks replicas
+	}
 	p, decision := f.rankedAdmission.offer(now, resourceKey(q.route, q.shards[0].service), overload.Request{
-		Rank: q.ranked.priority, Tenant: q.caller, Class: q.route.Name, Arrived: q.start, Target: q.rankedTarget(), Deadline: deadline,
-	}, q.capacity())
+		Rank: q.priority, Tenant: q.caller, Class: q.route.Name, Arrived: q.start, Target: q.rankedTarget(), Deadline: deadline,
+	}, c)
 	if p.result != nil {
 		var decided bool
 		if decision, decided = p.wait(ctx); !decided {
@@ -332,8 +334,8 @@
 		detail = "not admitted"
 	}
 	q.ranked.refusal = d.Reason
-	q.forwarder.metrics.admissionRefusals.count(q.ranked.priority, d.Reason)
-	return errs.Refuse(errs.Overloaded, "%s: %s, priority %d", detail, d.Reason, q.ranked.priority).WithRetryAfter(max(minOverloadRetryAfter, d.RetryAfter))
+	q.forwarder.metrics.admissionRefusals.count(q.priority, d.Reason)
+	return errs.Refuse(errs.Overloaded, "%s: %s, priority %d", detail, d.Reason, q.priority).WithRetryAfter(max(minOverloadRetryAfter, d.RetryAfter))
 }
 
 // releaseUnresponsive releases the place of a request to one replica that has not
--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -178,7 +178,7 @@
 		fields["service"], fields["replica"] = q.shards[0].service, q.shards[0].tried[n-1].Member.ID
 	}
 	if q.ranked.wait > 0 {
-		fields["priority"], fields["admission_wait_ms"] = q.ranked.priority, milliseconds(q.ranked.wait)
+		fields["priority"], fields["admission_wait_ms"] = q.priority, milliseconds(q.ranked.wait)
 	}
 	if q.poisonVerdict == poison.Suspect {
 		fields["suspect"], fields["fingerprint"] = true, fmt.Sprintf("%016x", q.attempt.Fingerprint)
@@ -202,3 +202,7 @@
 	fields["code"], fields["run_state"], fields["detail"] = refusal.Code, refusal.RunState, refusal.Detail
 	f.log.WithFields(fields).Info("request failed")
 }
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d.Round(10*time.Microsecond)) / float64(time.Millisecond)
+}
