overload: take bursts: more may wait, and a limited VM grows faster

In simulations of bursts of ten requests at half of the capacity, VMs refused requests that the replicas had room for: as many could wait as could run, and a VM added a place only after a round of all its places.

Change: three requests may wait for each place; the time that they may wait is bounded as before. A limited VM adds half a place with each early answer.

--- a/pkg/forward/ranked.go
+++ b/pkg/forward/ranked.go
@@ -142,10 +142,10 @@
 	return p, decisions[0]
 }
 
-// setPlaces passes the limit on to the queue. As many requests may wait as may run.
+// setPlaces passes the limit on to the queue.
 func (r *resource) setPlaces(now time.Time) {
 	places := r.limit.Places(now)
-	r.announce(r.queue.SetLimits(now, overload.Limits{Places: places, MaxWaiting: int(places)}))
+	r.announce(r.queue.SetLimits(now, overload.Limits{Places: places, MaxWaiting: overload.WaitingPerPlace * int(places)}))
 }
 
 // announce passes the decisions on to the requests that wait for them.
--- a/pkg/forward/ranked_test.go
+++ b/pkg/forward/ranked_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"runtime"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -74,17 +75,17 @@
 				})
 			}
 		}
-		send("/low/", 7)
-		tier.waitForLoad(key, 4, 3)
-		send("/high/", 2)
+		send("/low/", 12)
+		tier.waitForLoad(key, 4, 8)
+		send("/high/", 5)
 		<-refused
 		assert.DeepEqual(t, statuses["/low/"], []int{http.StatusServiceUnavailable})
-		tier.waitForLoad(key, 4, 4)
+		tier.waitForLoad(key, 4, 12)
 		close(release)
 		pending.Wait()
-		assert.Equal(t, len(statuses["/low/"]), 7)
-		assert.DeepEqual(t, statuses["/high/"], []int{http.StatusOK, http.StatusOK})
-		assert.Equal(t, len(tier.received()), 8)
+		assert.Equal(t, len(statuses["/low/"]), 12)
+		assert.DeepEqual(t, statuses["/high/"], slices.Repeat([]int{http.StatusOK}, 5))
+		assert.Equal(t, len(tier.received()), 16)
 	}
 }
 
--- a/pkg/overload/limit.go
+++ b/pkg/overload/limit.go
@@ -10,6 +10,10 @@
 	// flight for each slot. A replica queues about six requests per slot, but one
 	// that waits behind more than one or two others misses its target.
 	PlacesPerSlot = 3.0
+	// WaitingPerPlace is the number of requests that may wait for each place. The time
+	// of the wait is bounded in any case, so that this only bounds a burst of callers:
+	// places become free several times while a request may wait.
+	WaitingPerPlace = 3
 	// startDeviations times the square root of a VM's share is added to that share
 	// as long as nothing was observed: requests arrive at random.
 	startDeviations = 2.0
@@ -35,6 +39,10 @@
 	// the target as the slots' queues allow needs so few at a time. leastPlaces is
 	// the least for any share: one request at a time, with pauses ten times as long.
 	leastShare, leastPlaces = 0.25, 0.1
+	// step is the part of a place that a limited VM adds with each early answer. It
+	// doubles its places in two rounds of them, a burst of callers being shorter
+	// than the many rounds that one place a round would take.
+	step = 0.5
 	// growth is the factor by which a limit below one place grows with each sample.
 	growth = 1.25
 	// growthKept is how long a limit above the start is kept while no more places
@@ -138,7 +146,7 @@
 		if l.places < 1 {
 			l.places = min(1, l.places*growth)
 		} else {
-			l.places = min(l.most, l.places+1/l.places)
+			l.places = min(l.most, l.places+step)
 		}
 		l.usedAt = now
 	}
--- a/pkg/overload/overload_test.go
+++ b/pkg/overload/overload_test.go
@@ -145,9 +145,9 @@
 
 // playVMs plays callers that spread unevenly over VMs, and returns the
 // answers in time as a part of the possible ones, and the shares of requests that VMs
-// refused and that replicas refused because they were full. The work of requests to one
-// replica takes a large part of the target.
-func playVMs(vms int, load float64, adaptive, oneReplica bool) (inTime, refused, shed float64) {
+// refused and that replicas refused because they were full. Each caller sends a burst of
+// requests. The work of those to one replica takes a large part of the target.
+func playVMs(vms int, load float64, adaptive, oneReplica bool, burst int) (inTime, refused, shed float64) {
 	const slots = 12
 	work, enough := 5*time.Millisecond, 0.6
 	if oneReplica { // there is no slowest shard
@@ -177,10 +177,12 @@
 				l.Observe(s.now, sample)
 			}
 		}
-		s.arrivals(load*slots/work.Seconds()*weight/total, end, func() {
-			o := &offer{Request: Request{Target: testTarget}, work: s.worked(work)}
-			all = append(all, o)
-			v.offer(o)
+		s.arrivals(load*slots/work.Seconds()*weight/total/float64(burst), end, func() {
+			for range burst {
+				o := &offer{Request: Request{Target: testTarget}, work: s.worked(work)}
+				all = append(all, o)
+				v.offer(o)
+			}
 		})
 	}
 	s.run()
@@ -203,18 +205,22 @@
 func TestVMsShareTheRoomWithoutCoordination(t *testing.T) {
 	for _, vms := range []int{5, 33, 81} {
 		for _, load := range []float64{0.5, 0.8, 1, 1.5, 2, 4} {
-			inTime, refused, shed := playVMs(vms, load, true, true)
-			fixedInTime, fixedRefused, fixedShed := playVMs(vms, load, false, true)
+			inTime, refused, shed := playVMs(vms, load, true, true, 1)
+			fixedInTime, fixedRefused, fixedShed := playVMs(vms, load, false, true, 1)
 			t.Logf("one replica, %d VMs, load %.1f: in time %.3f, refused %.3f, shed %.3f; with a fixed share %.3f, %.3f, %.3f", vms, load, inTime, refused, shed, fixedInTime, fixedRefused, fixedShed)
 			assert.Check(t, inTime >= 0.9)
 			assert.Check(t, load > 0.8 || refused <= 0.01)
-			inTime, refused, shed = playVMs(vms, load, true, false)
-			fixedInTime, fixedRefused, fixedShed = playVMs(vms, load, false, false)
+			inTime, refused, shed = playVMs(vms, load, true, false, 1)
+			fixedInTime, fixedRefused, fixedShed = playVMs(vms, load, false, false, 1)
 			t.Logf("%d VMs, load %.1f: in time %.3f, refused %.3f, shed %.3f; with a fixed share %.3f, %.3f, %.3f", vms, load, inTime, refused, shed, fixedInTime, fixedRefused, fixedShed)
 			assert.Check(t, inTime >= 0.97)
 			assert.Check(t, shed <= 0.02)
 			assert.Check(t, load > 0.8 || refused <= 0.002)
 		}
+		inTime, refused, shed := playVMs(vms, 0.5, true, false, 10)
+		fixedInTime, fixedRefused, fixedShed := playVMs(vms, 0.5, false, false, 10)
+		t.Logf("bursts of 10, %d VMs, load 0.5: in time %.3f, refused %.3f, shed %.3f; with a fixed share %.3f, %.3f, %.3f", vms, inTime, refused, shed, fixedInTime, fixedRefused, fixedShed)
+		assert.Check(t, inTime >= 0.95)
 	}
 }
 
--- a/pkg/overload/sim_test.go
+++ b/pkg/overload/sim_test.go
@@ -128,7 +128,7 @@
 	o.Deadline = v.now.Add(o.Target)
 	v.offers[o.ID] = o
 	places := v.places()
-	v.apply(v.queue.SetLimits(v.now, Limits{Places: places, MaxWaiting: int(places)}))
+	v.apply(v.queue.SetLimits(v.now, Limits{Places: places, MaxWaiting: WaitingPerPlace * int(places)}))
 	v.apply(v.queue.Offer(v.now, o.Request))
 }
 
