poison, forward, edge: recognize a crashing request whoever sends it

Cause: the caller's address was part of the fingerprint, and each attempt comes from another caller. Ruled out: reports that are lost or late (325 fingerprints were reported, none more than twice).

Change: the fingerprint is host, method, path and body. So that popular paths are not refused when many replicas end at once, a report counts against its query string alone where the path succeeds, and attempts that overlap count once where the path has succeeded or the replica is silent. A query that several shards break off and none answers gets no hedges, and its retries wait for an answer. Retry-After grows with the time that a shard has had no replica. The fingerprints in reports of the build before are still read.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -337,6 +337,8 @@
 	Attempt string
 	// RequestID is the caller's name for it, empty in reports of older VMs.
 	RequestID string
-	// At is the time of the report by the clock of the VM that wrote it.
-	At time.Time
+	// At is the time of the report, and StartedAt that of the attempt's start, by the clock
+	// of the VM that wrote it. StartedAt is zero in reports of older VMs, and in those that
+	// count whatever other attempts ran at the same time.
+	At, StartedAt time.Time
 }
--- a/pkg/edge/assumedcrash.go
+++ b/pkg/edge/assumedcrash.go
@@ -29,7 +29,7 @@
 	if r.isKnown(crashUnder(attempt, u.Member.Service, now)) || r.byChance(now, poison.LostAttempt{Attempt: attempt}, u.Member.Service) {
 		return
 	}
-	crash := assumedUnder(attempt, u.Member.Service, now)
+	crash := r.weighed(now, assumedUnder(attempt, u.Member.Service, now), false)
 	if !r.isNew(crash) {
 		return
 	}
@@ -39,7 +39,7 @@
 	r.controller.recordCrash(now, crash)
 	r.log.WithFields(logrus.Fields{
 		"id": attempt.RequestID, "attempt": attempt.ID, "replica": u.Member.ID, "fingerprint": fmt.Sprintf("%016x", attempt.Fingerprint),
-		"age_ms": now.Sub(attempt.StartedAt).Milliseconds(), "attempts": r.controller.ledger.Losses(now, attempt.Fingerprint),
+		"age_ms": now.Sub(attempt.StartedAt).Milliseconds(), "attempts": r.controller.ledger.AttemptLosses(now, attempt),
 	}).Info("suspect request without an answer: counted until it is known whether the replica has crashed")
 	r.add(waitingReport{crash: crash, recurring: true})
 }
--- a/pkg/edge/crash.go
+++ b/pkg/edge/crash.go
@@ -1,9 +1,9 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"fmt"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -43,6 +43,11 @@
 // attempt and the time in which it becomes known that a replica has ended under it.
 const successMemory = 30 * time.Second
 
+// popularPathTime is how long before an attempt a success of the same path shows that
+// requests for the path do not crash replicas as such. It is short, because a path may begin
+// to crash them at any time, for instance after a change of the index.
+const popularPathTime = 500 * time.Millisecond
+
 // silentOutageTime is how long silent replicas may keep a query over many shards from any
 // success before the query is blamed for it.
 const silentOutageTime = 4 * time.Second
@@ -80,24 +85,14 @@
 	refuted []string
 }
 
-// success is that of a request, at all services if services is nil.
-type success struct {
-	attempt  forward.RequestAttempt
-	services []string
-}
-
-// refutes reports whether a report of a crash is withdrawn: replicas of the service at
-// which the request was in flight have answered it.
-func (s success) refutes(c discovery.Crash) bool {
-	return c.Fingerprint == s.attempt.Fingerprint && c.Exact == s.attempt.Exact && (s.services == nil || slices.Contains(s.services, c.Service))
-}
-
 // waitingReport is a report that is to be written to the store.
 type waitingReport struct {
 	crash discovery.Crash
 	// recurring is set if the request was in flight at a crash before. Its report is
 	// written first: most requests are in flight at a crash by chance.
 	recurring bool
+	// written is set if the report replaces one in the store.
+	written bool
 }
 
 func newCrashReporter(c *controller, store Store, log logrus.FieldLogger) *crashReporter {
@@ -115,7 +110,7 @@
 func (r *crashReporter) report(u *forward.Upstream, suspects []poison.LostAttempt) {
 	now := time.Now()
 	for _, s := range suspects {
-		crash := crashUnder(s.Attempt, u.Member.Service, now)
+		crash := r.weighed(now, crashUnder(s.Attempt, u.Member.Service, now), s.BrokenOff)
 		if r.confirm(s.Attempt, now) {
 			r.log.WithFields(logrus.Fields{"id": s.RequestID, "attempt": s.ID, "replica": u.Member.ID}).Info("request was in flight when a replica crashed: counted already")
 			continue
@@ -127,12 +122,12 @@
 			r.log.WithFields(logrus.Fields{"id": s.RequestID, "replica": u.Member.ID, "age_ms": now.Sub(s.StartedAt).Milliseconds()}).Info("request was in flight when a replica crashed: not counted, it has succeeded since")
 			continue
 		}
-		recurring := r.controller.ledger.Check(now, s.Fingerprint) == poison.Suspect
+		recurring := r.controller.ledger.CheckAttempt(now, s.Attempt) == poison.Suspect
 		r.controller.recordCrash(now, crash)
-		verdict := r.controller.ledger.Check(now, s.Fingerprint)
+		verdict := r.controller.ledger.CheckAttempt(now, s.Attempt)
 		r.log.WithFields(logrus.Fields{
 			"id": s.RequestID, "attempt": s.ID, "replica": u.Member.ID, "fingerprint": fmt.Sprintf("%016x", s.Fingerprint), "recurring": recurring,
-			"attempts": r.controller.ledger.Losses(now, s.Fingerprint), "refused_from_now": verdict == poison.Blocked,
+			"path_too": crash.Fingerprint != crash.Exact, "attempts": r.controller.ledger.AttemptLosses(now, s.Attempt), "refused_from_now": verdict == poison.Blocked,
 		}).Info("request was in flight when a replica crashed")
 		r.add(waitingReport{crash: crash, recurring: recurring})
 	}
@@ -150,20 +145,25 @@
 	return r.controller.ledger.SucceededSince(now, s.Exact, service, since)
 }
 
-func crashUnder(attempt forward.RequestAttempt, service string, now time.Time) discovery.Crash {
-	return discovery.Crash{Fingerprint: attempt.Fingerprint, Exact: attempt.Exact, Service: service, Attempt: attempt.ID, RequestID: attempt.RequestID, At: now}
+// weighed returns a report that counts as much as what is known of the path allows. Requests
+// for a popular path are in flight whenever replicas end. If the path has succeeded since
+// shortly before the attempt, the report counts against the query string alone. If it has
+// succeeded lately, or the replica has fallen silent, attempts that overlap count once. Those
+// that replicas break off for a path that never succeeds count one by one, because too many
+// would follow until three have come one after the other.
+func (r *crashReporter) weighed(now time.Time, crash discovery.Crash, brokenOff bool) discovery.Crash {
+	ledger, startedAt := r.controller.ledger, crash.StartedAt
+	if brokenOff && !ledger.SucceededSince(now, crash.Fingerprint, crash.Service, now.Add(-successMemory)) {
+		crash.StartedAt = time.Time{}
+	}
+	if crash.Exact != 0 && ledger.SucceededSince(now, crash.Fingerprint, crash.Service, startedAt.Add(-popularPathTime)) {
+		crash.Fingerprint = crash.Exact
+	}
+	return crash
 }
 
-// withdraw queues the withdrawal of the reports of a request that has succeeded: it was
-// in flight at crashes by chance, at the services named or, if services is nil, at all. It
-// never blocks.
-func (r *crashReporter) withdraw(attempt forward.RequestAttempt, services []string) {
-	r.mu.Lock()
-	if len(r.succeeded) < maxWaitingReports {
-		r.succeeded = append(r.succeeded, success{attempt, services})
-	}
-	r.mu.Unlock()
-	r.wakeUp()
+func crashUnder(attempt forward.RequestAttempt, service string, now time.Time) discovery.Crash {
+	return discovery.Crash{Fingerprint: attempt.Fingerprint, Exact: attempt.Exact, Service: service, Attempt: attempt.ID, RequestID: attempt.RequestID, At: now, StartedAt: attempt.StartedAt}
 }
 
 // wakeUp makes run look at what is queued.
@@ -174,39 +174,6 @@
 	}
 }
 
-// withdrawSucceeded withdraws the reports of the requests that have succeeded, here and
-// in the store.
-func (r *crashReporter) withdrawSucceeded(ctx context.Context) {
-	r.mu.Lock()
-	succeeded := r.succeeded
-	r.succeeded = nil
-	r.mu.Unlock()
-	for _, s := range succeeded {
-		attempt, matches := s.attempt, s.refutes
-		r.mu.Lock()
-		unwritten := slices.DeleteFunc(slices.Clone(r.waiting), func(w waitingReport) bool { return !matches(w.crash) })
-		r.waiting = slices.DeleteFunc(r.waiting, func(w waitingReport) bool { return matches(w.crash) })
-		r.mu.Unlock()
-		for _, w := range unwritten {
-			r.controller.clearCrash(time.Now(), w.crash)
-		}
-		written, _ := askState(ctx, r.controller, func(s *state) []discovery.Crash {
-			return slices.DeleteFunc(slices.Collect(maps.Values(s.crashes)), func(c discovery.Crash) bool { return !matches(c) })
-		})
-		for _, crash := range written {
-			r.controller.clearCrash(time.Now(), crash)
-			r.deleteReport(ctx, crashObjectName(crash), "withdrawing a crash report from the store failed")
-		}
-		for name, crash := range r.takeAssumed(matches) {
-			r.controller.clearCrash(time.Now(), crash)
-			r.deleteReport(ctx, name, "withdrawing a crash report from the store failed")
-		}
-		if n := len(unwritten) + len(written); n > 0 {
-			r.log.WithFields(logrus.Fields{"id": attempt.RequestID, "fingerprint": fmt.Sprintf("%016x", attempt.Fingerprint), "reports": n}).Info("crash reports of a request withdrawn: it has succeeded")
-		}
-	}
-}
-
 // deleteReport removes a report from the store.
 func (r *crashReporter) deleteReport(ctx context.Context, name, failure string) {
 	if err := r.store.DeleteCrash(ctx, name); err != nil {
@@ -305,7 +272,7 @@
 			if !ok {
 				return nil
 			}
-			err := r.write(ctx, report.crash)
+			err := r.write(ctx, report)
 			if errs.Is(err, errs.PlatformDown) || errs.Is(err, errs.PlatformThrottled) {
 				return err
 			}
@@ -320,18 +287,23 @@
 }
 
 // write writes a report to the store.
-func (r *crashReporter) write(ctx context.Context, crash discovery.Crash) error {
-	err := r.store.ReportCrash(ctx, crashObjectName(crash), crash)
+func (r *crashReporter) write(ctx context.Context, report waitingReport) error {
+	write := r.store.ReportCrash
+	if report.written {
+		write = r.store.ReplaceCrash
+	}
+	crash := report.crash
+	err := write(ctx, crashObjectName(crash), crash)
 	if err != nil {
 		r.log.WithFields(logrus.Fields{"id": crash.RequestID, "error": err}).Warn("writing a crash report to the store failed")
 	}
 	return err
 }
 
-// crashObjectName returns the name of a report in the store. It holds a hash of the
-// attempt, which older VMs name by what its caller chose.
+// crashObjectName returns the name of a report in the store, whatever it counts against. It
+// holds a hash of the attempt, which older VMs name by what its caller chose.
 func crashObjectName(c discovery.Crash) string {
-	return fmt.Sprintf("%016x-%016x", c.Fingerprint, xxhash.Sum64String(c.Attempt))
+	return fmt.Sprintf("%016x-%016x", cmp.Or(c.Exact, c.Fingerprint), xxhash.Sum64String(c.Attempt))
 }
 
 // prune removes expired reports from the store. Only the coordinator does this.
--- a/pkg/edge/crashfleet_test.go
+++ b/pkg/edge/crashfleet_test.go
@@ -467,6 +467,7 @@
 	if r.IntN(3) == 0 {
 		p.joining = 2
 	}
+	p.manyCallers, p.popular = r.IntN(2) == 0, r.IntN(3) == 0
 	return p
 }
 
--- a/pkg/edge/crashreports.go
+++ b/pkg/edge/crashreports.go
@@ -13,12 +13,26 @@
 
 // recordCrash counts an attempt that was in flight at a replica crash.
 func (c *controller) recordCrash(now time.Time, crash discovery.Crash) {
-	c.ledger.RecordLoss(now, "", crash.Attempt, []uint64{crash.Fingerprint})
+	c.ledger.RecordAttempt(now, crash.Attempt, crash.StartedAt, crash.At, countedFingerprints(crash)...)
 }
 
 // clearCrash clears an attempt that recordCrash has counted.
 func (c *controller) clearCrash(now time.Time, crash discovery.Crash) {
-	c.ledger.ClearLoss(now, "", crash.Attempt, crash.Fingerprint)
+	c.ledger.ClearAttempt(now, crash.Attempt, countedFingerprints(crash)...)
+}
+
+// countedFingerprints returns the fingerprints against which a report counts: that of the
+// path, and that of the request with its query string.
+func countedFingerprints(crash discovery.Crash) []uint64 {
+	if crash.Exact == 0 || crash.Exact == crash.Fingerprint {
+		return []uint64{crash.Fingerprint}
+	}
+	return []uint64{crash.Fingerprint, crash.Exact}
+}
+
+// attemptOf returns the attempt that a report is about.
+func attemptOf(crash discovery.Crash) poison.Attempt {
+	return poison.Attempt{Fingerprint: crash.Fingerprint, Exact: crash.Exact, ID: crash.Attempt, RequestID: crash.RequestID, StartedAt: crash.StartedAt}
 }
 
 // applyCrash applies a changed or removed report. It changes no view.
@@ -31,6 +45,9 @@
 		}
 		delete(c.state.crashes, item.Name)
 	case item.Err == nil:
+		if before, known := c.state.crashes[item.Name]; known && before.Fingerprint != item.Value.Fingerprint {
+			c.ledger.ClearAttempt(now, before.Attempt, before.Fingerprint) // it counts against less than before
+		}
 		c.state.crashes[item.Name] = item.Value
 		if now.Sub(item.Value.At) < crashReportTTL {
 			c.recordCrash(now, item.Value)
@@ -44,7 +61,7 @@
 func (c *controller) logReport(now time.Time, item storewatch.Item[discovery.Crash], crash discovery.Crash, message string) {
 	c.log.WithFields(logrus.Fields{
 		"id": crash.RequestID, "attempt": crash.Attempt, "fingerprint": fmt.Sprintf("%016x", crash.Fingerprint), "revision": item.Revision, "age_ms": now.Sub(crash.At).Milliseconds(),
-		"attempts": c.ledger.Losses(now, crash.Fingerprint), "refused": c.ledger.Check(now, crash.Fingerprint) == poison.Blocked,
+		"attempts": c.ledger.AttemptLosses(now, attemptOf(crash)), "refused": c.ledger.CheckAttempt(now, attemptOf(crash)) == poison.Blocked,
 	}).Info(message)
 }
 
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -58,6 +58,7 @@
 	DeleteVM(ctx context.Context, name string) error
 	Crashes() storewatch.Source[discovery.Crash]
 	ReportCrash(ctx context.Context, name string, crash discovery.Crash) error
+	ReplaceCrash(ctx context.Context, name string, crash discovery.Crash) error
 	DeleteCrash(ctx context.Context, name string) error
 	RequestLimits() storewatch.Source[discovery.RequestLimit]
 	ReportRequestLimit(ctx context.Context, limit discovery.RequestLimit) error
--- a/pkg/edge/fleet_test.go
+++ b/pkg/edge/fleet_test.go
@@ -217,6 +217,9 @@
 func (s *memoryStore) ReportCrash(_ context.Context, name string, crash discovery.Crash) error {
 	return s.write(memCrashes, name, crash)
 }
+func (s *memoryStore) ReplaceCrash(_ context.Context, name string, crash discovery.Crash) error {
+	return s.write(memCrashes, name, crash)
+}
 func (s *memoryStore) DeleteCrash(_ context.Context, name string) error {
 	return s.write(memCrashes, name, nil)
 }
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -11,13 +11,14 @@
 )
 
 // requestAttempt identifies an attempt of a request by what all attempts have in common:
-// the host of its route, the caller's address, the method, the path and the body. The
-// query string may differ between attempts.
+// the host of its route, the method, the path and the body. Attempts come from many callers,
+// and their query strings may differ.
 func requestAttempt(method string, target routes.Target, route *routes.Route, caller string, body []byte, id string) RequestAttempt {
-	from := model.ServiceID(route.Host + " " + caller)
+	host := model.ServiceID(route.Host)
 	return RequestAttempt{
-		Fingerprint: poison.Fingerprint(from, method+" "+target.Path, body),
-		Exact:       poison.Fingerprint(from, "exact "+method+" "+target.URI, body),
+		Fingerprint: poison.Fingerprint(host, method+" "+target.Path, body),
+		Exact:       poison.Fingerprint(host, "exact "+method+" "+target.URI, body),
+		Former:      poison.Fingerprint(model.ServiceID(route.Host+" "+caller), method+" "+target.Path, body),
 		ID:          newAttemptID(),
 		RequestID:   id,
 	}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -107,6 +107,7 @@
 	bodyStall atomic.Int64
 	// fanOutLimiter bounds the fan-out queries in flight.
 	fanOutLimiter *admit.Limiter
+	outages       outages
 	log           logrus.FieldLogger
 	view          atomic.Pointer[View]
 	// closeConnections is set while callers should connect to another VM.
@@ -336,7 +337,7 @@
 		return refusal
 	}
 	// It may have waited, and it may have become a suspect or blocked meanwhile.
-	if q.poisonVerdict = f.ledger.Check(time.Now(), q.attempt.Fingerprint); q.poisonVerdict == poison.Blocked {
+	if q.poisonVerdict = f.ledger.CheckAttempt(time.Now(), q.attempt); q.poisonVerdict == poison.Blocked {
 		q.releaseAdmission()
 		return crashRefusal()
 	}
--- a/pkg/forward/outcome.go
+++ b/pkg/forward/outcome.go
@@ -100,6 +100,10 @@
 	if reachedReplica {
 		s.failuresAtReplica++
 	}
+	if q.mayCrashReplicas() {
+		s.heldBack = true
+		return
+	}
 	if q.canSkip(s) {
 		s.skipped = true
 		q.skippedShards++
--- a/pkg/forward/plan.go
+++ b/pkg/forward/plan.go
@@ -113,7 +113,9 @@
 			q.skippedShards++
 			continue
 		}
-		if u := s.replicas.cheapest(now, q.usualLatency(), nil); u != nil {
+		u := s.replicas.cheapest(now, q.usualLatency(), nil)
+		q.forwarder.outages.observe(now, s.service, u != nil)
+		if u != nil {
 			usableShards++
 			expectedLatencies[i], _ = u.Tracker.ExpectedLatency(now, q.usualLatency())
 			expectedAnswers += answerProbability(now, u, s.replicas)
@@ -132,11 +134,11 @@
 
 // waitForShards returns the Retry-After of a query that lacks the given number of
 // shards: the time until so many more have a replica whose request limit allows a
-// request. For other reasons a replica may be usable soon.
+// request, or may have one that is back from an outage.
 func (q *query) waitForShards(now time.Time, missing int) time.Duration {
 	var waits []time.Duration
 	for _, s := range q.shards {
-		if wait := s.replicas.waitForPermit(now); wait > 0 {
+		if wait := cmp.Or(s.replicas.waitForPermit(now), q.forwarder.outages.retryAfter(now, s.service)); wait > 0 {
 			waits = append(waits, wait)
 		}
 	}
--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -206,7 +206,7 @@
 // isBlocked reports whether the request is known to crash replicas. Other VMs may report
 // that at any time, so each later send asks again.
 func (q *query) isBlocked(now time.Time) bool {
-	return q.forwarder.ledger.Check(now, q.attempt.Fingerprint) == poison.Blocked
+	return q.forwarder.ledger.CheckAttempt(now, q.attempt) == poison.Blocked
 }
 
 // run sends the request, or forwards it to another VM, and waits until the response or
@@ -354,7 +354,7 @@
 // and returns the time until the next hedges.
 func (q *query) hedge() time.Duration {
 	q.reportSuspect()
-	if !q.route.Idempotent || q.poisonVerdict == poison.Suspect || q.isBlocked(time.Now()) {
+	if !q.route.Idempotent || q.poisonVerdict == poison.Suspect || q.mayCrashReplicas() || q.isBlocked(time.Now()) {
 		return q.hedgeDelay() // a request that may crash replicas is not sent to more of them
 	}
 	now := time.Now()
--- a/pkg/forward/relayserve.go
+++ b/pkg/forward/relayserve.go
@@ -51,7 +51,7 @@
 		return
 	}
 	start := time.Now()
-	if f.ledger.Check(start, request.Fingerprint) == poison.Blocked {
+	if f.ledger.CheckAttempt(start, relayedAttempt(request, start)) == poison.Blocked {
 		f.refuseRelayed(request, reply)
 		return
 	}
@@ -96,6 +96,7 @@
 		return 0 // the sender gets the last reply without any outcome
 	}
 	left := min(request.Left, maxRelayTime)
+	attempt := relayedAttempt(request, start)
 	for i, service := range request.Services {
 		u, refusal := f.pickRelayed(view, start, service, request)
 		if refusal != nil {
@@ -107,10 +108,10 @@
 			u.Tracker.CountSend(replica.RelayedSend)
 			reply, refusal := u.Pool.Do(ctx, exchange.Call{
 				Method: request.Method, Head: request.Head, AppendFields: f.sendFields(u, start.Add(left)), Body: request.Body,
-				IDHeader: f.headers.RequestID, ID: request.RequestID, Holding: holding, Check: f.checkSend(u, request.Fingerprint),
+				IDHeader: f.headers.RequestID, ID: request.RequestID, Holding: holding, Check: f.checkSend(u, attempt),
 			})
 			now := time.Now()
-			f.recordOutcome(u, now, start, reply, refusal, relayedAttempt(request, start))
+			f.recordOutcome(u, now, start, reply, refusal, attempt)
 			p := f.relayedPart(i, u, now.Sub(start), reply, refusal)
 			p.limits = view.localLimits(i, service)
 			if u.Tracker.Leaving() {
@@ -126,7 +127,7 @@
 // version name only its request ID.
 func relayedAttempt(request *wire.RelayRequest, start time.Time) RequestAttempt {
 	return RequestAttempt{
-		Fingerprint: request.Fingerprint, Exact: request.Exact, RequestID: request.RequestID, StartedAt: start, FanOut: true,
+		Fingerprint: request.Fingerprint, Exact: request.Exact, Former: request.Former, RequestID: request.RequestID, StartedAt: start, FanOut: true,
 		ID: cmp.Or(request.Attempt, request.RequestID),
 	}
 }
--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -140,6 +140,7 @@
 	s := q.shards[0]
 	switch {
 	case s.answered:
+		q.forwarder.outages.observe(time.Now(), s.service, true)
 		q.forwarder.metrics.answers[true].Inc(1)
 		r := responseFrom(s.reply)
 		r.stream = s.stream
@@ -149,6 +150,7 @@
 	case s.failedReply != nil:
 		return responseFrom(s.failedReply), nil, true
 	case s.refusal == nil:
+		q.forwarder.outages.observe(time.Now(), s.service, false)
 		return nil, errs.Refuse(errs.NoReplica, "no replica of %s can take requests now", s.service).WithRetryAfter(q.waitForShards(time.Now(), 1)), true
 	case s.mayHaveRun:
 		return nil, errs.Ambiguous(s.refusal.Code, "%s", s.refusal.Detail), true
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -76,7 +76,7 @@
 	u.Tracker.CountSend(kind)
 	call := exchange.Call{
 		Method: q.method, Head: q.head, AppendFields: q.forwarder.sendFields(u, q.sendDeadline(start)), Body: q.body,
-		IDHeader: q.forwarder.headers.RequestID, ID: q.id, Holding: q.holding, Check: q.forwarder.checkSend(u, q.attempt.Fingerprint),
+		IDHeader: q.forwarder.headers.RequestID, ID: q.id, Holding: q.holding, Check: q.forwarder.checkSend(u, q.attempt),
 	}
 	if !q.route.Idempotent {
 		call.MaxIdleTime = maxIdleNonIdempotent
--- a/pkg/forward/success.go
+++ b/pkg/forward/success.go
@@ -17,8 +17,8 @@
 	case q.brokenOff > 0 || slices.ContainsFunc(q.shards, unanswered):
 		q.recordAnsweredShards()
 	default:
-		q.forwarder.ledger.RecordSuccess(time.Now(), q.attempt.Exact)
-		q.reportSuccess(nil)
+		q.reportSuccess(nil) // by the verdict that the success may end
+		q.forwarder.ledger.RecordAttemptSuccess(time.Now(), q.attempt)
 	}
 }
 
@@ -38,13 +38,14 @@
 	}
 	if len(services) > 0 {
 		q.forwarder.ledger.RecordPartialSuccess(time.Now(), q.attempt.Exact, missing)
+		q.forwarder.ledger.RecordPartialSuccess(time.Now(), q.attempt.Fingerprint, missing)
 		q.reportSuccess(services)
 	}
 }
 
 // reportSuccess reports a success of a request that was in flight when replicas crashed.
 func (q *query) reportSuccess(services []string) {
-	if v := q.forwarder.ledger.Check(time.Now(), q.attempt.Fingerprint); v == poison.Suspect || v == poison.Blocked {
+	if v := q.forwarder.ledger.CheckAttempt(time.Now(), q.attempt); v == poison.Suspect || v == poison.Blocked {
 		q.forwarder.observer.SuspectSucceeded(q.attempt, services)
 	}
 }
--- a/pkg/forward/suspect.go
+++ b/pkg/forward/suspect.go
@@ -33,6 +33,7 @@
 	case answered:
 		release(held)
 		q.sendAll(now)
+		q.retryHeldBack(now, held)
 	case q.brokenOff > 0:
 		release(held)
 	default:
@@ -41,6 +42,39 @@
 	return true
 }
 
+// minBrokenOffShards is the number of shards that have broken a query off before it is held
+// back from the others. A single replica may end, or close a connection, at any time.
+const minBrokenOffShards = 2
+
+// mayCrashReplicas reports whether a query has been broken off by replicas of several shards
+// and answered by none. Sent again to the next replica of each shard, it could end all
+// replicas of all shards. Beside an outage some shard answers a sound query within its usual
+// latency, which is what its retries wait for.
+func (q *query) mayCrashReplicas() bool {
+	if !q.route.FanOut() || q.brokenOff < minBrokenOffShards {
+		return false
+	}
+	brokenOff := 0
+	for _, s := range q.shards {
+		if s.answered {
+			return false
+		}
+		if s.brokenOff {
+			brokenOff++
+		}
+	}
+	return brokenOff >= minBrokenOffShards
+}
+
+// retryHeldBack sends the request again to the shards whose retries were held back.
+func (q *query) retryHeldBack(now time.Time, held []*shard) {
+	for _, s := range held {
+		if len(s.tried) > 0 && s.brokenOff {
+			q.retry(now, s, false) // the failure was counted when it was held back
+		}
+	}
+}
+
 // sendToFirst sends the request to the first of the shards that has a replica for it.
 func (q *query) sendToFirst(now time.Time, held []*shard) {
 	for _, s := range held {
@@ -60,7 +94,7 @@
 // reportSuspect reports that replicas have not answered a query in their usual time that
 // may crash them. Other attempts then wait no longer for the proof that this one has.
 func (q *query) reportSuspect() {
-	if q.forwarder.ledger.Check(time.Now(), q.attempt.Fingerprint) != poison.Suspect {
+	if q.forwarder.ledger.CheckAttempt(time.Now(), q.attempt) != poison.Suspect {
 		return
 	}
 	for _, s := range q.shards {
--- a/pkg/forward/told.go
+++ b/pkg/forward/told.go
@@ -70,7 +70,7 @@
 // checkSend returns what keeps a request from being written to a replica that was picked
 // for it, nil if it may be written. It is asked after the waits for a connection, in which
 // the replica may have been withdrawn, or the request have crashed others.
-func (f *Forwarder) checkSend(u *Upstream, fingerprint uint64) func() *errs.Refusal {
+func (f *Forwarder) checkSend(u *Upstream, attempt RequestAttempt) func() *errs.Refusal {
 	return func() *errs.Refusal {
 		now := time.Now()
 		switch {
@@ -78,7 +78,7 @@
 			return errs.Refuse(errs.UpstreamDraining, "%s drains, has left or is out of service", u.Member.ID)
 		case !u.Tracker.Wants(now):
 			return errs.Refuse(errs.UpstreamDraining, "%s leaves or wants a pause", u.Member.ID)
-		case f.ledger.Check(now, fingerprint) == poison.Blocked:
+		case f.ledger.CheckAttempt(now, attempt) == poison.Blocked:
 			return crashRefusal()
 		}
 		return nil
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -176,7 +176,7 @@
 	var changed []model.PoisonEntry
 	for _, fp := range inFlight {
 		r := l.recordFor(now, fp)
-		if !r.addLoss(hash, false) {
+		if !r.addLoss(hash, false, span{}) {
 			continue
 		}
 		l.extendVerdict(now, r)
@@ -185,6 +185,61 @@
 	return changed
 }
 
+// RecordAttempt records that an attempt of a request was in flight when a replica was
+// lost: from startedAt, which may be zero if it is not known, to reportedAt. Attempts that
+// overlapped count once. fingerprints are those by which the request is recognized.
+func (l *Ledger) RecordAttempt(now time.Time, id string, startedAt, reportedAt time.Time, fingerprints ...uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	during := span{startedAt, reportedAt}
+	if startedAt.IsZero() {
+		during = span{}
+	}
+	for _, fp := range fingerprints {
+		if r := l.recordFor(now, fp); r.addLoss(instanceHash(now, "", id), false, during) {
+			l.extendVerdict(now, r)
+		}
+	}
+}
+
+// ClearAttempt clears what RecordAttempt has recorded.
+func (l *Ledger) ClearAttempt(now time.Time, id string, fingerprints ...uint64) {
+	for _, fp := range fingerprints {
+		l.ClearLoss(now, "", id, fp)
+	}
+}
+
+// CheckAttempt returns the verdict on an attempt: the gravest of those on the fingerprints
+// by which it is recognized.
+func (l *Ledger) CheckAttempt(now time.Time, a Attempt) Verdict {
+	verdict := max(l.Check(now, a.Fingerprint), l.Check(now, a.Exact))
+	if a.Former != 0 {
+		verdict = max(verdict, l.Check(now, a.Former))
+	}
+	return verdict
+}
+
+// AttemptLosses returns the number of losses that count against an attempt.
+func (l *Ledger) AttemptLosses(now time.Time, a Attempt) int {
+	losses := max(l.Losses(now, a.Fingerprint), l.Losses(now, a.Exact))
+	if a.Former != 0 {
+		losses = max(losses, l.Losses(now, a.Former))
+	}
+	return losses
+}
+
+// RecordAttemptSuccess records that an attempt succeeded. It clears what counts against
+// other attempts with the same fingerprint only where they are not blocked: the success of
+// one query string says nothing of another one, but it shows that not each request for the
+// path crashes replicas.
+func (l *Ledger) RecordAttemptSuccess(now time.Time, a Attempt) {
+	l.RecordSuccess(now, a.Exact)
+	l.RecordSuccess(now, a.Fingerprint)
+	if a.Former != 0 {
+		l.RecordSuccess(now, a.Former)
+	}
+}
+
 // ClearLoss clears a loss that RecordLoss has recorded, because the request succeeded
 // later.
 func (l *Ledger) ClearLoss(now time.Time, replica model.ReplicaID, instance string, fp uint64) {
@@ -194,7 +249,7 @@
 	if !ok {
 		return
 	}
-	r.addLoss(instanceHash(now, replica, instance), true)
+	r.addLoss(instanceHash(now, replica, instance), true, span{})
 	r.forgetAt = now.Add(l.longestDuration() + PropagationMargin)
 }
 
@@ -240,7 +295,7 @@
 	changed, newLoss := false, false
 	for i, hash := range e.Instances {
 		cleared := e.Cleared&(1<<i) != 0
-		if hash != 0 && r.addLoss(hash, cleared) {
+		if hash != 0 && r.addLoss(hash, cleared, span{}) {
 			changed = true
 			newLoss = newLoss || !cleared
 		}
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -320,3 +320,31 @@
 	assert.Assert(t, !l.SucceededSince(at(36), 1, "a", at(0)), "longer ago than ProvenDuration")
 	assert.Assert(t, !l.SucceededSince(at(20), 2, "a", at(0)), "another request")
 }
+
+// Guards against a popular request that is blocked because several attempts for it were in
+// flight when many replicas ended, and against one that crashes replicas and is not blocked
+// because its first attempts overlapped.
+func TestOverlappingAttemptsCountOnce(t *testing.T) {
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	l := NewLedger(config)
+	attempt := func(from, to int) { l.RecordAttempt(at(to), fmt.Sprint(from, "-", to), at(from), at(to), 1, 2) }
+	for i := range 2 * model.MaxPoisonInstances {
+		attempt(i, 100+i)
+	}
+	assert.Equal(t, l.Losses(at(200), 1), 1)
+	attempt(50, 250)
+	assert.Equal(t, l.Losses(at(250), 1), 1)
+	attempt(210, 260)
+	assert.Equal(t, l.Losses(at(260), 1), 2)
+	attempt(300, 310)
+	assert.Equal(t, l.Check(at(310), 1), Blocked)
+	assert.Equal(t, l.CheckAttempt(at(310), Attempt{Fingerprint: 9, Exact: 2}), Blocked)
+	assert.Equal(t, l.CheckAttempt(at(310), Attempt{Fingerprint: 9, Exact: 8, Former: 2}), Blocked, "VMs of older versions report another fingerprint")
+	l.ClearAttempt(at(311), "300-310", 1, 2)
+	l.ClearAttempt(at(311), "210-260", 1, 2)
+	assert.Equal(t, l.Check(at(311), 1), Suspect)
+	for i := range DefaultLossLimit {
+		l.RecordAttempt(at(400), fmt.Sprint("unknown start ", i), time.Time{}, at(400), 7)
+	}
+	assert.Equal(t, l.Check(at(400), 7), Blocked)
+}
--- a/pkg/poison/record.go
+++ b/pkg/poison/record.go
@@ -15,20 +15,52 @@
 // therefore the same in any order.
 type record struct {
 	instances   [model.MaxPoisonInstances]uint64 // hashes of instances in ascending order; unused elements are 0 and come first
+	spans       [model.MaxPoisonInstances]span   // when the attempts of the losses ran; zero where it is not known
 	clearedMask uint8                            // bit i is set when the loss of instances[i] is cleared
 	expiresAt   time.Time                        // when the verdict (suspect or blocked) ends
 	forgetAt    time.Time                        // when the record may be dropped if no verdict is in force
 }
 
-// activeLosses returns the number of losses that are not cleared.
-func (r *record) activeLosses() int {
-	used := 0
-	for _, hash := range r.instances {
+// span is the time from the start of an attempt to the report that a replica has ended
+// under it.
+type span struct{ from, to time.Time }
+
+// activeLosses returns the number of losses that are not cleared and independent of each
+// other.
+func (r *record) activeLosses() int { return bits.OnesCount8(r.independentMask()) }
+
+// independentMask selects the losses that count: as many as possible that are not cleared
+// and whose attempts did not overlap. One event, such as a failure domain that loses power,
+// ends replicas under all attempts of a popular request that are in flight. A request that
+// crashes replicas does so again after it has done so.
+func (r *record) independentMask() uint8 {
+	var mask uint8
+	var last time.Time
+	for left := r.activeMask(); left != 0; {
+		next := -1 // the one that ends first leaves most room for others
+		for i := range r.instances {
+			if left&(1<<i) != 0 && (next < 0 || r.spans[i].to.Before(r.spans[next].to)) {
+				next = i
+			}
+		}
+		left &^= 1 << next
+		if s := r.spans[next]; s.to.IsZero() || mask == 0 || s.from.After(last) {
+			mask |= 1 << next
+			last = s.to
+		}
+	}
+	return mask
+}
+
+// activeMask selects the losses that are not cleared.
+func (r *record) activeMask() uint8 {
+	var mask uint8
+	for i, hash := range r.instances {
 		if hash != 0 {
-			used++
+			mask |= 1 << i
 		}
 	}
-	return used - bits.OnesCount8(r.clearedMask)
+	return mask &^ r.clearedMask
 }
 
 // inForce reports whether a verdict is in force: the fingerprint is suspect or blocked.
@@ -53,10 +85,10 @@
 }
 
 // addLoss adds one loss, or marks a known one as cleared, and reports whether the
-// record changed. If all elements are in use, an active loss replaces a cleared one,
-// and a cleared loss is ignored. If all elements hold active losses, any further loss
-// is ignored, because it would not change the verdict.
-func (r *record) addLoss(hash uint64, cleared bool) bool {
+// record changed. If all elements are in use, an active loss replaces a cleared one or
+// one that does not count, and a cleared loss is ignored. If all elements hold losses that
+// count, any further loss is ignored, because it would not change the verdict.
+func (r *record) addLoss(hash uint64, cleared bool, during span) bool {
 	for i, known := range r.instances {
 		if known != hash {
 			continue
@@ -71,7 +103,7 @@
 	if i < 0 {
 		return false
 	}
-	r.instances[i] = hash
+	r.instances[i], r.spans[i] = hash, during
 	r.setCleared(i, cleared)
 	r.sort()
 	return true
@@ -84,10 +116,14 @@
 			return i
 		}
 	}
-	if !cleared && r.clearedMask != 0 {
-		return bits.TrailingZeros8(r.clearedMask)
+	replaceable := r.clearedMask
+	if replaceable == 0 {
+		replaceable = r.activeMask() &^ r.independentMask()
+	}
+	if cleared || replaceable == 0 {
+		return -1
 	}
-	return -1
+	return bits.TrailingZeros8(replaceable)
 }
 
 func (r *record) setCleared(i int, cleared bool) {
@@ -109,6 +145,7 @@
 func (r *record) swap(i, j int) {
 	clearedI, clearedJ := r.clearedMask&(1<<i) != 0, r.clearedMask&(1<<j) != 0
 	r.instances[i], r.instances[j] = r.instances[j], r.instances[i]
+	r.spans[i], r.spans[j] = r.spans[j], r.spans[i]
 	r.setCleared(i, clearedJ)
 	r.setCleared(j, clearedI)
 }
--- a/pkg/poison/unanswered.go
+++ b/pkg/poison/unanswered.go
@@ -20,11 +20,15 @@
 // Attempt identifies one attempt of a caller's request, so that a request that crashes
 // the replicas that run it is recognized when it is sent again.
 type Attempt struct {
-	// Fingerprint is the same for all attempts of a request.
+	// Fingerprint is the same for all attempts of a request, whatever their query strings
+	// and callers are.
 	Fingerprint uint64
 	// Exact is the same only for attempts that are alike in everything that a replica may
 	// act on. Its success says nothing of attempts that differ.
 	Exact uint64
+	// Former is the fingerprint that VMs of older versions give the attempt, 0 if it is not
+	// known. It is read in their reports and not written.
+	Former uint64
 	// ID is new for each attempt.
 	ID string
 	// StartedAt is when this VM began with the attempt.
--- a/pkg/soak/crash.go
+++ b/pkg/soak/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -93,10 +94,19 @@
 	return a.id
 }
 
+// manyCallersClient returns a client whose connections come from many callers' addresses.
+func manyCallersClient() *http.Client {
+	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		from := net.IPv4(127, 0, byte(1+rand.IntN(100)), byte(1+rand.IntN(200)))
+		return (&net.Dialer{LocalAddr: &net.TCPAddr{IP: from}}).DialContext(ctx, network, addr)
+	}
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: dial}}
+}
+
 // playCrashing sends the crashing request to random VMs until ctx ends.
 func (s *site) playCrashing(ctx context.Context, path string) {
 	random := rand.New(rand.NewPCG(s.config.Seed, 8))
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	client := manyCallersClient()
 	if s.soundAtFirst() {
 		s.crashing.mu.Lock()
 		s.crashing.soundUntil = time.Now().Add(soundTime)
@@ -122,7 +132,7 @@
 		return
 	}
 	wait.Sleep(ctx, crashContact)
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	client := manyCallersClient()
 	var late []string
 	for range 2 {
 		for _, v := range s.vms {
--- a/pkg/wire/relay.go
+++ b/pkg/wire/relay.go
@@ -23,7 +23,9 @@
 	// Fingerprint identifies the request in the ledger of crashes.
 	Fingerprint uint64 `msgpack:"fp"`
 	// Exact identifies the request with its query string.
-	Exact    uint64   `msgpack:"exact"`
+	Exact uint64 `msgpack:"exact"`
+	// Former is the fingerprint that VMs of older versions give the request.
+	Former   uint64   `msgpack:"former"`
 	Services []string `msgpack:"services"`
 	// TopK is the number of records that the merged answer needs.
 	TopK int `msgpack:"k"`
