routes, platform: decode tenants and their keys

Operators want to name tenants in config/main: each with keys, a priority, a rate and a burst. Until now the field was ignored, and any caller was served.

Tables between VMs gain KnowsTenants: a table of an older build, which leaves the tenants out, is told from one without tenants, also after it has passed through a newer VM. Older builds ignore the new fields.

--- a/pkg/routes/routes.go
+++ b/pkg/routes/routes.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
 	"maps"
 	"slices"
 	"strings"
@@ -27,6 +28,8 @@
 	Timeout, Target time.Duration
 	// Priority is the priority of the route's requests; 0 is the highest.
 	Priority int
+	// Public is set if requests need no key where tenants are in force.
+	Public bool
 	// Attempts is the maximum number of replicas that one request is sent to; in a
 	// fan-out query it applies to each shard.
 	Attempts int
@@ -81,12 +84,23 @@
 	IdleTimeout   time.Duration
 }
 
-// Table is one version of the configuration. It does not change after NewTable.
+// Table is one version of the configuration. It does not change after NewTable and
+// SetTenants.
 type Table struct {
 	Version  uint64
 	Limits   Limits
 	Routes   []*Route
 	Services map[string]*Service
+	// HasTenants is set if the configuration names tenants, of which there may be none:
+	// requests then need a key unless their route is public.
+	HasTenants bool
+	Tenants    []*Tenant
+	// TenantsUnknown is set if the table has come from a VM of an older build, which
+	// does not pass tenants on. The configuration may have some.
+	TenantsUnknown bool
+	// holders maps the digest of a key to the tenant that holds it.
+	holders       map[[sha256.Size]byte]*Tenant
+	tenantsByName map[string]*Tenant
 	// hosts maps a host name in lower case to its routes.
 	hosts map[string]*hostRoutes
 }
@@ -141,17 +155,25 @@
 	return r.Services[len(r.Services)-1].Service
 }
 
-// encodedTable is the form in which a Table is sent between VMs.
+// encodedTable is the form in which a Table is sent between VMs. Older builds ignore the
+// fields that they do not know.
 type encodedTable struct {
 	Version  uint64
 	Limits   Limits
 	Routes   []*Route
 	Services map[string]*Service
+	// KnowsTenants tells a table without tenants from one of an older build.
+	KnowsTenants bool
+	HasTenants   bool
+	Tenants      []*Tenant
 }
 
 // EncodeMsgpack implements msgpack.CustomEncoder.
 func (t *Table) EncodeMsgpack(e *msgpack.Encoder) error {
-	return e.Encode(&encodedTable{Version: t.Version, Limits: t.Limits, Routes: t.Routes, Services: t.Services})
+	return e.Encode(&encodedTable{
+		Version: t.Version, Limits: t.Limits, Routes: t.Routes, Services: t.Services,
+		KnowsTenants: !t.TenantsUnknown, HasTenants: t.HasTenants, Tenants: t.Tenants,
+	})
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
@@ -164,6 +186,12 @@
 	if err != nil {
 		return err
 	}
+	table.TenantsUnknown = !in.KnowsTenants
+	if in.HasTenants {
+		if err := table.SetTenants(in.Tenants); err != nil {
+			return err
+		}
+	}
 	*t = *table
 	return nil
 }
