forward: authenticate callers by tenant where the configuration has tenants

Callers of a configuration with tenants were served without a key, their Authorization field reached replicas, and a replica believed any X-Tenant that a caller had sent.

The key is read once, when the route is known, and again if the view changed while the body arrived. pkg/tenant decides without I/O: no key, another scheme, an overlong or unknown key is 401 with WWW-Authenticate, more than one Authorization field 400. A VM whose configuration was not confirmed within four fifths of the bound does not know that a key, or a route, does not exist: it answers 503 config_unconfirmed with Retry-After 50 ms. It serves the keys it knows, unless strict_revoke is set.

Every head that is sent is built once for a request: it names the tenant, and holds neither Authorization nor an X-Tenant of the caller, on public routes too. First sends, retries, hedges, relays and forwarded requests all use that head. Before each send the key is looked up again if the configuration has changed since; such a refusal is no failure of the replica.

Requests forwarded through another VM: the receiver trusts X-Tenant only on connections whose first frame says that the sender tells of each request who has read the key, and only for requests of which it says so. The word stands before the version in a field that older builds read from its end and remove, so that they pass nothing on. Without it the receiver reads the key itself. A look at the versions alone was ruled out: a sender without tenants in its configuration passes on what the caller has sent, and so does an older build.

Fingerprints contain the tenant's name between host and address. Without tenants they, and all sent fields, are as before. query.priority is the tenant's priority, or else the route's. Log lines of requests have the field tenant; key_refusals counts refusals by reason.

--- a/pkg/errs/errs.go
+++ b/pkg/errs/errs.go
@@ -33,6 +33,7 @@
 	NoReplica            Code = "no_replica"
 	NoSnapshot           Code = "no_snapshot"
 	NotReady             Code = "not_ready"
+	ConfigUnconfirmed    Code = "config_unconfirmed"
 	Stopping             Code = "stopping"
 	ClaimUnavailable     Code = "claim_unavailable"
 	ClaimStoreFull       Code = "claim_store_full"
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -11,10 +11,14 @@
 )
 
 // requestAttempt identifies an attempt of a request by what all attempts have in common:
-// the host of its route, the caller's address, the method, the path and the body. The
-// query string may differ between attempts.
-func requestAttempt(method string, target routes.Target, route *routes.Route, caller string, body []byte, id string) RequestAttempt {
-	from := model.ServiceID(route.Host + " " + caller)
+// the host of its route, its tenant if it has one, the caller's address, the method, the
+// path and the body. The query string may differ between attempts.
+func requestAttempt(method string, target routes.Target, route *routes.Route, tenant *routes.Tenant, caller string, body []byte, id string) RequestAttempt {
+	origin := route.Host
+	if tenant != nil { // without one the fingerprint is that of VMs of older builds
+		origin += " " + tenant.Name
+	}
+	from := model.ServiceID(origin + " " + caller)
 	return RequestAttempt{
 		Fingerprint: poison.Fingerprint(from, method+" "+target.Path, body),
 		Exact:       poison.Fingerprint(from, "exact "+method+" "+target.URI, body),
--- a/pkg/forward/elsewhere.go
+++ b/pkg/forward/elsewhere.go
@@ -56,7 +56,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := wire.Write(c, 0, &wire.ForwardOpen{VM: self, Reports: true}, maxOpenFrameBytes); err != nil {
+		if err := wire.Write(c, 0, &wire.ForwardOpen{VM: self, Reports: true, Tenants: true}, maxOpenFrameBytes); err != nil {
 			_ = c.Close() // it is not used
 			return nil, err
 		}
@@ -102,6 +102,9 @@
 			continue
 		}
 		tries++
+		if refusal := q.checkKey(time.Now()); refusal != nil {
+			return nil, refusal, true
+		}
 		reply, stream, refusal := q.forwardTo(h)
 		switch {
 		case refusal == nil && reply.Header.Get(notTaken) == "":
@@ -178,7 +181,7 @@
 // forwardFields appends the header lines for another VM.
 func (q *query) forwardFields(b []byte) []byte {
 	b = appendMilliseconds(b, q.forwarder.headers.Deadline, time.Until(q.deadline))
-	b = appendNumber(b, forwardedVersion, int64(q.view.Table.Version))
+	b = appendForwardedVersion(b, q.view.Table)
 	if q.route.FanOut() {
 		b = appendMilliseconds(b, forwardedCutoff, time.Until(q.start.Add(q.cutoff)))
 	}
@@ -189,6 +192,8 @@
 type forwardedRequest struct {
 	// cutoff is 0 if the request has none.
 	cutoff time.Duration
+	// authenticated is set if the other VM has replaced the key by the tenant's name.
+	authenticated bool
 }
 
 type forwardedKey struct{}
@@ -209,7 +214,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	forwarded := &forwardedRequest{}
+	forwarded := &forwardedRequest{authenticated: isAuthenticated(r)}
 	if ms, err := strconv.ParseInt(lastValue(r.Header, forwardedCutoff), 10, 64); err == nil {
 		forwarded.cutoff = max(time.Millisecond, time.Duration(ms)*time.Millisecond-forwardHop)
 	}
--- a/pkg/forward/elsewhere_test.go
+++ b/pkg/forward/elsewhere_test.go
@@ -26,8 +26,14 @@
 	// older makes it a VM of a version without reports of replicas.
 	older     bool
 	breakNext atomic.Bool
+	// withoutTenants makes the other VM one of a build that does not know tenants.
+	withoutTenants bool
+	// keysSeen counts the requests that have arrived with a key.
+	keysSeen atomic.Int64
 	// reports is set if the other VM reads the reports of replicas.
 	reports atomic.Bool
+	// tenants is set if the other VM tells whether it has replaced the caller's key.
+	tenants atomic.Bool
 	// served counts the requests that have arrived.
 	served atomic.Int64
 }
@@ -45,6 +51,7 @@
 		return nil, net.ErrClosed
 	}
 	h.reports.Store(open.Reports)
+	h.tenants.Store(open.Tenants)
 	return c, nil
 }
 
@@ -61,6 +68,15 @@
 		if h.breakNext.Swap(false) {
 			panic(http.ErrAbortHandler)
 		}
+		if r.Header.Get(authorizationHeader) != "" {
+			h.keysSeen.Add(1)
+		}
+		if h.withoutTenants {
+			values := r.Header[forwardedVersion]
+			r.Header[forwardedVersion] = append(values[:len(values)-2:len(values)-2], values[len(values)-1])
+		} else if h.tenants.Load() {
+			r = r.WithContext(WithTenantNames(r.Context()))
+		}
 		if h.reports.Load() && !h.older {
 			r = r.WithContext(WithReplicaReports(r.Context()))
 		}
@@ -115,7 +131,7 @@
 	request, err := http.NewRequest("GET", "/p/bad", nil)
 	assert.NilError(t, err)
 	request.RequestURI, request.Host = "/p/bad", "h.example"
-	attempt := requestAttempt(request.Method, targetOf(request), other.table.Routes[0], "127.0.0.1", nil, "")
+	attempt := requestAttempt(request.Method, targetOf(request), other.table.Routes[0], nil, "127.0.0.1", nil, "")
 	for _, id := range []string{"a", "b", "c"} {
 		other.ledger.RecordLoss(time.Now(), "", id, []uint64{attempt.Fingerprint})
 	}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -20,7 +20,6 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/exchange"
 	"github.com/nutmeghitch/nutmeghitch/pkg/model"
 	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
-	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
 )
 
 // HeaderNames holds the names of the HTTP headers that the tier reads and sets.
@@ -29,6 +28,8 @@
 	RequestID string
 	// Deadline holds the milliseconds for which the sender still waits.
 	Deadline string
+	// Tenant holds the name of the tenant on whose behalf a replica runs the request.
+	Tenant string
 	// TargetReplica holds the ID of the only replica that may run the request.
 	TargetReplica string
 	// Receipt proves that a replica ran the request.
@@ -121,6 +122,7 @@
 	started    time.Time
 	lastAnswer atomic.Int64
 	stop       *plannedStop
+	tenants    *tenantCheck
 	metrics    forwardMetrics
 }
 
@@ -154,6 +156,7 @@
 	scope := c.Scope.SubScope("forward")
 	f := &Forwarder{
 		headers: c.Headers, observer: c.Observer, ledger: c.Ledger, memory: c.Memory, bodies: c.Bodies, fanOutLimiter: admit.New(), log: c.Log, started: time.Now(), stop: newPlannedStop(),
+		tenants: newTenantCheck(scope),
 		metrics: forwardMetrics{
 			answers: map[bool]tally.Counter{
 				true:  scope.Tagged(map[string]string{"outcome": "whole"}).Counter("answers"),
@@ -243,46 +246,13 @@
 	r.write(w)
 }
 
-// matchRoute returns the route of a request.
-func (f *Forwarder) matchRoute(target routes.Target) (routeMatch, *errs.Refusal) {
-	view := f.view.Load()
-	if view == nil || view.Table == nil {
-		return routeMatch{}, errs.Refuse(errs.NotReady, "no configuration is known yet").WithRetryAfter(notReadyRetryAfter)
-	}
-	route, refusal := view.Table.Match(target)
-	if refusal != nil {
-		return routeMatch{}, refusal
-	}
-	if route == nil {
-		return routeMatch{}, errs.Refuse(errs.UnknownService, "no route for host %q path %q in version %d", target.Host, target.Path, view.Table.Version)
-	}
-	return routeMatch{Route: route, view: view}, nil
-}
-
-// routeMatch is the route of a request with the view that contains it. A request keeps
-// the route from its first send on, even if the view is replaced: all parts of an answer
-// come from the shards of one version. Its replicas are those of the view in force at
-// each send.
-type routeMatch struct {
-	*routes.Route
-	view *View
-}
-
-// name returns the name of the route, "" if there is none.
-func (m routeMatch) name() string {
-	if m.Route == nil {
-		return ""
-	}
-	return m.Name
-}
-
 // requestLabel names a request in the log. Its fields are empty while they are not known.
-type requestLabel struct{ id, route string }
+type requestLabel struct{ id, route, tenant string }
 
 // readQuery reads a request and returns its query. The body counts against bodyHolding.
 func (f *Forwarder) readQuery(w http.ResponseWriter, r *http.Request, start time.Time, bodyHolding *exchange.Holding) (*query, requestLabel, *errs.Refusal) {
 	head, match, body, refusal := f.receive(w, r, start, bodyHolding)
-	label := requestLabel{id: head.id, route: match.name()}
+	label := requestLabel{id: head.id, route: match.name(), tenant: head.tenantName()}
 	if refusal != nil {
 		boundUnreadBody(w, r)
 		return nil, label, refusal
@@ -292,7 +262,10 @@
 		if match, refusal = f.matchRoute(head.target); refusal != nil {
 			return nil, label, refusal
 		}
-		label.route = match.name()
+		if head.credentials, refusal = f.authenticate(r, match); refusal != nil {
+			return nil, label, refusal
+		}
+		label.route, label.tenant = match.name(), head.tenantName()
 	}
 	q := f.newQuery(r, head, body, match.view, match.Route, start)
 	if q.isBlocked(time.Now()) {
@@ -311,6 +284,9 @@
 	if match, refusal = f.matchRoute(head.target); refusal != nil {
 		return head, match, nil, refusal
 	}
+	if head.credentials, refusal = f.authenticate(r, match); refusal != nil {
+		return head, match, nil, refusal
+	}
 	body, refusal = f.readRequest(w, r, head, match, start, bodyHolding)
 	return head, match, body, refusal
 }
@@ -335,7 +311,12 @@
 	if refusal := q.admit(caller); refusal != nil {
 		return refusal
 	}
-	// It may have waited, and it may have become a suspect or blocked meanwhile.
+	// It may have waited, in which its key may have been removed, and it may have become a
+	// suspect or blocked.
+	if refusal := q.checkKey(time.Now()); refusal != nil {
+		q.releaseAdmission()
+		return refusal
+	}
 	if q.poisonVerdict = f.ledger.Check(time.Now(), q.attempt.Fingerprint); q.poisonVerdict == poison.Blocked {
 		q.releaseAdmission()
 		return crashRefusal()
@@ -350,9 +331,11 @@
 
 // refuse logs and answers a request that was not sent to any replica.
 func (f *Forwarder) refuse(w http.ResponseWriter, label requestLabel, start time.Time, refusal *errs.Refusal) {
-	f.log.WithFields(logrus.Fields{
-		"id": label.id, "route": label.route, "code": refusal.Code, "detail": refusal.Detail, "duration_ms": milliseconds(time.Since(start)),
-	}).Info("request refused before it was sent to a replica")
+	fields := logrus.Fields{"id": label.id, "route": label.route, "code": refusal.Code, "detail": refusal.Detail, "duration_ms": milliseconds(time.Since(start))}
+	if label.tenant != "" {
+		fields["tenant"] = label.tenant
+	}
+	f.log.WithFields(fields).Info("request refused before it was sent to a replica")
 	f.writeRefusal(w, label.id, refusal)
 }
 
@@ -369,25 +352,16 @@
 	}
 	content := refusal.Error() + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(content)))
-	w.WriteHeader(refusalStatus(refusal))
+	status := refusalStatus(refusal)
+	if status == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", "Bearer") // RFC 9110, 15.5.2 demands it
+	}
+	w.WriteHeader(status)
 	// The write fails only if the caller has disconnected; net/http then closes
 	// the connection.
 	_, _ = w.Write([]byte(content))
 }
 
-// requestHeadBytes returns the length of the request line and the header fields as
-// they are sent, with a colon, a space and a line end for each field.
-func requestHeadBytes(r *http.Request) int {
-	const fieldSeparators = len(": \r\n")
-	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("Host") + len(r.Host) + 2*fieldSeparators
-	for name, values := range r.Header {
-		for _, v := range values {
-			n += len(name) + len(v) + fieldSeparators
-		}
-	}
-	return n
-}
-
 func milliseconds(d time.Duration) float64 {
 	return float64(d.Round(10*time.Microsecond)) / float64(time.Millisecond)
 }
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -313,7 +313,7 @@
 	}
 	send := func(path string) (status, received int) {
 		request := httptest.NewRequest("GET", path, nil)
-		attempt := requestAttempt(request.Method, targetOf(request), tier.table.Routes[0], "127.0.0.1", nil, "")
+		attempt := requestAttempt(request.Method, targetOf(request), tier.table.Routes[0], nil, "127.0.0.1", nil, "")
 		tier.ledger.RecordLoss(time.Now(), "", "x", []uint64{attempt.Fingerprint})
 		before := len(tier.received())
 		status, _, _ = tier.send("GET", path, path, "")
@@ -342,7 +342,7 @@
 	})
 	for path, succeeds := range map[string]bool{"/p/500": false, "/p/503": false, "/p/429": false, "/p/408": false, "/p/404": true, "/p/succeeds": true} {
 		request := httptest.NewRequest("GET", path, nil)
-		attempt := requestAttempt(request.Method, targetOf(request), tier.table.Routes[0], "127.0.0.1", nil, "")
+		attempt := requestAttempt(request.Method, targetOf(request), tier.table.Routes[0], nil, "127.0.0.1", nil, "")
 		tier.ledger.RecordLoss(time.Now(), "", "x", []uint64{attempt.Fingerprint})
 		tier.send("GET", path, "1", "")
 		assert.Equal(t, tier.ledger.Check(time.Now(), attempt.Exact) == poison.Proven, succeeds, path)
@@ -357,7 +357,7 @@
 	tier.addReplica(tier.addService("a", 0), "a1", respondWith("ra", record("1")))
 	tier.addReplica(tier.addService("b", 0), "b1", func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
 	request := httptest.NewRequest("GET", "/a/", nil)
-	attempt := requestAttempt(request.Method, targetOf(request), tier.table.Routes[0], "127.0.0.1", nil, "")
+	attempt := requestAttempt(request.Method, targetOf(request), tier.table.Routes[0], nil, "127.0.0.1", nil, "")
 	status, header, _ := tier.send("GET", "/a/", "1", "")
 	assert.Equal(t, status, http.StatusOK)
 	assert.Equal(t, header.Get("Missing"), "1")
@@ -371,7 +371,7 @@
 	replicas := tier.addService("s", 100)
 	for _, id := range []string{"r1", "r2", "r3"} {
 		tier.addReplica(replicas, id, func(w http.ResponseWriter, r *http.Request) {
-			tier.blockRequest(requestAttempt(r.Method, targetOf(r), tier.table.Routes[0], "127.0.0.1", nil, "").Fingerprint)
+			tier.blockRequest(requestAttempt(r.Method, targetOf(r), tier.table.Routes[0], nil, "127.0.0.1", nil, "").Fingerprint)
 			refuseNotRun(w, r)
 		})
 	}
@@ -478,7 +478,7 @@
 		respondWith("x", "body")(w, r)
 	})
 	request := httptest.NewRequest("GET", "/p/suspect", nil)
-	tier.ledger.RecordLoss(time.Now(), "", "x", []uint64{requestAttempt(request.Method, targetOf(request), tier.table.Routes[0], "127.0.0.1", nil, "").Fingerprint})
+	tier.ledger.RecordLoss(time.Now(), "", "x", []uint64{requestAttempt(request.Method, targetOf(request), tier.table.Routes[0], nil, "127.0.0.1", nil, "").Fingerprint})
 	tier.send("GET", "/p/sound", "id1", "")
 	answered := make(chan struct{})
 	go func() {
@@ -524,7 +524,7 @@
 		{"/a/whole", http.StatusOK, [][]string{nil}},
 		{"/a/refused", http.StatusBadGateway, [][]string{{"a"}}},
 	} {
-		attempt := requestAttempt("GET", targetOf(httptest.NewRequest("GET", test.path, nil)), tier.table.Routes[0], "127.0.0.1", nil, "")
+		attempt := requestAttempt("GET", targetOf(httptest.NewRequest("GET", test.path, nil)), tier.table.Routes[0], nil, "127.0.0.1", nil, "")
 		tier.ledger.RecordLoss(time.Now(), "", "x", []uint64{attempt.Fingerprint})
 		tier.clearedAt = nil
 		start := time.Now()
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -27,7 +27,7 @@
 )
 
 var testHeaders = HeaderNames{
-	RequestID: "Id", Deadline: "Left", TargetReplica: "For", Receipt: "Receipt", NotRun: "Not-Run",
+	RequestID: "Id", Deadline: "Left", Tenant: "Tenant", TargetReplica: "For", Receipt: "Receipt", NotRun: "Not-Run",
 	Receipts: "Receipts", MissingShards: "Missing", ReplicaID: "Replica", WarmupLeft: "Cold", RequestLimit: "Limit", Leaving: "Leaving",
 }
 
--- a/pkg/forward/head.go
+++ b/pkg/forward/head.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
@@ -22,6 +23,8 @@
 	// deadline is the value of the deadline header.
 	deadline string
 	target   routes.Target
+	// credentials are set once the route is known.
+	credentials
 }
 
 // readHead reads the head of a caller's request. The id is set also if it refuses the
@@ -39,8 +42,8 @@
 }
 
 // requestHead returns the request line and the header fields that all sends of a
-// request share.
-func (f *Forwarder) requestHead(r *http.Request, head callerHead) []byte {
+// request share, by the configuration of table.
+func (f *Forwarder) requestHead(r *http.Request, head callerHead, table *routes.Table) []byte {
 	var b bytes.Buffer
 	b.Grow(512)
 	b.WriteString(r.Method)
@@ -51,8 +54,11 @@
 	if head.id != "" {
 		writeHeader(&b, f.headers.RequestID, head.id)
 	}
+	if head.tenant != nil {
+		writeHeader(&b, f.headers.Tenant, head.tenant.Name)
+	}
 	for name, values := range r.Header {
-		if hopByHopHeaders[name] || name == f.headers.RequestID || name == f.headers.Deadline || name == f.headers.TargetReplica {
+		if f.omitsHeader(name, table) {
 			continue
 		}
 		for _, v := range values {
@@ -68,3 +74,49 @@
 	b.WriteString(value)
 	b.WriteString("\r\n")
 }
+
+// requestHeadBytes returns the length of the request line and the header fields as
+// they are sent, with a colon, a space and a line end for each field.
+func requestHeadBytes(r *http.Request) int {
+	const fieldSeparators = len(": \r\n")
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("Host") + len(r.Host) + 2*fieldSeparators
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + fieldSeparators
+		}
+	}
+	return n
+}
+
+// matchRoute returns the route of a request.
+func (f *Forwarder) matchRoute(target routes.Target) (routeMatch, *errs.Refusal) {
+	view := f.view.Load()
+	if view == nil || view.Table == nil {
+		return routeMatch{}, errs.Refuse(errs.NotReady, "no configuration is known yet").WithRetryAfter(notReadyRetryAfter)
+	}
+	route, refusal := view.Table.Match(target)
+	if refusal != nil {
+		return routeMatch{}, refusal
+	}
+	if route == nil {
+		return routeMatch{}, f.tenants.noRouteRefusal(time.Now(), target, view.Table)
+	}
+	return routeMatch{Route: route, view: view}, nil
+}
+
+// routeMatch is the route of a request with the view that contains it. A request keeps
+// the route from its first send on, even if the view is replaced: all parts of an answer
+// come from the shards of one version. Its replicas are those of the view in force at
+// each send.
+type routeMatch struct {
+	*routes.Route
+	view *View
+}
+
+// name returns the name of the route, "" if there is none.
+func (m routeMatch) name() string {
+	if m.Route == nil {
+		return ""
+	}
+	return m.Name
+}
--- a/pkg/forward/oldview_test.go
+++ b/pkg/forward/oldview_test.go
@@ -138,7 +138,7 @@
 		slow := v.addReplica("s", "slow", 0, always(time.Millisecond))
 		slow.dialTime = time.Second
 		v.setReplicas(slow)
-		attempt := requestAttempt("GET", routes.Target{Path: "/p/crash", URI: "/p/crash"}, v.view.Table.Routes[0], "192.0.2.1", nil, "")
+		attempt := requestAttempt("GET", routes.Target{Path: "/p/crash", URI: "/p/crash"}, v.view.Table.Routes[0], nil, "192.0.2.1", nil, "")
 		go func() {
 			time.Sleep(500 * time.Millisecond)
 			for i := range 3 {
--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -53,8 +53,12 @@
 	head      []byte // of every send, without the header fields of sendFields
 	body      []byte
 	// view is the one by which the route was chosen.
-	view     *View
-	route    *routes.Route
+	view  *View
+	route *routes.Route
+	// credentials name the tenant, which does not change while the request runs.
+	credentials
+	// priority is that of the tenant, or else of the route; 0 is the highest.
+	priority int
 	start    time.Time
 	deadline time.Time
 	// cutoff is the time after start at which a response that lacks some shards is
@@ -159,6 +163,7 @@
 func (f *Forwarder) newQuery(r *http.Request, head callerHead, body []byte, view *View, route *routes.Route, start time.Time) *query {
 	q := &query{
 		forwarder: f, id: head.id, method: r.Method, body: body, view: view, route: route, start: start,
+		credentials: head.credentials, priority: head.tenant.PriorityOn(route),
 		deadline:    start.Add(requestTimeout(head.deadline, route)),
 		hedgePolicy: view.HedgeDelays[route.Name],
 		caller:      callerAddr(r.RemoteAddr),
@@ -172,9 +177,9 @@
 			q.cutoff = forwarded.cutoff
 		}
 	}
-	q.attempt = requestAttempt(r.Method, head.target, route, q.caller, body, head.id)
+	q.attempt = requestAttempt(r.Method, head.target, route, head.tenant, q.caller, body, head.id)
 	q.attempt.StartedAt, q.attempt.FanOut = start, route.FanOut()
-	q.head = f.requestHead(r, head)
+	q.head = f.requestHead(r, head, view.Table)
 	services := route.Shards
 	if !route.FanOut() {
 		services = []string{route.Pick(randomFraction())}
--- a/pkg/forward/reading_test.go
+++ b/pkg/forward/reading_test.go
@@ -138,7 +138,7 @@
 		if refusal != nil {
 			return
 		}
-		lines := strings.Split(string(forwarder.requestHead(r, head)), "\r\n")
+		lines := strings.Split(string(forwarder.requestHead(r, head, match.view.Table)), "\r\n")
 		line := strings.Split(lines[0], " ")
 		sentHost, found := strings.CutPrefix(lines[1], "Host: ")
 		if !found || len(line) != 3 || strings.Contains(lines[0]+sentHost, "\n") {
--- a/pkg/forward/relay_test.go
+++ b/pkg/forward/relay_test.go
@@ -34,8 +34,9 @@
 	// refused and silent break the way to the other VM.
 	refused, silent bool
 	dials           atomic.Int64
-	// relayed counts the relayed requests, without probes.
+	// relayed counts the relayed requests, without probes, and head is that of the last.
 	relayed atomic.Int64
+	head    atomic.Value
 }
 
 const relayShards = 8
@@ -99,6 +100,7 @@
 		relay.Serve(r.serveCtx, server, m.(*wire.RelayRequest), func(ctx context.Context, q *wire.RelayRequest, reply func(*wire.RelayReply) error) {
 			if len(q.Services) > 0 {
 				r.relayed.Add(1)
+				r.head.Store(string(q.Head))
 			}
 			r.far.forwarder.ServeRelay(ctx, q, reply)
 		}, logrus.New())
@@ -345,7 +347,7 @@
 func TestRelayedRequestThatCrashesReplicasIsRefused(t *testing.T) {
 	inRelayFleet(t, 0.5, func(r *relayFleet) {
 		request := httptest.NewRequest("GET", "http://h.example/a/x", nil)
-		fp := requestAttempt(request.Method, targetOf(request), r.view.Table.Routes[0], callerAddr(request.RemoteAddr), nil, "").Fingerprint
+		fp := requestAttempt(request.Method, targetOf(request), r.view.Table.Routes[0], nil, callerAddr(request.RemoteAddr), nil, "").Fingerprint
 		for _, id := range []string{"x", "y", "z"} {
 			r.far.forwarder.ledger.RecordLoss(time.Now(), "", id, []uint64{fp})
 		}
--- a/pkg/forward/relayserve.go
+++ b/pkg/forward/relayserve.go
@@ -107,7 +107,7 @@
 			u.Tracker.CountSend(replica.RelayedSend)
 			reply, refusal := u.Pool.Do(ctx, exchange.Call{
 				Method: request.Method, Head: request.Head, AppendFields: f.sendFields(u, start.Add(left)), Body: request.Body,
-				IDHeader: f.headers.RequestID, ID: request.RequestID, Holding: holding, Check: f.checkSend(u, request.Fingerprint),
+				IDHeader: f.headers.RequestID, ID: request.RequestID, Holding: holding, Check: f.checkSend(u, request.Fingerprint, nil),
 			})
 			now := time.Now()
 			f.recordOutcome(u, now, start, reply, refusal, relayedAttempt(request, start))
--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -169,6 +169,9 @@
 		"duration_ms": milliseconds(time.Since(q.start)), "deadline_left_ms": milliseconds(time.Until(q.deadline)),
 		"sends": q.sends,
 	}
+	if q.tenant != nil {
+		fields["tenant"] = q.tenant.Name
+	}
 	if q.hedges+q.retries+q.budgetRefusals > 0 {
 		fields["hedges"], fields["retries"], fields["denied_by_budget"] = q.hedges, q.retries, q.budgetRefusals
 	}
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -76,7 +76,7 @@
 	u.Tracker.CountSend(kind)
 	call := exchange.Call{
 		Method: q.method, Head: q.head, AppendFields: q.forwarder.sendFields(u, q.sendDeadline(start)), Body: q.body,
-		IDHeader: q.forwarder.headers.RequestID, ID: q.id, Holding: q.holding, Check: q.forwarder.checkSend(u, q.attempt.Fingerprint),
+		IDHeader: q.forwarder.headers.RequestID, ID: q.id, Holding: q.holding, Check: q.forwarder.checkSend(u, q.attempt.Fingerprint, q),
 	}
 	if !q.route.Idempotent {
 		call.MaxIdleTime = maxIdleNonIdempotent
@@ -168,7 +168,7 @@
 	case refusal.Code == errs.MemoryLimit:
 		u.Tracker.End(now, start, replica.Abandoned)
 		f.log.WithFields(logrus.Fields{"id": attempt.RequestID, "replica": u.Member.ID, "detail": refusal.Detail}).Warn("response of a replica dropped: no memory left to buffer it")
-	case refusal.Code == errs.UpstreamDraining || refusal.Code == errs.Poisoned: // checkSend has kept it back
+	case refusal.Code == errs.UpstreamDraining || refusal.Code == errs.Poisoned || refusal.Code == errs.ConfigUnconfirmed: // checkSend has kept it back
 		u.Tracker.End(now, start, replica.Abandoned)
 	case refusal.RunState == errs.DidNotRun:
 		u.Tracker.End(now, start, replica.Failed)
--- a/pkg/forward/stream_test.go
+++ b/pkg/forward/stream_test.go
@@ -116,7 +116,7 @@
 	})
 	for _, path := range []string{"/p/breaks", "/p/succeeds"} {
 		request := httptest.NewRequest("GET", path, nil)
-		attempt := requestAttempt(request.Method, targetOf(request), tier.table.Routes[0], "127.0.0.1", nil, "")
+		attempt := requestAttempt(request.Method, targetOf(request), tier.table.Routes[0], nil, "127.0.0.1", nil, "")
 		tier.ledger.RecordLoss(time.Now(), "", "x", []uint64{attempt.Fingerprint})
 		request, err := http.NewRequestWithContext(t.Context(), "GET", tier.server.URL+path, nil)
 		assert.NilError(t, err)
--- a/pkg/forward/told.go
+++ b/pkg/forward/told.go
@@ -69,8 +69,9 @@
 
 // checkSend returns what keeps a request from being written to a replica that was picked
 // for it, nil if it may be written. It is asked after the waits for a connection, in which
-// the replica may have been withdrawn, or the request have crashed others.
-func (f *Forwarder) checkSend(u *Upstream, fingerprint uint64) func() *errs.Refusal {
+// the replica may have been withdrawn, the request have crashed others, or the caller's key
+// have been removed. q is nil for a request of another VM, which has read the key.
+func (f *Forwarder) checkSend(u *Upstream, fingerprint uint64, q *query) func() *errs.Refusal {
 	return func() *errs.Refusal {
 		now := time.Now()
 		switch {
@@ -80,7 +81,9 @@
 			return errs.Refuse(errs.UpstreamDraining, "%s leaves or wants a pause", u.Member.ID)
 		case f.ledger.Check(now, fingerprint) == poison.Blocked:
 			return crashRefusal()
+		case q == nil:
+			return nil
 		}
-		return nil
+		return q.checkKey(now)
 	}
 }
--- a/pkg/wire/older_test.go
+++ b/pkg/wire/older_test.go
@@ -14,7 +14,7 @@
 	type older struct {
 		VM string `msgpack:"vm"`
 	}
-	content, err := msgpack.Marshal(&ForwardOpen{VM: "vm1", Reports: true})
+	content, err := msgpack.Marshal(&ForwardOpen{VM: "vm1", Reports: true, Tenants: true})
 	assert.NilError(t, err)
 	var read older
 	assert.NilError(t, msgpack.Unmarshal(content, &read))
--- a/pkg/wire/relay.go
+++ b/pkg/wire/relay.go
@@ -99,6 +99,9 @@
 	VM string `msgpack:"vm"`
 	// Reports is set if the sender reads ReplicaReports. VMs of older versions do not.
 	Reports bool `msgpack:"reports"`
+	// Tenants is set if the sender tells of each request whether it has replaced the key
+	// of the caller by the name of the tenant. VMs of older builds do not.
+	Tenants bool `msgpack:"tenants"`
 }
 
 // Kind implements Message.
