edge: tell requests how current the configuration is; keep tables of older builds out

A VM that had lost the store and its feed, or had just started from the state of a seed VM, took its configuration for current, so a key that a newer version adds would have got 401, and its topics counted as confirmed by the store at the moment it heard of them.

Topics are confirmed by the store, or by a feed with the time at which the store had confirmed its sender; heartbeats confirm too, what a seed or a stale VM sends does not. The forwarder gets the time of the configuration after each event, after the view. While a store that is back from an older copy holds an older configuration than the one in force, unknown keys are not refused for good.

The configuration of a VM whose build does not pass tenants on is not used where the settings' contracts contain tenants, or where the version in force has some: it would let keys through to replicas. Its position is not taken either, so that the VM reads the store itself; such a VM's feed is not subscribed to.

Settings: contracts, bounds.strict_revoke, revoke_ms, config_apply_ms and contact_ms; bounds take effect while the VM runs, the contract with a restart.

--- a/pkg/edge/controller.go
+++ b/pkg/edge/controller.go
@@ -221,12 +221,14 @@
 // urgent topic that was confirmed least recently.
 func (c *controller) updateStatus() {
 	status := feed.Status{WatchingStore: c.watchingStore, StoreUnreachable: len(c.failedTopics) > 0}
+	first := true
 	for _, t := range c.topics {
-		if at, urgent := t.verified(); urgent && (status.VerifiedAt.IsZero() || at.Before(status.VerifiedAt)) {
-			status.VerifiedAt = at
+		if at, urgent := t.verified(); urgent && (first || at.Before(status.VerifiedAt)) {
+			status.VerifiedAt, first = at, false
 		}
 	}
 	c.status.Store(&status)
+	c.updateConfigState()
 }
 
 // Status implements feed.Source.
@@ -282,14 +284,14 @@
 	return false
 }
 
-// applyFeed applies the objects that another VM has sent. It reports whether the
-// view changes.
-func (c *controller) applyFeed(now time.Time, topics []wire.FeedTopic) bool {
+// applyFeed applies the objects that another VM has sent. The store had confirmed them at
+// verifiedAt, zero if that is not known. It reports whether the view changes.
+func (c *controller) applyFeed(now time.Time, topics []wire.FeedTopic, verifiedAt time.Time) bool {
 	changed := false
 	for _, in := range topics {
 		for _, t := range c.topics {
 			if t.topicName() == in.Name {
-				changed = t.applyFeed(now, in) || changed
+				changed = t.applyFeed(now, in, verifiedAt) || changed
 			}
 		}
 	}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -154,6 +154,7 @@
 		Log:    c.Log.WithField("part", "forward"), Scope: c.Metrics.Scope, Buckets: metrics.LatencyBuckets,
 	})
 	f.SetBodyStall(c.Settings.Bounds.BodyStall)
+	f.SetTenantBounds(c.Settings.Bounds.tenantBounds())
 	dialer := netconn.Dialer(dialTimeout, deadUpstreamTimeout)
 	s := newState(c.Settings, c.Log.WithField("part", "control"), dialer.DialContext)
 	service := &controllerService{config: c, forwarder: f, prober: p, controller: newController(s, f, p, ready, ledger, c.Store, c.Log.WithField("part", "control"))}
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -111,7 +111,7 @@
 	replicaTopic(other).update(start, replicaBatch(5, replicaItem("a", 3)), true)
 	lagging, err := replicaTopic(other).snapshot(start)
 	assert.NilError(t, err)
-	assert.Assert(t, !known.applyFeed(start, lagging))
+	assert.Assert(t, !known.applyFeed(start, lagging, start))
 	assert.Equal(t, usableReplicas(c), 1)
 	newer := replicaBatch(21, replicaItem("c", 21))
 	assert.Assert(t, known.update(start, newer, false))
@@ -136,7 +136,7 @@
 		assert.NilError(t, err)
 		// A crash report and a request limit change no view.
 		changesView := sender.topicName() != topicCrashes && sender.topicName() != topicLimits
-		assert.Equal(t, to.topics[i].applyFeed(start, snapshot), changesView, sender.topicName())
+		assert.Equal(t, to.topics[i].applyFeed(start, snapshot, start), changesView, sender.topicName())
 	}
 	assert.Equal(t, to.state.limits["a"], limit)
 	assert.Equal(t, to.ledger.Check(start, 7), poison.Suspect)
@@ -210,7 +210,7 @@
 	assert.Equal(t, usableReplicas(to), 1)
 	snapshot, err := replicaTopic(from).snapshot(start)
 	assert.NilError(t, err)
-	replicaTopic(to).applyFeed(start, snapshot)
+	replicaTopic(to).applyFeed(start, snapshot, start)
 	assert.Equal(t, usableReplicas(to), 1)
 }
 
--- a/pkg/edge/forwarded.go
+++ b/pkg/edge/forwarded.go
@@ -39,12 +39,18 @@
 	net.Conn
 	// readsReports is set if the VM reads the reports of replicas.
 	readsReports bool
+	// namesTenants is set if the VM tells whether it has replaced the caller's key.
+	namesTenants bool
 }
 
 // forwardedConnContext is the ConnContext hook of the HTTP server.
 func forwardedConnContext(ctx context.Context, c net.Conn) context.Context {
-	if of, ok := c.(forwardedConn); ok && of.readsReports {
-		return forward.WithReplicaReports(ctx)
+	of, _ := c.(forwardedConn)
+	if of.readsReports {
+		ctx = forward.WithReplicaReports(ctx)
+	}
+	if of.namesTenants {
+		ctx = forward.WithTenantNames(ctx)
 	}
 	return ctx
 }
--- a/pkg/edge/limits_test.go
+++ b/pkg/edge/limits_test.go
@@ -82,7 +82,7 @@
 			snapshot, err = limitTopic(c).snapshot(start)
 			assert.NilError(t, err)
 		} else {
-			c.applyFeed(start, []wire.FeedTopic{snapshot})
+			c.applyFeed(start, []wire.FeedTopic{snapshot}, start)
 		}
 		upstreams := c.state.view(start).ReplicaSets["s"].Upstreams
 		assert.Equal(t, upstreams[0].Tracker.RequestLimit(), limit)
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -76,7 +76,7 @@
 	case *wire.ForwardOpen:
 		s.log.WithField("vm", first.VM).Info("another VM forwards requests of its callers")
 		_ = c.SetReadDeadline(time.Time{}) // a closed socket fails in the read
-		s.forwarded.serve(ctx, forwardedConn{Conn: c, readsReports: first.Reports})
+		s.forwarded.serve(ctx, forwardedConn{Conn: c, readsReports: first.Reports, namesTenants: first.Tenants})
 	default:
 		_ = c.Close() // nothing was sent on it
 		if !errors.Is(err, net.ErrClosed) && !errors.Is(err, io.EOF) {
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/tenant"
 )
 
 // Settings are the settings of one VM, from the platform's settings file.
@@ -27,6 +28,9 @@
 	Cores       int
 	MemoryBytes int64
 	Bounds      Bounds
+	// TenantsRequired is set where tenants are in force: the configuration of a VM whose
+	// build does not pass tenants on is not used.
+	TenantsRequired bool
 }
 
 // Bounds are limits set by the operators that apply to all VMs together.
@@ -45,6 +49,31 @@
 	// A cold replica gets in any second at most its warm-up rate times
 	// ColdRateFactor plus ColdSlackPerSecond requests.
 	ColdRateFactor, ColdSlackPerSecond float64
+	// ConfigApply is the time after which a configuration must be in force, and Contact
+	// that after which a VM without contact counts as out of touch. 0 stands for
+	// defaultApply.
+	ConfigApply, Contact time.Duration
+	// StrictRevoke makes a VM that is out of touch for Revoke refuse all requests that
+	// need a key. A Revoke of 0 stands for defaultApply.
+	StrictRevoke bool
+	Revoke       time.Duration
+}
+
+// defaultApply is the bound of the platform where the settings name none.
+const defaultApply = 5 * time.Second
+
+// tenantBounds returns the bounds by which keys are accepted.
+func (b Bounds) tenantBounds() tenant.Bounds {
+	orDefault := func(d time.Duration) time.Duration {
+		if d > 0 {
+			return d
+		}
+		return defaultApply
+	}
+	return tenant.Bounds{
+		Apply:        min(orDefault(b.ConfigApply), orDefault(b.Contact)),
+		StrictRevoke: b.StrictRevoke, Revoke: orDefault(b.Revoke),
+	}
 }
 
 // Validate reports all missing or invalid values in one error.
@@ -63,6 +92,7 @@
 	check(s.MemoryBytes >= 0, "the memory limit is negative")
 	check(s.Bounds.StopGrace >= 0, "the grace time is negative")
 	check(s.Bounds.BodyStall >= 0, "the time without a byte of a body is negative")
+	check(s.Bounds.ConfigApply >= 0 && s.Bounds.Contact >= 0 && s.Bounds.Revoke >= 0, "a time bound of the configuration is negative")
 	check(s.Bounds.RetryRatio >= 0 && s.Bounds.RetrySlack >= 0, "the retry budget is negative")
 	if len(problems) == 0 {
 		return nil
--- a/pkg/edge/topic.go
+++ b/pkg/edge/topic.go
@@ -54,6 +54,8 @@
 	// snapshotAt returns the position of the known objects if it is not that of the
 	// topic. It may be nil.
 	snapshotAt func() storewatch.Position
+	// acceptFeed reports whether objects of another VM are used at all. It may be nil.
+	acceptFeed func(batch storewatch.Batch[T]) bool
 }
 
 // anyTopic is a topic with objects of any type.
@@ -66,7 +68,11 @@
 	// check applies the changes in the store since the last ones, if there are any,
 	// and reports whether the store answered.
 	check(ctx context.Context) bool
-	applyFeed(now time.Time, in wire.FeedTopic) bool
+	// applyFeed applies objects of another VM, to which the store had confirmed them at
+	// verifiedAt, zero if that is not known.
+	applyFeed(now time.Time, in wire.FeedTopic, verifiedAt time.Time) bool
+	// confirm records that the store had confirmed the position at a time.
+	confirm(at time.Time)
 	snapshot(now time.Time) (wire.FeedTopic, error)
 	// verified returns when the store or a feed last confirmed the topic, and
 	// whether the topic is urgent.
@@ -131,6 +137,11 @@
 // store has lost the changes after its copy and gives their revisions out again. Only a
 // complete list can start an era.
 func (t *topic[T]) update(now time.Time, batch storewatch.Batch[T], full bool) bool {
+	return t.updateVerified(now, now, batch, full)
+}
+
+// updateVerified is update with objects that the store had confirmed at verifiedAt.
+func (t *topic[T]) updateVerified(now, verifiedAt time.Time, batch storewatch.Batch[T], full bool) bool {
 	if batch.Era == 0 {
 		batch.Era = t.at.Era // a VM of an older version does not know eras
 	}
@@ -163,7 +174,7 @@
 		t.controller.log.WithFields(logrus.Fields{"kind": t.name, "objects": len(batch.Items), "era": batch.Era, "revision": batch.Revision, "before": t.at.Revision}).Info("complete list of objects applied")
 	}
 	t.at = storewatch.Position{Era: batch.Era, Revision: max(t.at.Revision, batch.Revision)}
-	t.verifiedAt = now
+	t.confirm(verifiedAt)
 	t.controller.snapshots = nil
 	t.publish(batch, full || t.single)
 	return changed
@@ -268,8 +279,15 @@
 	return encodeTopic(t.name, storewatch.Batch[T]{Items: t.listedItems(now), Position: at}, true)
 }
 
-// applyFeed applies objects that another VM has sent.
-func (t *topic[T]) applyFeed(now time.Time, in wire.FeedTopic) bool {
+// confirm implements anyTopic.
+func (t *topic[T]) confirm(at time.Time) {
+	if at.After(t.verifiedAt) {
+		t.verifiedAt = at
+	}
+}
+
+// applyFeed implements anyTopic.
+func (t *topic[T]) applyFeed(now time.Time, in wire.FeedTopic, verifiedAt time.Time) bool {
 	if in.Full && in.Revision == 0 {
 		return false // the other VM has not listed the objects yet
 	}
@@ -283,7 +301,10 @@
 		}
 		batch.Items = append(batch.Items, item)
 	}
-	return t.update(now, batch, in.Full)
+	if t.acceptFeed != nil && !t.acceptFeed(batch) {
+		return false
+	}
+	return t.updateVerified(now, verifiedAt, batch, in.Full)
 }
 
 // encodeTopic encodes a batch for a feed. An object that could not be decoded is
@@ -341,7 +362,7 @@
 		if at.Revision > t.at.Revision {
 			t.at.Revision, t.controller.snapshots = at.Revision, nil
 		}
-		t.verifiedAt = now
+		t.confirm(now)
 		t.controller.storeCallSucceeded(now, t.name)
 		return false
 	})
--- a/pkg/edge/topics.go
+++ b/pkg/edge/topics.go
@@ -38,7 +38,7 @@
 		&topic[*routes.Table]{
 			name: topicConfig, controller: c, source: store.Configs(), maxWatchWait: urgentWatchWait, urgent: true,
 			apply: c.applyConfig, currentItems: c.currentConfig,
-			startEra: c.startConfigEra, snapshotAt: c.configPosition, single: true,
+			startEra: c.startConfigEra, snapshotAt: c.configPosition, acceptFeed: c.acceptConfigFeed, single: true,
 		},
 		&topic[discovery.Replica]{
 			name: topicReplicas, controller: c, source: store.Replicas(), maxWatchWait: urgentWatchWait, urgent: true,
--- a/pkg/edge/updatesource.go
+++ b/pkg/edge/updatesource.go
@@ -109,7 +109,7 @@
 	select {
 	case all := <-answers:
 		vms := slices.DeleteFunc(slices.Clone(all), func(t wire.FeedTopic) bool { return t.Name != topicVMs })
-		s.controller.post(ctx, func(now time.Time) bool { return s.controller.applyFeed(now, vms) })
+		s.controller.post(ctx, func(now time.Time) bool { return s.controller.applyFeed(now, vms, time.Time{}) })
 		return true
 	case <-ctx.Done():
 		return false
@@ -193,9 +193,15 @@
 			subscription.Close()
 			continue
 		}
-		s.confirmedAt = subscription.VerifiedAt()
+		if lacks, _ := askState(ctx, s.controller, func(state *state) bool { return state.feedLacksTenants(all) }); lacks {
+			s.log.WithField("vm", vm.Name).Warn("feed of a VM not used: its build does not pass tenants on")
+			subscription.Close()
+			continue
+		}
+		verifiedAt := subscription.VerifiedAt()
+		s.confirmedAt = verifiedAt
 		s.log.WithField("vm", vm.Name).Info("subscribed to the feed of a VM")
-		s.controller.post(ctx, func(now time.Time) bool { return s.controller.applyFeed(now, all) })
+		s.controller.post(ctx, func(now time.Time) bool { return s.controller.applyFeed(now, all, verifiedAt) })
 		return subscription
 	}
 	return nil
@@ -229,10 +235,13 @@
 			s.log.WithField("error", err).Info("feed subscription ended")
 			return
 		}
-		s.confirmedAt = subscription.VerifiedAt()
-		if len(topics) > 0 {
-			s.controller.post(ctx, func(now time.Time) bool { return s.controller.applyFeed(now, topics) })
-		}
+		verifiedAt := subscription.VerifiedAt()
+		s.confirmedAt = verifiedAt
+		s.controller.post(ctx, func(now time.Time) bool {
+			changed := s.controller.applyFeed(now, topics, verifiedAt)
+			s.controller.confirmFeed(verifiedAt)
+			return changed
+		})
 	}
 }
 
@@ -262,7 +271,7 @@
 	for _, addr := range s.otherSeeds() {
 		fetching.Go(func() {
 			if all, err := s.fetch(ctx, addr); err == nil {
-				s.controller.post(ctx, func(now time.Time) bool { return s.controller.applyFeed(now, all) })
+				s.controller.post(ctx, func(now time.Time) bool { return s.controller.applyFeed(now, all, time.Time{}) })
 			}
 		})
 	}
