forward: do not send fields that a replica may read as the tenant's name

Replicas behind an interface that turns field names into variables read X_Tenant, sent by a caller, as X-Tenant, beside or instead of that of the tier. Where tenants are in force, such a field, and one that may be read as Authorization, is not sent. Other fields with an underscore are kept.

--- a/pkg/forward/tenant.go
+++ b/pkg/forward/tenant.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -163,10 +164,17 @@
 }
 
 // omitsHeader reports whether a header field of the caller is not sent on. Where tenants
-// are in force, this VM alone names the tenant, and the key stays here.
+// are in force, this VM alone names the tenant, and the key stays here. Replicas behind an
+// interface that turns field names into variables read X_Tenant as X-Tenant.
 func (f *Forwarder) omitsHeader(name string, table *routes.Table) bool {
 	if hopByHopHeaders[name] || name == f.headers.RequestID || name == f.headers.Deadline || name == f.headers.TargetReplica {
 		return true
 	}
-	return table.HasTenants && (name == authorizationHeader || name == f.headers.Tenant)
+	if !table.HasTenants {
+		return false
+	}
+	if strings.Contains(name, "_") {
+		name = http.CanonicalHeaderKey(strings.ReplaceAll(name, "_", "-"))
+	}
+	return name == authorizationHeader || name == f.headers.Tenant
 }
--- a/pkg/forward/tenant_test.go
+++ b/pkg/forward/tenant_test.go
@@ -151,6 +151,18 @@
 	sent.assertTenant(t, 2, "b")
 }
 
+// Guards against a field of the caller that a replica may read as that of the tenant or of
+// the key, and against others that are lost.
+func TestFieldsThatAReplicaMayReadAsTheTenant(t *testing.T) {
+	f, table := newTestForwarder(silentObserver{}, nil), keyedTable(t, 8)
+	f.headers.Tenant = "X-Tenant"
+	for name, omitted := range map[string]bool{
+		"X-Tenant": true, "X_tenant": true, "Authorization": true, "X_other": false, "X-Tenants": false, "Proxy-Authorization": false,
+	} {
+		assert.Equal(t, f.omitsHeader(name, table), omitted, name)
+	}
+}
+
 // Guards against a relayed send that names no tenant, or holds the key.
 func TestRelayedSendNamesTheTenantAndNoKey(t *testing.T) {
 	inRelayFleet(t, 1, func(r *relayFleet) {
