edge: not ready while all keys are refused; log when the configuration is unconfirmed

With strict_revoke a VM that is out of touch refuses each request that needs a key. The balancer went on sending callers to it, and each of them needed a second try. It is now not ready meanwhile; where all VMs are, the balancer uses all.

A line tells when the configuration stops and starts being known as current, with its age, and whether keys are refused; "configuration applied" has the number of tenants.

In virtual time with 1, 5 and 30 VMs: not ready in an outage with strict_revoke, ready without it and after the outage.

--- a/pkg/edge/controller.go
+++ b/pkg/edge/controller.go
@@ -57,6 +57,9 @@
 	// watchingStore is set while this VM watches the store itself and is not
 	// subscribed to a feed.
 	watchingStore bool
+	// configConfirmed is set while the configuration, which has tenants, is known to be
+	// current.
+	configConfirmed bool
 	// snapshots caches the encoded objects of all topics for new subscribers. It
 	// is nil after a change.
 	snapshots []wire.FeedTopic
@@ -228,7 +231,7 @@
 		}
 	}
 	c.status.Store(&status)
-	c.updateConfigState()
+	c.updateConfigState(time.Now())
 }
 
 // Status implements feed.Source.
--- a/pkg/edge/readiness.go
+++ b/pkg/edge/readiness.go
@@ -14,6 +14,9 @@
 	// isolated is set while this VM can reach no other failure domain and cannot
 	// cover all queries.
 	isolated atomic.Bool
+	// refusesKeys is set while this VM refuses all keys, because it may have missed the
+	// removal of one. Other VMs may serve its callers.
+	refusesKeys atomic.Bool
 	// becameReady is closed when ready is set.
 	becameReady chan struct{}
 }
@@ -30,7 +33,7 @@
 
 // ServeHTTP implements http.Handler.
 func (r *readiness) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
-	if r.ready.Load() && !r.stopping.Load() && !r.isolated.Load() {
+	if r.ready.Load() && !r.stopping.Load() && !r.isolated.Load() && !r.refusesKeys.Load() {
 		w.WriteHeader(http.StatusOK)
 		return
 	}
--- a/pkg/edge/tenants.go
+++ b/pkg/edge/tenants.go
@@ -12,10 +12,25 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
 )
 
-// updateConfigState tells the forwarder how current the configuration of its view is.
-func (c *controller) updateConfigState() {
+// updateConfigState tells the forwarder and the balancer how current the configuration of
+// the view is.
+func (c *controller) updateConfigState(now time.Time) {
 	at, _ := c.topic(topicConfig).verified()
-	c.forwarder.SetConfigState(tenant.State{ConfirmedAt: at, Restored: c.state.configs.restored != nil})
+	state := tenant.State{ConfirmedAt: at, Restored: c.state.configs.restored != nil}
+	c.forwarder.SetConfigState(state)
+	if c.state.table() == nil || !c.state.table().HasTenants {
+		c.readiness.refusesKeys.Store(false)
+		return
+	}
+	check := tenant.Check{Now: now, State: state, Bounds: c.state.settings.Bounds.tenantBounds()}
+	c.readiness.refusesKeys.Store(check.RefusesKeys())
+	if confirmed := check.Confirmed(); confirmed != c.configConfirmed {
+		c.configConfirmed = confirmed
+		c.log.WithFields(logrus.Fields{
+			"confirmed": confirmed, "version": c.state.table().Version, "ever": !at.IsZero(), "age_ms": now.Sub(at).Milliseconds(),
+			"restored": state.Restored, "refuses_keys": check.RefusesKeys(),
+		}).Info("configuration is known to be current, or no longer: unknown keys are refused accordingly")
+	}
 }
 
 // confirmFeed records that the store had confirmed the state of the VM whose feed this one
--- a/pkg/edge/tenants_test.go
+++ b/pkg/edge/tenants_test.go
@@ -54,7 +54,19 @@
 // useBounds sets the bounds of the platform's examples.
 func (f *vmFleet) useBounds(strict bool) {
 	for _, vm := range f.vms {
-		vm.forwarder.SetTenantBounds(Bounds{Contact: 4 * time.Second, StrictRevoke: strict}.tenantBounds())
+		settings := vm.config.Settings
+		settings.Bounds.Contact, settings.Bounds.StrictRevoke = 4*time.Second, strict
+		vm.apply(f.ctx, settings)
+	}
+}
+
+// assertReady checks the answers of all VMs to the balancer.
+func (f *vmFleet) assertReady(want bool, when string) {
+	f.t.Helper()
+	for _, vm := range f.vms {
+		w := httptest.NewRecorder()
+		vm.controller.readiness.ServeHTTP(w, nil)
+		assert.Equal(f.t, w.Code == 200, want, when)
 	}
 }
 
@@ -85,11 +97,13 @@
 				fleet.assertAnswers("kept", outOfTouch, "out of touch")
 				time.Sleep(time.Minute)
 				fleet.assertAnswers("kept", outOfTouch, "long out of touch")
+				fleet.assertReady(!strict, "long out of touch")
 				fleet.store.setDown(false)
 				time.Sleep(storeUnstableTime + configApplyTime)
 				fleet.assertAnswers("new", permitted, "in touch again")
 				fleet.assertAnswers("kept", permitted, "in touch again")
 				fleet.assertAnswers("old", errs.Unauthorized, "in touch again")
+				fleet.assertReady(true, "in touch again")
 			})
 		}
 	}
--- a/pkg/edge/topics.go
+++ b/pkg/edge/topics.go
@@ -88,9 +88,13 @@
 
 func (c *controller) logConfig(message string) {
 	e := c.state.configs.current
-	c.log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"version": e.table.Version, "era": e.at.Era, "revision": e.at.Revision, "routes": len(e.table.Routes), "services": len(e.table.Services),
-	}).Info(message)
+	}
+	if e.table.HasTenants {
+		fields["tenants"] = len(e.table.Tenants)
+	}
+	c.log.WithFields(fields).Info(message)
 }
 
 // startConfigEra records the era of the configurations that follow.
--- a/pkg/tenant/tenant.go
+++ b/pkg/tenant/tenant.go
@@ -159,8 +159,11 @@
 	return Changed
 }
 
+// RefusesKeys reports whether all keys are refused, because one that was removed might run.
+func (c Check) RefusesKeys() bool { return c.Bounds.StrictRevoke && !c.within(c.Bounds.Revoke) }
+
 func (c Check) holder(table *routes.Table, key Key) (*routes.Tenant, Verdict) {
-	if c.Bounds.StrictRevoke && !c.within(c.Bounds.Revoke) {
+	if c.RefusesKeys() {
 		return nil, RevocationUnknown
 	}
 	if tenant := table.HolderOf(key); tenant != nil {
