--- a/pkg/soak/callers.go
+++ b/pkg/soak/callers.go
@@ -29,6 +29,10 @@
 	start      time.Time
 	status     int
 	err        error
+	// tenant holds the caller's key, "" without tenants; wrongKey is set if the key that
+	// the request has is another one.
+	tenant   string
+	wrongKey bool
 }
 
 // fanOut reports whether the request goes to all shards.
@@ -39,6 +43,8 @@
 	runs *standin.RunLog
 	// sets are the shard sets that a configuration named.
 	sets [][]string
+	// tenants is set if callers need keys.
+	tenants bool
 
 	mu     sync.Mutex
 	served int
@@ -73,6 +79,9 @@
 		default:
 			a.path, a.idempotent = "/all/x", true
 		}
+		if c.tenants {
+			a.tenant, a.wrongKey = tenantName(number), random.IntN(wrongKeyShare) == 0
+		}
 		c.ask(client, method, &a)
 		pause := time.NewTimer(time.Duration(5+random.IntN(20)) * time.Millisecond)
 		select {
@@ -99,6 +108,7 @@
 	request.Host = siteHost
 	request.Header.Set(platform.Headers.RequestID, a.id)
 	request.Header.Set(platform.Headers.Deadline, strconv.FormatInt(callerDeadline.Milliseconds(), 10))
+	a.addKey(request.Header)
 	response, err := client.Do(request)
 	a.err = err
 	if err == nil {
@@ -159,6 +169,7 @@
 // finish checks what can be told only when all sends have ended.
 func (c *checker) finish() {
 	for _, a := range c.all {
+		c.checkTenant(a)
 		ran := c.runs.ServicesOf(a.id)
 		if !a.idempotent && len(ran) > 1 {
 			c.breach("%s: ran %d times", a.id, len(ran))
--- a/pkg/soak/crash.go
+++ b/pkg/soak/crash.go
@@ -89,6 +89,9 @@
 		a.path += fmt.Sprint("?page=", s.crashing.attempts)
 	}
 	s.crashing.mu.Unlock()
+	if s.hasTenants() {
+		a.tenant = tenantName(0)
+	}
 	s.checker.ask(client, http.MethodGet, &a)
 	return a.id
 }
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -87,7 +87,7 @@
 // run starts a site, lets play do harm to it, and checks the promises.
 func run(ctx context.Context, c Config, play func(*site, context.Context)) (Result, error) {
 	s := &site{config: c, random: rand.New(rand.NewPCG(c.Seed, 7)), store: standin.NewStore(), runs: standin.NewRunLog(), version: 1}
-	s.checker = &checker{runs: s.runs, sets: shardSets}
+	s.checker = &checker{runs: s.runs, sets: shardSets, tenants: s.hasTenants()}
 	defer s.close()
 	if err := s.build(); err != nil {
 		return Result{}, err
@@ -165,6 +165,9 @@
 			return err
 		}
 		s.stores = append(s.stores, p)
+		if s.hasTenants() {
+			v.Contracts = []string{"tenants"}
+		}
 		v.Name, v.Domain, v.StoreAddr, v.Seeds = fmt.Sprint("vm", i), fmt.Sprint("d", i%3), p.addr(), seeds
 		for _, addr := range []*string{&v.CallersAddr, &v.ReadyAddr, &v.PeersAddr} {
 			if *addr, err = freeAddr(); err != nil {
@@ -225,7 +228,7 @@
 		{Name: "all", Host: siteHost, Prefix: "/all/", Idempotent: true, Shards: shardSets[s.set], MinCoverage: minCoverage},
 		{Name: "version", Host: siteHost, Prefix: versionPrefix(s.version), Idempotent: true, Service: singleService},
 	}
-	standin.PutConfig(s.store, s.version, routes, append([]string{singleService}, append(shardSets[0], shardSets[1]...)...))
+	standin.PutConfig(s.store, s.version, routes, append([]string{singleService}, append(shardSets[0], shardSets[1]...)...), s.configuredTenants()...)
 }
 
 func versionPrefix(version int) string { return fmt.Sprintf("/version/%d/", version) }
@@ -237,17 +240,19 @@
 	for _, v := range s.vms {
 		inForce := false
 		for deadline := time.Now().Add(readyTimeout); !inForce && time.Now().Before(deadline) && ctx.Err() == nil; time.Sleep(20 * time.Millisecond) {
-			status, err := getStatus(ctx, v, versionPrefix(s.version)+"x")
-			inForce = err == nil && status != http.StatusNotFound
+			status, err := getStatus(ctx, v, versionPrefix(s.version)+"x", versionKey(s.version))
+			// With tenants, a VM that is out of touch answers 503 and not 404.
+			inForce = err == nil && status != http.StatusNotFound && (status == http.StatusOK || !s.hasTenants())
 		}
 		if !inForce {
 			s.checker.breach("%s does not use version %d of the configuration", v.Name, s.version)
 		}
+		s.checkRemovedKey(ctx, v)
 	}
 }
 
-// getStatus sends a request to a VM and returns the status of the answer.
-func getStatus(ctx context.Context, v *vm, path string) (int, error) {
+// getStatus sends a request with a key to a VM and returns the status of the answer.
+func getStatus(ctx context.Context, v *vm, path, key string) (int, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+v.CallersAddr+path, nil)
 	if err != nil {
 		return 0, err
@@ -255,6 +260,7 @@
 	request.Host = siteHost
 	request.Header.Set(platform.Headers.RequestID, "version"+path)
 	request.Header.Set(platform.Headers.Deadline, strconv.FormatInt(callerDeadline.Milliseconds(), 10))
+	request.Header.Set("Authorization", "Bearer "+key)
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return 0, err
