--- a/pkg/edge/controller.go
+++ b/pkg/edge/controller.go
@@ -57,6 +57,9 @@
 	// watchingStore is set while this VM watches the store itself and is not
 	// subscribed to a feed.
 	watchingStore bool
+	// configConfirmed is set while the configuration, which has tenants, is known to be
+	// current.
+	configConfirmed bool
 	// snapshots caches the encoded objects of all topics for new subscribers. It
 	// is nil after a change.
 	snapshots []wire.FeedTopic
@@ -221,12 +224,14 @@
 // urgent topic that was confirmed least recently.
 func (c *controller) updateStatus() {
 	status := feed.Status{WatchingStore: c.watchingStore, StoreUnreachable: len(c.failedTopics) > 0}
+	first := true
 	for _, t := range c.topics {
-		if at, urgent := t.verified(); urgent && (status.VerifiedAt.IsZero() || at.Before(status.VerifiedAt)) {
-			status.VerifiedAt = at
+		if at, urgent := t.verified(); urgent && (first || at.Before(status.VerifiedAt)) {
+			status.VerifiedAt, first = at, false
 		}
 	}
 	c.status.Store(&status)
+	c.updateConfigState(time.Now())
 }
 
 // Status implements feed.Source.
@@ -282,14 +287,14 @@
 	return false
 }
 
-// applyFeed applies the objects that another VM has sent. It reports whether the
-// view changes.
-func (c *controller) applyFeed(now time.Time, topics []wire.FeedTopic) bool {
+// applyFeed applies the objects that another VM has sent. The store had confirmed them at
+// verifiedAt, zero if that is not known. It reports whether the view changes.
+func (c *controller) applyFeed(now time.Time, topics []wire.FeedTopic, verifiedAt time.Time) bool {
 	changed := false
 	for _, in := range topics {
 		for _, t := range c.topics {
 			if t.topicName() == in.Name {
-				changed = t.applyFeed(now, in) || changed
+				changed = t.applyFeed(now, in, verifiedAt) || changed
 			}
 		}
 	}
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -11,13 +11,20 @@
 )
 
 // requestAttempt identifies an attempt of a request by what all attempts have in common:
-// the host of its route, the caller's address, the method, the path and the body. The
-// query string may differ between attempts.
-func requestAttempt(method string, target routes.Target, route *routes.Route, caller string, body []byte, id string) RequestAttempt {
-	from := model.ServiceID(route.Host + " " + caller)
+// the host of its route, its tenant if it has one, the method, the path and the body.
+// Attempts come from many callers, and their query strings may differ.
+func requestAttempt(method string, target routes.Target, route *routes.Route, tenant *routes.Tenant, caller string, body []byte, id string) RequestAttempt {
+	origin, former := route.Host, uint64(0)
+	if tenant != nil {
+		origin += " " + tenant.Name
+	} else {
+		former = poison.Fingerprint(model.ServiceID(route.Host+" "+caller), method+" "+target.Path, body)
+	}
+	from := model.ServiceID(origin)
 	return RequestAttempt{
 		Fingerprint: poison.Fingerprint(from, method+" "+target.Path, body),
 		Exact:       poison.Fingerprint(from, "exact "+method+" "+target.URI, body),
+		Former:      former,
 		ID:          newAttemptID(),
 		RequestID:   id,
 	}
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -313,7 +315,7 @@
 	}
 	send := func(path string) (status, received int) {
 		request := httptest.NewRequest("GET", path, nil)
-		attempt := requestAttempt(request.Method, targetOf(request), tier.table.Routes[0], "127.0.0.1", nil, "")
+		attempt := requestAttempt(request.Method, targetOf(request), tier.table.Routes[0], nil, "127.0.0.1", nil, "")
 		tier.ledger.RecordLoss(time.Now(), "", "x", []uint64{attempt.Fingerprint})
 		before := len(tier.received())
 		status, _, _ = tier.send("GET", path, path, "")
@@ -342,7 +344,7 @@
 	})
 	for path, succeeds := range map[string]bool{"/p/500": false, "/p/503": false, "/p/429": false, "/p/408": false, "/p/404": true, "/p/succeeds": true} {
 		request := httptest.NewRequest("GET", path, nil)
-		attempt := requestAttempt(request.Method, targetOf(request), tier.table.Routes[0], "127.0.0.1", nil, "")
+		attempt := requestAttempt(request.Method, targetOf(request), tier.table.Routes[0], nil, "127.0.0.1", nil, "")
 		tier.ledger.RecordLoss(time.Now(), "", "x", []uint64{attempt.Fingerprint})
 		tier.send("GET", path, "1", "")
 		assert.Equal(t, tier.ledger.Check(time.Now(), attempt.Exact) == poison.Proven, succeeds, path)
@@ -357,7 +359,7 @@
 	tier.addReplica(tier.addService("a", 0), "a1", respondWith("ra", record("1")))
 	tier.addReplica(tier.addService("b", 0), "b1", func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
 	request := httptest.NewRequest("GET", "/a/", nil)
-	attempt := requestAttempt(request.Method, targetOf(request), tier.table.Routes[0], "127.0.0.1", nil, "")
+	attempt := requestAttempt(request.Method, targetOf(request), tier.table.Routes[0], nil, "127.0.0.1", nil, "")
 	status, header, _ := tier.send("GET", "/a/", "1", "")
 	assert.Equal(t, status, http.StatusOK)
 	assert.Equal(t, header.Get("Missing"), "1")
@@ -371,7 +373,7 @@
 	replicas := tier.addService("s", 100)
 	for _, id := range []string{"r1", "r2", "r3"} {
 		tier.addReplica(replicas, id, func(w http.ResponseWriter, r *http.Request) {
-			tier.blockRequest(requestAttempt(r.Method, targetOf(r), tier.table.Routes[0], "127.0.0.1", nil, "").Fingerprint)
+			tier.blockRequest(requestAttempt(r.Method, targetOf(r), tier.table.Routes[0], nil, "127.0.0.1", nil, "").Fingerprint)
 			refuseNotRun(w, r)
 		})
 	}
@@ -478,7 +480,7 @@
 		respondWith("x", "body")(w, r)
 	})
 	request := httptest.NewRequest("GET", "/p/suspect", nil)
-	tier.ledger.RecordLoss(time.Now(), "", "x", []uint64{requestAttempt(request.Method, targetOf(request), tier.table.Routes[0], "127.0.0.1", nil, "").Fingerprint})
+	tier.ledger.RecordLoss(time.Now(), "", "x", []uint64{requestAttempt(request.Method, targetOf(request), tier.table.Routes[0], nil, "127.0.0.1", nil, "").Fingerprint})
 	tier.send("GET", "/p/sound", "id1", "")
 	answered := make(chan struct{})
 	go func() {
@@ -524,7 +526,7 @@
 		{"/a/whole", http.StatusOK, [][]string{nil}},
 		{"/a/refused", http.StatusBadGateway, [][]string{{"a"}}},
 	} {
-		attempt := requestAttempt("GET", targetOf(httptest.NewRequest("GET", test.path, nil)), tier.table.Routes[0], "127.0.0.1", nil, "")
+		attempt := requestAttempt("GET", targetOf(httptest.NewRequest("GET", test.path, nil)), tier.table.Routes[0], nil, "127.0.0.1", nil, "")
 		tier.ledger.RecordLoss(time.Now(), "", "x", []uint64{attempt.Fingerprint})
 		tier.clearedAt = nil
 		start := time.Now()
@@ -537,3 +539,47 @@
 		assert.Assert(t, tier.ledger.SucceededSince(time.Now(), attempt.Exact, "b", start) == (test.path == "/a/whole"), test.path)
 	}
 }
+
+// Guards against a query that ends all replicas of all shards at its first attempt, as each
+// shard's send is repeated at its next replica, and against a sound query beside an outage
+// that is not sent again.
+func TestQueryThatSeveralShardsBreakOffIsHeldBack(t *testing.T) {
+	shards := []string{"a", "b", "c", "d"}
+	tier := newTestTier(t, fanOutRoute(1, shards...))
+	var brokenOff sync.Map
+	for i, s := range shards {
+		rs := tier.addService(s, 100)
+		for n := range 3 {
+			tier.addReplica(rs, fmt.Sprint(s, n), func(w http.ResponseWriter, r *http.Request) {
+				_, again := brokenOff.LoadOrStore(r.URL.Path+s, true)
+				if r.URL.Path == "/a/crash" || (i < 2 && !again) {
+					closeConnection(w, r)
+					return
+				}
+				respondWith("r"+s, record(s))(w, r)
+			})
+		}
+	}
+	status, _, _ := tier.send("GET", "/a/crash", "crash", "")
+	assert.Equal(t, status, http.StatusBadGateway)
+	assert.Assert(t, len(tier.received()) <= len(shards)+1, "%v", tier.received())
+	status, header, _ := tier.send("GET", "/a/sound", "sound", "")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, header.Get("Missing"), "0")
+}
+
+// Guards against callers that come back at once while all replicas of a shard are down.
+func TestRetryAfterGrowsWithTheOutage(t *testing.T) {
+	var o outages
+	at := func(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
+	o.observe(at(0), "a", true)
+	assert.Equal(t, o.retryAfter(at(0), "a"), time.Duration(0))
+	o.observe(at(0), "a", false)
+	o.observe(at(300), "a", false)
+	assert.Equal(t, o.retryAfter(at(0), "a"), noReplicaRetryAfter)
+	assert.Equal(t, o.retryAfter(at(400), "a"), 400*time.Millisecond)
+	assert.Equal(t, o.retryAfter(at(400), "b"), time.Duration(0))
+	assert.Equal(t, o.retryAfter(at(60_000), "a"), maxOutageRetryAfter)
+	o.observe(at(500), "a", true)
+	assert.Equal(t, o.retryAfter(at(600), "a"), time.Duration(0))
+}
--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -53,8 +53,12 @@
 	head      []byte // of every send, without the header fields of sendFields
 	body      []byte
 	// view is the one by which the route was chosen.
-	view     *View
-	route    *routes.Route
+	view  *View
+	route *routes.Route
+	// credentials name the tenant, which does not change while the request runs.
+	credentials
+	// priority is that of the tenant, or else of the route; 0 is the highest.
+	priority int
 	start    time.Time
 	deadline time.Time
 	// cutoff is the time after start at which a response that lacks some shards is
@@ -72,8 +76,6 @@
 	// that open sends can finish.
 	ctx    context.Context
 	cancel context.CancelFunc
-	// priority is that of the route; 0 is the highest.
-	priority int
 	ranked   rankedState
 	// releaseAdmission lets another query run. It may be called more than once.
 	releaseAdmission func()
@@ -162,11 +164,11 @@
 func (f *Forwarder) newQuery(r *http.Request, head callerHead, body []byte, view *View, route *routes.Route, start time.Time) *query {
 	q := &query{
 		forwarder: f, id: head.id, method: r.Method, body: body, view: view, route: route, start: start,
+		credentials: head.credentials, priority: head.tenant.PriorityOn(route),
 		deadline:    start.Add(requestTimeout(head.deadline, route)),
 		hedgePolicy: view.HedgeDelays[route.Name],
 		caller:      callerAddr(r.RemoteAddr),
 		holding:     f.memory.NewHolding(),
-		priority:    route.Priority,
 	}
 	q.cutoff = cutoffAfter(route, nextRequestRoundTrips(r.Context()))
 	if forwarded := forwardedFrom(r.Context()); forwarded != nil {
@@ -176,9 +178,9 @@
 			q.cutoff = forwarded.cutoff
 		}
 	}
-	q.attempt = requestAttempt(r.Method, head.target, route, q.caller, body, head.id)
+	q.attempt = requestAttempt(r.Method, head.target, route, head.tenant, q.caller, body, head.id)
 	q.attempt.StartedAt, q.attempt.FanOut = start, route.FanOut()
-	q.head = f.requestHead(r, head)
+	q.head = f.requestHead(r, head, view.Table)
 	services := route.Shards
 	if !route.FanOut() {
 		services = []string{route.Pick(randomFraction())}
@@ -210,7 +212,7 @@
 // isBlocked reports whether the request is known to crash replicas. Other VMs may report
 // that at any time, so each later send asks again.
 func (q *query) isBlocked(now time.Time) bool {
-	return q.forwarder.ledger.Check(now, q.attempt.Fingerprint) == poison.Blocked
+	return q.forwarder.ledger.CheckAttempt(now, q.attempt) == poison.Blocked
 }
 
 // run sends the request, or forwards it to another VM, and waits until the response or
@@ -360,7 +362,7 @@
 // and returns the time until the next hedges.
 func (q *query) hedge() time.Duration {
 	q.reportSuspect()
-	if !q.route.Idempotent || q.poisonVerdict == poison.Suspect || q.isBlocked(time.Now()) {
+	if !q.route.Idempotent || q.poisonVerdict == poison.Suspect || q.mayCrashReplicas() || q.isBlocked(time.Now()) {
 		return q.hedgeDelay() // a request that may crash replicas is not sent to more of them
 	}
 	now := time.Now()
--- a/pkg/forward/ranked.go
+++ b/pkg/forward/ranked.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -61,9 +62,9 @@
 	return &rankedAdmission{resources: map[string]*resource{}}
 }
 
-// isRanked reports whether the configuration names more than one priority.
+// isRanked reports whether the configuration names tenants, or more than one priority.
 func isRanked(t *routes.Table) bool {
-	return slices.ContainsFunc(t.Routes, func(r *routes.Route) bool { return r.Priority != t.Routes[0].Priority })
+	return t.HasTenants || slices.ContainsFunc(t.Routes, func(r *routes.Route) bool { return r.Priority != t.Routes[0].Priority })
 }
 
 // resourceKey names what the requests of a route compete for.
@@ -237,7 +238,7 @@
 		return nil // planShards refuses a request that lacks replicas
 	}
 	p, decision := f.rankedAdmission.offer(now, resourceKey(q.route, q.shards[0].service), overload.Request{
-		Rank: q.priority, Tenant: q.caller, Class: q.route.Name, Arrived: q.start, Target: q.rankedTarget(), Deadline: deadline,
+		Rank: q.priority, Tenant: cmp.Or(q.tenantName(), q.caller), Class: q.route.Name, Arrived: q.start, Target: q.rankedTarget(), Deadline: deadline,
 	}, c)
 	if p.result != nil {
 		var decided bool
