--- a/pkg/forward/query.go
+++ b/pkg/forward/query.go
@@ -76,7 +76,7 @@
 	// that open sends can finish.
 	ctx    context.Context
 	cancel context.CancelFunc
-	ranked   rankedState
+	ranked rankedState
 	// releaseAdmission lets another query run. It may be called more than once.
 	releaseAdmission func()
 	// The remaining fields are counts for the log.
