--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -19,6 +19,7 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/exchange"
 	"github.com/nutmeghitch/nutmeghitch/pkg/model"
+	"github.com/nutmeghitch/nutmeghitch/pkg/overload"
 	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
 )
 
@@ -109,8 +110,12 @@
 	// fanOutLimiter bounds the fan-out queries in flight.
 	fanOutLimiter *admit.Limiter
 	outages       outages
-	log           logrus.FieldLogger
-	view          atomic.Pointer[View]
+	// ranked is set while the configuration names more than one priority. Requests are
+	// then admitted by rankedAdmission, and by fanOutLimiter otherwise.
+	ranked          atomic.Bool
+	rankedAdmission *rankedAdmission
+	log             logrus.FieldLogger
+	view            atomic.Pointer[View]
 	// closeConnections is set while callers should connect to another VM.
 	closeConnections atomic.Bool
 	// isolated is set while this VM reaches no other failure domain.
@@ -129,13 +134,14 @@
 
 type forwardMetrics struct {
 	// answers is keyed by whether all shards are included.
-	answers        map[bool]tally.Counter
-	refusals       tally.Counter
-	hedges         tally.Counter
-	retries        tally.Counter
-	budgetRefusals tally.Counter
-	requestLatency tally.Histogram
-	replicaLatency tally.Histogram
+	answers           map[bool]tally.Counter
+	refusals          tally.Counter
+	hedges            tally.Counter
+	retries           tally.Counter
+	budgetRefusals    tally.Counter
+	admissionRefusals admissionRefusals
+	requestLatency    tally.Histogram
+	replicaLatency    tally.Histogram
 }
 
 // Config holds what a Forwarder needs.
@@ -156,19 +162,20 @@
 func New(c Config) *Forwarder {
 	scope := c.Scope.SubScope("forward")
 	f := &Forwarder{
-		headers: c.Headers, observer: c.Observer, ledger: c.Ledger, memory: c.Memory, bodies: c.Bodies, fanOutLimiter: admit.New(), log: c.Log, started: time.Now(), stop: newPlannedStop(),
+		headers: c.Headers, observer: c.Observer, ledger: c.Ledger, memory: c.Memory, bodies: c.Bodies, fanOutLimiter: admit.New(), log: c.Log, rankedAdmission: newRankedAdmission(), started: time.Now(), stop: newPlannedStop(),
 		tenants: newTenantCheck(scope),
 		metrics: forwardMetrics{
 			answers: map[bool]tally.Counter{
 				true:  scope.Tagged(map[string]string{"outcome": "whole"}).Counter("answers"),
 				false: scope.Tagged(map[string]string{"outcome": "partial"}).Counter("answers"),
 			},
-			refusals:       scope.Counter("refusals"),
-			hedges:         scope.Counter("hedges"),
-			retries:        scope.Counter("retries"),
-			budgetRefusals: scope.Counter("budget_refusals"),
-			requestLatency: scope.Histogram("request_latency", c.Buckets),
-			replicaLatency: scope.Histogram("replica_latency", c.Buckets),
+			refusals:          scope.Counter("refusals"),
+			hedges:            scope.Counter("hedges"),
+			retries:           scope.Counter("retries"),
+			budgetRefusals:    scope.Counter("budget_refusals"),
+			admissionRefusals: newAdmissionRefusals(scope),
+			requestLatency:    scope.Histogram("request_latency", c.Buckets),
+			replicaLatency:    scope.Histogram("replica_latency", c.Buckets),
 		},
 	}
 	f.SetBodyStall(0)
@@ -184,6 +191,8 @@
 		}
 	}
 	f.fanOutLimiter.Configure(limits)
+	f.rankedAdmission.keep(v.Table)
+	f.ranked.Store(isRanked(v.Table))
 	f.view.Store(v)
 }
 
@@ -209,6 +218,7 @@
 		return
 	}
 	if refusal := q.mayStart(r.Context()); refusal != nil {
+		label.priority, label.reason = q.priority, q.ranked.refusal
 		f.refuse(w, label, start, refusal)
 		return
 	}
@@ -248,7 +258,12 @@
 }
 
 // requestLabel names a request in the log. Its fields are empty while they are not known.
-type requestLabel struct{ id, route, tenant string }
+type requestLabel struct {
+	id, route, tenant string
+	// reason tells why the request was not admitted by its priority, "" if it was.
+	reason   overload.Reason
+	priority int
+}
 
 // readQuery reads a request and returns its query. The body counts against bodyHolding.
 func (f *Forwarder) readQuery(w http.ResponseWriter, r *http.Request, start time.Time, bodyHolding *exchange.Holding) (*query, requestLabel, *errs.Refusal) {
@@ -336,6 +351,9 @@
 	if label.tenant != "" {
 		fields["tenant"] = label.tenant
 	}
+	if label.reason != "" {
+		fields["reason"], fields["priority"], fields["retry_after_ms"] = label.reason, label.priority, milliseconds(refusal.RetryAfter)
+	}
 	f.log.WithFields(fields).Info("request refused before it was sent to a replica")
 	f.writeRefusal(w, label.id, refusal)
 }
@@ -363,9 +381,5 @@
 	_, _ = w.Write([]byte(content))
 }
 
-func milliseconds(d time.Duration) float64 {
-	return float64(d.Round(10*time.Microsecond)) / float64(time.Millisecond)
-}
-
 // randomFraction returns a random number from the uniform distribution on [0, 1).
 func randomFraction() float64 { return rand.Float64() }
