edge: one budget of memory and descriptors for all clients

Callers saw VMs that were killed by their machine, or out of descriptors, while other clients sent heads of very many short fields, left answers unread, or opened more connections than the machine has descriptors.

Cause: net/http allocates for each field of a head before the head is complete (up to 256 KB of head at the callers' address, 1 MB at the ready address), and nothing counts connections or unread answers. limits.max_fds was not read.

Ruled out: a smaller MaxHeaderBytes alone (16 KB of legal head still takes 0.4 MB as fields), a limit of fields (a legal head of 4,096 fields must be served while nothing is wrong), and write deadlines alone (they bound the time and not the sum).

Change: the listeners for callers, for ready checks and for other VMs count what each connection holds against its share: connections, bytes of a request before the server gets them, lines of heads, and long writes while the client does not read. Package connbudget decides which connection is closed. What is refused within a head gets a 503, within a body the 503 memory_limit as before. A write that takes more than a minute, and a check at the ready address that takes more than 10 s, end. The reset of a cut answer works for any connection with SetLinger.

--- a/pkg/connbudget/connbudget.go
+++ b/pkg/connbudget/connbudget.go
@@ -132,8 +132,8 @@
 	return b.lastID, verdict
 }
 
-// Hold decides whether a connection may hold more bytes. A connection that is closed gets
-// no more.
+// Hold decides whether a connection may hold more bytes of a request that comes in or of an
+// answer. A connection that is closed gets no more.
 func (b *Budget) Hold(now time.Time, id ID, bytes int64) Verdict {
 	c := b.conns[id]
 	if c == nil {
@@ -141,6 +141,9 @@
 	}
 	verdict := b.makeRoom(now, c.door, 0, bytes, id)
 	if verdict.Granted {
+		if c.phase == Idle {
+			c.phase, c.since = Receiving, now
+		}
 		c.bytes += bytes
 		b.doors[c.door].bytes += bytes
 	}
@@ -155,17 +158,19 @@
 	}
 }
 
-// SetPhase records what a connection does from now on. An idle connection holds no
-// request any more.
-func (b *Budget) SetPhase(now time.Time, id ID, p Phase) {
+// SetPhase records what a connection does from now on, and returns what it did before. An
+// idle connection holds no request any more.
+func (b *Budget) SetPhase(now time.Time, id ID, p Phase) Phase {
 	c := b.conns[id]
 	if c == nil || c.phase == p {
-		return
+		return p
 	}
+	before := c.phase
 	c.phase, c.since = p, now
 	if p == Idle {
 		b.Release(id, c.bytes-ConnBytes)
 	}
+	return before
 }
 
 // Close records that a connection has ended.
--- a/pkg/edge/callers.go
+++ b/pkg/edge/callers.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/nutmeghitch/nutmeghitch/pkg/connbudget"
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/forward"
 	"github.com/nutmeghitch/nutmeghitch/pkg/kernel"
@@ -50,8 +51,11 @@
 func (s *callersService) Start(_ context.Context, scope *kernel.Scope) error {
 	conns := newCallerConns(s.log)
 	s.server = &http.Server{
-		Handler:           s.controller.forwarder,
-		ConnState:         conns.connStateChanged,
+		Handler: s.controller.forwarder,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			connStateChanged(c, state)
+			conns.connStateChanged(c, state)
+		},
 		ConnContext:       callerConnContext,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
@@ -59,7 +63,7 @@
 		// The server would answer "OPTIONS *" itself, with a success.
 		DisableGeneralOptionsHandler: true,
 	}
-	if err := serve(scope, s.server, s.settings.CallersAddr); err != nil {
+	if err := serve(scope, s.server, s.settings.CallersAddr, s.controller.clients, connbudget.Callers); err != nil {
 		return err
 	}
 	scope.Go(func(ctx context.Context) error { conns.run(ctx, s.limits); return nil })
@@ -113,12 +117,14 @@
 	return l, nil
 }
 
-// serve listens on addr and runs the server in a goroutine of the scope.
-func serve(scope *kernel.Scope, server *http.Server, addr string) error {
+// serve listens on addr and runs the server in a goroutine of the scope. Its connections
+// count against the share of the door.
+func serve(scope *kernel.Scope, server *http.Server, addr string, clients *clientBudget, door connbudget.Door) error {
 	listener, err := listen(addr)
 	if err != nil {
 		return err
 	}
+	listener = clients.listener(door, listener)
 	scope.Go(func(context.Context) error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return err
--- /dev/null
+++ b/pkg/edge/clientbudget.go
@@ -0,0 +1,235 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/nutmeghitch/nutmeghitch/pkg/connbudget"
+	"github.com/nutmeghitch/nutmeghitch/pkg/wait"
+)
+
+const (
+	// clientMemoryShare of the VM's memory is for what clients hold: connections, heads,
+	// bodies, and answers that are not read. With bodyShare and bufferedShare it leaves a
+	// quarter of the memory limit to the rest of the process.
+	clientMemoryShare = 0.2
+	// unreadAnswerTimeout closes a connection to which one write takes longer. The longest
+	// write is an answer of 256 KB, for which it allows 4 KB a second.
+	unreadAnswerTimeout = time.Minute
+	// sendBufferBytes bounds the part of an answer that the system holds for a connection;
+	// by itself it grows to 4 MB. It carries 16 MB a second at a round trip of 8 ms.
+	sendBufferBytes = 128 << 10
+	// minReadyConns is the least limit of connections of the ready checks: a balancer keeps
+	// a few.
+	minReadyConns = 16
+)
+
+// doorShares divide the memory for clients, and the VM's descriptors, between the doors.
+// A quarter of the descriptors is left to the connections to replicas, other VMs and the
+// store.
+var doorShares = [connbudget.Doors]struct{ memory, descriptors float64 }{
+	connbudget.Callers: {0.7, 0.45},
+	connbudget.Ready:   {0.1, 0.05},
+	connbudget.Peers:   {0.2, 0.25},
+}
+
+// clientLimits returns the limits of the doors. Settings without memory or descriptors set
+// none.
+func clientLimits(s Settings) [connbudget.Doors]connbudget.Limits {
+	var limits [connbudget.Doors]connbudget.Limits
+	for d, share := range doorShares {
+		limits[d] = connbudget.Limits{
+			Conns: int(share.descriptors * float64(s.Descriptors)),
+			Bytes: int64(share.memory * clientMemoryShare * float64(s.MemoryBytes)),
+		}
+	}
+	if s.Descriptors > 0 {
+		limits[connbudget.Ready].Conns = max(minReadyConns, limits[connbudget.Ready].Conns)
+	}
+	return limits
+}
+
+// clientBudget applies a connbudget.Budget to the connections that the VM accepts.
+type clientBudget struct {
+	log     logrus.FieldLogger
+	metrics [connbudget.Doors]doorMetrics
+
+	mu     sync.Mutex
+	budget *connbudget.Budget
+	conns  map[connbudget.ID]*clientConn
+	// closed and refused count since the last report.
+	closed, refused [connbudget.Doors]int64
+}
+
+type doorMetrics struct {
+	closed, refused tally.Counter
+	conns, bytes    tally.Gauge
+}
+
+func newClientBudget(s Settings, log logrus.FieldLogger, scope tally.Scope) *clientBudget {
+	b := &clientBudget{log: log, budget: connbudget.New(clientLimits(s)), conns: map[connbudget.ID]*clientConn{}}
+	for d := range b.metrics {
+		tagged := scope.SubScope("clients").Tagged(map[string]string{"door": connbudget.Door(d).String()})
+		b.metrics[d] = doorMetrics{
+			closed: tagged.Counter("closed"), refused: tagged.Counter("refused"),
+			conns: tagged.Gauge("connections"), bytes: tagged.Gauge("held_bytes"),
+		}
+	}
+	return b
+}
+
+// setLimits applies changed settings.
+func (b *clientBudget) setLimits(s Settings) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget.SetLimits(clientLimits(s))
+}
+
+// run closes connections whose answers are not read, and reports what the doors hold,
+// until ctx ends.
+func (b *clientBudget) run(ctx context.Context) {
+	for wait.Sleep(ctx, expiryCheckInterval) {
+		b.mu.Lock()
+		stalled := b.budget.Stalled(time.Now(), unreadAnswerTimeout)
+		for _, id := range stalled {
+			b.budget.Close(id)
+		}
+		victims := b.remove(stalled)
+		b.mu.Unlock()
+		closeClients(victims)
+		b.report()
+	}
+}
+
+// report updates the metrics, and writes a line for each door at which connections were
+// closed or refused since the last report.
+func (b *clientBudget) report() {
+	for d := range connbudget.Doors {
+		b.mu.Lock()
+		conns, bytes := b.budget.Held(d)
+		closed, refused := b.closed[d], b.refused[d]
+		b.closed[d], b.refused[d] = 0, 0
+		b.mu.Unlock()
+		m := b.metrics[d]
+		m.conns.Update(float64(conns))
+		m.bytes.Update(float64(bytes))
+		if closed+refused > 0 {
+			m.closed.Inc(closed)
+			m.refused.Inc(refused)
+			b.log.WithFields(logrus.Fields{"door": d.String(), "closed": closed, "refused": refused, "connections": conns, "held_bytes": bytes}).Warn("clients hold more than their share: connections closed")
+		}
+	}
+}
+
+// remove takes closed connections out of the table and returns them. b.mu must be held.
+func (b *clientBudget) remove(ids []connbudget.ID) []*clientConn {
+	victims := make([]*clientConn, 0, len(ids))
+	for _, id := range ids {
+		if c := b.conns[id]; c != nil {
+			delete(b.conns, id)
+			b.closed[c.door]++
+			victims = append(victims, c)
+		}
+	}
+	return victims
+}
+
+// apply carries out a verdict and reports whether the connection that asked got what it
+// asked for. b.mu must be held, and is released.
+func (b *clientBudget) apply(verdict connbudget.Verdict, d connbudget.Door) bool {
+	var victims []*clientConn
+	if len(verdict.Close) > 0 {
+		victims = b.remove(verdict.Close)
+	}
+	if !verdict.Granted {
+		b.refused[d]++
+	}
+	b.mu.Unlock()
+	closeClients(victims)
+	return verdict.Granted
+}
+
+func closeClients(victims []*clientConn) {
+	for _, c := range victims {
+		if c.answering.Load() {
+			// What is not read must not stay in the system's buffer, and an answer that is
+			// cut must not look complete.
+			_ = c.SetLinger(0) // fails only on a connection that has ended
+		}
+		_ = c.TCPConn.Close() // the server may have closed it already
+	}
+}
+
+// clientListener accepts connections within the budget.
+type clientListener struct {
+	net.Listener
+	budget *clientBudget
+	door   connbudget.Door
+}
+
+// listener returns l bounded by the budget. Without a budget it is l itself.
+func (b *clientBudget) listener(d connbudget.Door, l net.Listener) net.Listener {
+	if b == nil {
+		return l
+	}
+	return &clientListener{Listener: l, budget: b, door: d}
+}
+
+// Accept implements net.Listener.
+func (l *clientListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tcp, ok := c.(*net.TCPConn)
+		if !ok {
+			return c, nil // only sockets have the buffers and descriptors to bound
+		}
+		if client := l.budget.open(l.door, tcp); client != nil {
+			return client, nil
+		}
+	}
+}
+
+// open returns the connection counted against the budget, or closes it and returns nil if
+// the budget has no place.
+func (b *clientBudget) open(d connbudget.Door, tcp *net.TCPConn) *clientConn {
+	c := &clientConn{TCPConn: tcp, budget: b, door: d}
+	c.head.begin()
+	b.mu.Lock()
+	id, verdict := b.budget.Open(time.Now(), d)
+	if verdict.Granted {
+		c.id = id
+		b.conns[id] = c
+	}
+	if !b.apply(verdict, d) {
+		if d != connbudget.Peers {
+			c.refuse()
+		}
+		_ = tcp.Close() // nothing was read from it
+		return nil
+	}
+	_ = tcp.SetWriteBuffer(sendBufferBytes) // fails only on a connection that has ended
+	return c
+}
+
+// connStateChanged is the ConnState hook of an HTTP server whose listener is bounded.
+func connStateChanged(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*clientConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive: // the head of a request has been read
+		c.head.reading = false
+	case http.StateIdle:
+		c.becomeIdle()
+	}
+}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/nutmeghitch/nutmeghitch/pkg/connbudget"
 	"github.com/nutmeghitch/nutmeghitch/pkg/discovery"
 	"github.com/nutmeghitch/nutmeghitch/pkg/exchange"
 	"github.com/nutmeghitch/nutmeghitch/pkg/forward"
@@ -95,7 +96,7 @@
 	controller := newControllerService(c, ready)
 	services := []error{
 		kernel.Add(k, controllerHandle, controller),
-		kernel.Add(k, balancerHandle, &balancerService{addr: c.Settings.ReadyAddr, path: c.ReadyPath, ready: ready, metrics: c.Metrics}, controllerHandle),
+		kernel.Add(k, balancerHandle, &balancerService{addr: c.Settings.ReadyAddr, path: c.ReadyPath, ready: ready, metrics: c.Metrics, clients: controller.clients}, controllerHandle),
 		kernel.Add(k, callersHandle, &callersService{settings: c.Settings, controller: controller, ready: ready, log: c.Log.WithField("part", "callers")}, controllerHandle, balancerHandle),
 	}
 	for _, err := range services {
@@ -142,6 +143,8 @@
 	crashes    *crashReporter
 	limits     *limitReporter
 	forwarded  *forwardedServer
+	// clients bounds what the connections that the VM accepts hold.
+	clients *clientBudget
 }
 
 func newControllerService(c Config, ready *readiness) *controllerService {
@@ -158,6 +161,7 @@
 	s := newState(c.Settings, c.Log.WithField("part", "control"), dialer.DialContext)
 	service := &controllerService{config: c, forwarder: f, prober: p, controller: newController(s, f, p, ready, ledger, c.Store, c.Log.WithField("part", "control"))}
 	service.settings.Store(&c.Settings)
+	service.clients = newClientBudget(c.Settings, c.Log.WithField("part", "clients"), c.Metrics.Scope)
 	return service
 }
 
@@ -179,6 +183,7 @@
 	scope.Go(func(ctx context.Context) error { s.crashes.run(ctx); return nil })
 	scope.Go(func(ctx context.Context) error { s.limits.run(ctx); return nil })
 	scope.Go(func(ctx context.Context) error { s.applyUpdates(ctx); return nil })
+	scope.Go(func(ctx context.Context) error { s.clients.run(ctx); return nil })
 	return nil
 }
 
@@ -196,6 +201,7 @@
 		if err != nil {
 			return err
 		}
+		l = s.clients.listener(connbudget.Peers, l)
 		peers := &peerServer{hub: s.controller.hub, relay: s.forwarder.ServeRelay, forwarded: s.forwarded, log: s.config.Log.WithField("part", "peers")}
 		scope.Go(func(ctx context.Context) error { return peers.run(ctx, l) })
 	}
@@ -259,6 +265,7 @@
 	addr, path string
 	ready      *readiness
 	metrics    *metrics.Metrics
+	clients    *clientBudget
 	server     *http.Server
 }
 
@@ -267,13 +274,23 @@
 	mux := http.NewServeMux()
 	mux.Handle(s.path, s.ready)
 	mux.Handle("/metrics", s.metrics.Handler)
-	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: balancerHeaderTimeout}
-	return serve(scope, s.server, s.addr)
+	s.server = &http.Server{
+		Handler: mux, ConnState: connStateChanged, ReadHeaderTimeout: balancerHeaderTimeout,
+		ReadTimeout: balancerRequestTimeout, WriteTimeout: balancerRequestTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: balancerMaxHeaderBytes,
+	}
+	return serve(scope, s.server, s.addr, s.clients, connbudget.Ready)
 }
 
-// balancerHeaderTimeout limits the time to read a request header from the load
-// balancer.
-const balancerHeaderTimeout = 5 * time.Second
+const (
+	// balancerHeaderTimeout limits the time to read a request header from the load
+	// balancer.
+	balancerHeaderTimeout = 5 * time.Second
+	// balancerRequestTimeout limits the time to read a whole request, and to write its
+	// answer. Scrapers of metrics give up after 10 s by default.
+	balancerRequestTimeout = 10 * time.Second
+	// balancerMaxHeaderBytes bounds a head. Balancers and scrapers send some hundred bytes.
+	balancerMaxHeaderBytes = 16 << 10
+)
 
 // Stop implements kernel.Stopper.
 func (s *balancerService) Stop(context.Context) error { return s.server.Close() }
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -68,6 +68,9 @@
 func (s *peerServer) serve(ctx context.Context, c net.Conn) {
 	_ = c.SetReadDeadline(time.Now().Add(firstMessageTimeout)) // a closed socket fails in the read
 	_, m, err := wire.NewReader(c, maxFirstMessageBytes).Next()
+	if client, ok := c.(*clientConn); ok && err == nil {
+		client.RequestReceived()
+	}
 	switch first := m.(type) {
 	case *wire.FeedSubscribe:
 		s.hub.Serve(ctx, c, first)
--- a/pkg/edge/reload.go
+++ b/pkg/edge/reload.go
@@ -15,6 +15,7 @@
 			return
 		case next := <-s.config.SettingsUpdates:
 			limitRuntime(next)
+			s.clients.setLimits(next)
 			s.apply(ctx, next)
 		}
 	}
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -22,10 +22,11 @@
 	// Seeds are the peer addresses of some VMs. They may be out of date.
 	Seeds []string
 
-	// Cores and MemoryBytes are the resources of the VM. A memory size of 0 means
-	// no limit.
+	// Cores, MemoryBytes and Descriptors are the resources of the VM. A memory size or a
+	// number of descriptors of 0 means no limit.
 	Cores       int
 	MemoryBytes int64
+	Descriptors int
 	Bounds      Bounds
 }
 
@@ -61,6 +62,7 @@
 	check(s.ReadyAddr != "", "the address for the balancer is missing")
 	check(s.StoreAddr != "", "the address of the store is missing")
 	check(s.MemoryBytes >= 0, "the memory limit is negative")
+	check(s.Descriptors >= 0, "the limit of descriptors is negative")
 	check(s.Bounds.StopGrace >= 0, "the grace time is negative")
 	check(s.Bounds.BodyStall >= 0, "the time without a byte of a body is negative")
 	check(s.Bounds.RetryRatio >= 0 && s.Bounds.RetrySlack >= 0, "the retry budget is negative")
--- a/pkg/forward/callerconn.go
+++ b/pkg/forward/callerconn.go
@@ -36,7 +36,17 @@
 	if c == nil {
 		return
 	}
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(0) // fails only on a connection that has ended
 	}
 }
+
+// requestReceived tells the connection that a request on it is complete.
+func (c *CallerConn) requestReceived() {
+	if c == nil {
+		return
+	}
+	if conn, ok := c.Conn.(interface{ RequestReceived() }); ok {
+		conn.RequestReceived()
+	}
+}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -287,6 +287,7 @@
 		boundUnreadBody(w, r)
 		return nil, label, refusal
 	}
+	callerConnOf(r.Context()).requestReceived()
 	// The body may have taken seconds, in which the routes may have changed.
 	if f.view.Load() != match.view {
 		if match, refusal = f.matchRoute(head.target); refusal != nil {
