edge: close clients' connections in a fairer order and await their end

Cause: goroutines whose next request is in their buffer keep the processor for 10 ms each; in a burst, idle connections of ordinary callers weighed more than a crowd that was milliseconds old; and a connection that was told to close holds its memory until its goroutine gets its turn.

Ruled out: waiting in Accept (ready checks then took seconds, because net/http keeps a connection whose body was not read for 500 ms), and a limit of pipelined requests.

Change: incomplete requests and idle connections have a half of a door each, and the half that is exceeded gives way. The order is computed at most every 10 ms, for a 32nd of the connections. Connections that were told to close count until they end; while they hold more than a quarter of the door, one that holds more than 32 KB waits. A pipelined request yields.

--- a/pkg/connbudget/connbudget.go
+++ b/pkg/connbudget/connbudget.go
@@ -5,11 +5,13 @@
 // Each door (a listener) has limits of its own, so that what comes in at one takes nothing
 // from the others. If a door is short, connections are closed in the order of what they
 // hold times how long they have made no progress. A request that is being served is never
-// given up, and an idle connection that has been served counts little.
+// given up. An idle connection that has been served counts little, and none is closed while
+// incomplete requests and unread answers take more than a half of the door.
 package connbudget
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -44,6 +46,19 @@
 	// callers keep connections idle for up to 12 s (four fifths of 15 s), so that one weighs
 	// no more than an equally large request that has been incomplete for 0.4 s.
 	idleWeight = 32
+	// rankingAge and rankedShare bound the work of a crowd: a ranking of all connections of
+	// a door serves for a 32nd of them, for 10 ms. Within 100 ms heads of very many fields
+	// grow to megabytes, and others were closed in their place.
+	rankingAge  = 10 * time.Millisecond
+	rankedShare = 32
+	// leavingShare of a door's bytes may belong to connections that are closed and not yet
+	// ended. Without a bound, a crowd of 3,000 that sent very many fields took 277 MB of 184:
+	// on one core a closed connection's goroutine waits for its turn and holds its memory.
+	leavingShare = 0.25
+	// smallBytes is what a connection may hold without waiting for others to end. Ordinary
+	// requests hold less; one that was accepted waited for seconds otherwise, because
+	// net/http keeps a connection whose body was not read for 500 ms.
+	smallBytes = 2 * ConnBytes
 )
 
 // Limits bound what the connections of a door hold together. 0 means no limit.
@@ -75,13 +90,18 @@
 	// Granted is false if the connection itself is to be refused. It holds then what it
 	// held before.
 	Granted bool
-	// Close are connections to close now. They do not count any more.
+	// Wait is set if the connection should not go on while Draining: those that were told to
+	// close still hold their memory, and it holds more than an ordinary request.
+	Wait bool
+	// Close are connections to close now. They are leaving until Close is called for them.
 	Close []ID
 }
 
 type conn struct {
-	door  Door
-	phase Phase
+	door Door
+	// leaving is set once the connection was told to close.
+	leaving bool
+	phase   Phase
 	// since is the time of the last progress: the connection was opened, or a phase began.
 	since time.Time
 	bytes int64
@@ -91,6 +111,11 @@
 	limits Limits
 	conns  int
 	bytes  int64
+	// leaving is what connections hold that were told to close and have not ended.
+	leaving int64
+	// ranked are the connections to close next, as of rankedAt.
+	ranked   []candidate
+	rankedAt time.Time
 }
 
 // Budget is what the clients of a process hold. It must not be used concurrently.
@@ -136,7 +161,7 @@
 // answer. A connection that is closed gets no more.
 func (b *Budget) Hold(now time.Time, id ID, bytes int64) Verdict {
 	c := b.conns[id]
-	if c == nil {
+	if c == nil || c.leaving {
 		return Verdict{}
 	}
 	verdict := b.makeRoom(now, c.door, 0, bytes, id)
@@ -146,49 +171,87 @@
 		}
 		c.bytes += bytes
 		b.doors[c.door].bytes += bytes
+		verdict.Wait = c.bytes > smallBytes && b.Draining(c.door)
 	}
 	return verdict
 }
 
 // Release gives back bytes that Hold has granted.
 func (b *Budget) Release(id ID, bytes int64) {
-	if c := b.conns[id]; c != nil {
-		c.bytes -= bytes
+	c := b.conns[id]
+	if c == nil {
+		return
+	}
+	c.bytes -= bytes
+	if c.leaving {
+		b.doors[c.door].leaving -= bytes
+	} else {
 		b.doors[c.door].bytes -= bytes
 	}
 }
 
+// ReleaseAllBut gives back all bytes but so many.
+func (b *Budget) ReleaseAllBut(id ID, bytes int64) {
+	if c := b.conns[id]; c != nil && c.bytes > bytes {
+		b.Release(id, c.bytes-bytes)
+	}
+}
+
 // SetPhase records what a connection does from now on, and returns what it did before. An
 // idle connection holds no request any more.
 func (b *Budget) SetPhase(now time.Time, id ID, p Phase) Phase {
 	c := b.conns[id]
-	if c == nil || c.phase == p {
+	if c == nil || c.leaving || c.phase == p {
 		return p
 	}
 	before := c.phase
 	c.phase, c.since = p, now
 	if p == Idle {
-		b.Release(id, c.bytes-ConnBytes)
+		b.ReleaseAllBut(id, ConnBytes)
 	}
 	return before
 }
 
 // Close records that a connection has ended.
 func (b *Budget) Close(id ID) {
-	if c := b.conns[id]; c != nil {
-		delete(b.conns, id)
-		b.doors[c.door].conns--
-		b.doors[c.door].bytes -= c.bytes
+	c := b.conns[id]
+	if c == nil {
+		return
+	}
+	delete(b.conns, id)
+	if c.leaving {
+		b.doors[c.door].leaving -= c.bytes
+		return
 	}
+	b.doors[c.door].conns--
+	b.doors[c.door].bytes -= c.bytes
+}
+
+// evict marks a connection as told to close.
+func (b *Budget) evict(id ID) {
+	c := b.conns[id]
+	c.leaving = true
+	door := &b.doors[c.door]
+	door.conns--
+	door.bytes -= c.bytes
+	door.leaving += c.bytes
 }
 
-// Stalled returns the connections whose answer has been written for longer than a time
-// without an end.
-func (b *Budget) Stalled(now time.Time, longest time.Duration) []ID {
+// Draining reports whether connections that were told to close still hold so much that no
+// other one should take more until some have ended.
+func (b *Budget) Draining(d Door) bool {
+	door := &b.doors[d]
+	return door.limits.Bytes > 0 && float64(door.leaving) > leavingShare*float64(door.limits.Bytes)
+}
+
+// CloseStalled returns the connections to close because one write of their answer has taken
+// longer than a time.
+func (b *Budget) CloseStalled(now time.Time, longest time.Duration) []ID {
 	var stalled []ID
 	for id, c := range b.conns {
-		if c.phase == Answering && now.Sub(c.since) > longest {
+		if !c.leaving && c.phase == Answering && now.Sub(c.since) > longest {
 			stalled = append(stalled, id)
+			b.evict(id)
 		}
 	}
 	return stalled
@@ -215,25 +278,72 @@
 		if victim == 0 || victim == asker {
 			return verdict
 		}
-		b.Close(victim)
+		b.evict(victim)
 		verdict.Close = append(verdict.Close, victim)
 	}
 }
 
+// candidate is a connection that may be closed, as it was when the candidates were ranked.
+type candidate struct {
+	id     ID
+	phase  Phase
+	since  time.Time
+	weight float64
+}
+
 // heaviest returns the connection to close first, 0 if there is none.
 func (b *Budget) heaviest(now time.Time, d Door) ID {
-	var heaviest ID
-	var most float64
+	door := &b.doors[d]
+	if now.Sub(door.rankedAt) > rankingAge {
+		door.ranked = nil
+	}
+	for try := 0; ; try++ {
+		for len(door.ranked) > 0 {
+			next := door.ranked[0]
+			door.ranked = door.ranked[1:]
+			if c := b.conns[next.id]; c != nil && !c.leaving && c.phase == next.phase && c.since.Equal(next.since) {
+				return next.id
+			}
+		}
+		if try > 0 {
+			return 0
+		}
+		door.ranked, door.rankedAt = b.rank(now, d), now
+	}
+}
+
+// rank returns the connections of a door to close first, the first one foremost. Idle
+// connections and incomplete requests each have a half of the door for themselves: while
+// one kind has more, only that kind is closed.
+func (b *Budget) rank(now time.Time, d Door) []candidate {
+	var idle, busy []candidate
+	var idleBytes, busyBytes int64
 	for id, c := range b.conns {
-		if c.door != d || c.phase == Serving {
+		if c.door != d || c.leaving || c.phase == Serving {
 			continue
 		}
-		weight := c.weight(now)
-		if heaviest == 0 || cmp.Or(cmp.Compare(weight, most), cmp.Compare(heaviest, id)) > 0 {
-			heaviest, most = id, weight
+		next := candidate{id, c.phase, c.since, c.weight(now)}
+		if c.phase == Idle {
+			idle, idleBytes = append(idle, next), idleBytes+c.bytes
+		} else {
+			busy, busyBytes = append(busy, next), busyBytes+c.bytes
 		}
 	}
-	return heaviest
+	limits := b.doors[d].limits
+	exceedsHalf := func(conns int, bytes int64) bool {
+		return limits.Conns > 0 && 2*conns > limits.Conns || limits.Bytes > 0 && 2*bytes > limits.Bytes
+	}
+	ranked := append(idle, busy...)
+	switch {
+	case exceedsHalf(len(busy), busyBytes):
+		ranked = busy
+	case exceedsHalf(len(idle), idleBytes):
+		ranked = idle
+	}
+	slices.SortFunc(ranked, func(x, y candidate) int {
+		return cmp.Or(cmp.Compare(y.weight, x.weight), cmp.Compare(x.id, y.id))
+	})
+	return ranked[:min(len(ranked), max(1, len(ranked)/rankedShare))]
 }
 
 // weight is what a connection holds times how long it has made no progress.
--- a/pkg/edge/clientbudget.go
+++ b/pkg/edge/clientbudget.go
@@ -63,6 +63,8 @@
 	mu     sync.Mutex
 	budget *connbudget.Budget
 	conns  map[connbudget.ID]*clientConn
+	// ended is signalled when connections have ended or were told to.
+	ended *sync.Cond
 	// closed and refused count since the last report.
 	closed, refused [connbudget.Doors]int64
 }
@@ -74,6 +76,7 @@
 
 func newClientBudget(s Settings, log logrus.FieldLogger, scope tally.Scope) *clientBudget {
 	b := &clientBudget{log: log, budget: connbudget.New(clientLimits(s)), conns: map[connbudget.ID]*clientConn{}}
+	b.ended = sync.NewCond(&b.mu)
 	for d := range b.metrics {
 		tagged := scope.SubScope("clients").Tagged(map[string]string{"door": connbudget.Door(d).String()})
 		b.metrics[d] = doorMetrics{
@@ -96,11 +99,7 @@
 func (b *clientBudget) run(ctx context.Context) {
 	for wait.Sleep(ctx, expiryCheckInterval) {
 		b.mu.Lock()
-		stalled := b.budget.Stalled(time.Now(), unreadAnswerTimeout)
-		for _, id := range stalled {
-			b.budget.Close(id)
-		}
-		victims := b.remove(stalled)
+		victims := b.remove(b.budget.CloseStalled(time.Now(), unreadAnswerTimeout))
 		b.mu.Unlock()
 		closeClients(victims)
 		b.report()
@@ -127,8 +126,13 @@
 	}
 }
 
-// remove takes closed connections out of the table and returns them. b.mu must be held.
+// remove takes connections that are to be closed out of the table and returns them. b.mu
+// must be held.
 func (b *clientBudget) remove(ids []connbudget.ID) []*clientConn {
+	if len(ids) == 0 {
+		return nil
+	}
+	b.ended.Broadcast() // one of them may wait in awaitDrained
 	victims := make([]*clientConn, 0, len(ids))
 	for _, id := range ids {
 		if c := b.conns[id]; c != nil {
@@ -143,10 +147,7 @@
 // apply carries out a verdict and reports whether the connection that asked got what it
 // asked for. b.mu must be held, and is released.
 func (b *clientBudget) apply(verdict connbudget.Verdict, d connbudget.Door) bool {
-	var victims []*clientConn
-	if len(verdict.Close) > 0 {
-		victims = b.remove(verdict.Close)
-	}
+	victims := b.remove(verdict.Close)
 	if !verdict.Granted {
 		b.refused[d]++
 	}
@@ -155,6 +156,16 @@
 	return verdict.Granted
 }
 
+// awaitDrained waits until few of the connections that were told to close have not ended,
+// and reports whether c is still counted. Their goroutines need the processor for that.
+// b.mu must be held.
+func (b *clientBudget) awaitDrained(c *clientConn) bool {
+	for b.budget.Draining(c.door) && b.conns[c.id] == c {
+		b.ended.Wait()
+	}
+	return b.conns[c.id] == c
+}
+
 func closeClients(victims []*clientConn) {
 	for _, c := range victims {
 		if c.answering.Load() {
@@ -228,7 +239,7 @@
 	}
 	switch state {
 	case http.StateActive: // the head of a request has been read
-		c.head.reading = false
+		c.headRead()
 	case http.StateIdle:
 		c.becomeIdle()
 	}
--- a/pkg/edge/clientconn.go
+++ b/pkg/edge/clientconn.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net"
+	"runtime"
 	"sync/atomic"
 	"time"
 
@@ -36,6 +37,10 @@
 	// lastLines is the number of line ends in what was read last, if it may still be in the
 	// buffer of the server.
 	lastLines int
+	// readSinceIdle is set once something has been read for the next request.
+	readSinceIdle bool
+	// fieldBytes is what counts for the lines of the head.
+	fieldBytes int64
 	// refused is set once the budget has refused the connection.
 	refused bool
 	// answering is set while an answer is written.
@@ -83,12 +88,15 @@
 	if n == 0 || c.trusted.Load() {
 		return n, err
 	}
-	inHead := c.head.reading
-	c.lastLines = 0
+	inHead, lines := c.head.reading, c.head.count(p[:n])
+	if inHead {
+		c.fieldBytes += connbudget.FieldBytes * int64(lines)
+	}
+	c.lastLines, c.readSinceIdle = 0, true
 	if n <= serverBufferBytes {
 		c.lastLines = bytes.Count(p[:n], []byte{'\n'})
 	}
-	if c.hold(int64(n + connbudget.FieldBytes*c.head.count(p[:n]))) {
+	if c.hold(int64(n + connbudget.FieldBytes*lines)) {
 		return n, err
 	}
 	c.refused = true
@@ -99,10 +107,18 @@
 	return 0, errs.Refuse(errs.MemoryLimit, "clients hold more than their share of the memory")
 }
 
-// hold reports whether the connection may hold more bytes.
+// hold reports whether the connection may hold more bytes. It waits for connections that
+// were told to close to free theirs.
 func (c *clientConn) hold(n int64) bool {
-	c.budget.mu.Lock()
-	return c.budget.apply(c.budget.budget.Hold(time.Now(), c.id, n), c.door)
+	b := c.budget
+	b.mu.Lock()
+	verdict := b.budget.Hold(time.Now(), c.id, n)
+	if granted := b.apply(verdict, c.door); !verdict.Wait {
+		return granted
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.awaitDrained(c)
 }
 
 // refuse answers a request whose head is not complete.
@@ -152,9 +168,20 @@
 	c.budget.budget.SetPhase(time.Now(), c.id, before)
 }
 
+// headRead is called when the head of a request has been read. Of requests that came
+// together, each waits for its turn: goroutines that never wait would keep the processor for
+// 10 ms each, which is seconds with a crowd of them.
+func (c *clientConn) headRead() {
+	c.head.reading = false
+	if !c.readSinceIdle {
+		runtime.Gosched()
+	}
+}
+
 // becomeIdle is called when an answer has been written completely.
 func (c *clientConn) becomeIdle() {
 	c.head.begin()
+	c.readSinceIdle, c.fieldBytes = false, 0
 	c.budget.mu.Lock()
 	c.budget.budget.SetPhase(time.Now(), c.id, connbudget.Idle)
 	c.budget.mu.Unlock()
@@ -174,11 +201,22 @@
 	c.budget.budget.SetPhase(time.Now(), c.id, connbudget.Serving)
 }
 
+// CloseWrite is called by net/http before it waits for 500 ms, so that the client reads
+// its answer before the connection is closed. The head is still held then.
+func (c *clientConn) CloseWrite() error {
+	c.budget.mu.Lock()
+	c.budget.budget.ReleaseAllBut(c.id, connbudget.ConnBytes+c.fieldBytes)
+	c.budget.ended.Broadcast()
+	c.budget.mu.Unlock()
+	return c.TCPConn.CloseWrite()
+}
+
 // Close implements net.Conn.
 func (c *clientConn) Close() error {
 	c.budget.mu.Lock()
 	c.budget.budget.Close(c.id)
 	delete(c.budget.conns, c.id)
+	c.budget.ended.Broadcast()
 	c.budget.mu.Unlock()
 	return c.TCPConn.Close()
 }
