--- a/pkg/connbudget/connbudget.go
+++ b/pkg/connbudget/connbudget.go
@@ -104,7 +104,8 @@
 	phase   Phase
 	// since is the time of the last progress: the connection was opened, or a phase began.
 	since time.Time
-	bytes int64
+	// bytes is what it holds, unread the part of it that is left of its answers.
+	bytes, unread int64
 }
 
 type door struct {
@@ -190,13 +191,36 @@
 	}
 }
 
-// ReleaseAllBut gives back all bytes but so many.
+// ReleaseAllBut gives back all bytes but so many and the unread ones.
 func (b *Budget) ReleaseAllBut(id ID, bytes int64) {
-	if c := b.conns[id]; c != nil && c.bytes > bytes {
-		b.Release(id, c.bytes-bytes)
+	if c := b.conns[id]; c != nil && c.bytes > bytes+c.unread {
+		b.Release(id, c.bytes-bytes-c.unread)
 	}
 }
 
+// SetUnread records how many bytes of its answers a connection has not read. They exist
+// already: the connection is closed itself if it is the next one to be.
+func (b *Budget) SetUnread(now time.Time, id ID, unread int64) Verdict {
+	c := b.conns[id]
+	if c == nil || c.leaving {
+		return Verdict{}
+	}
+	more := unread - c.unread
+	if more <= 0 {
+		b.Release(id, -more)
+		c.unread = unread
+		return Verdict{Granted: true}
+	}
+	verdict := b.Hold(now, id, more)
+	if verdict.Granted {
+		c.unread = unread
+	} else {
+		b.evict(id)
+		verdict.Close = append(verdict.Close, id)
+	}
+	return verdict
+}
+
 // SetPhase records what a connection does from now on, and returns what it did before. An
 // idle connection holds no request any more.
 func (b *Budget) SetPhase(now time.Time, id ID, p Phase) Phase {
--- a/pkg/connbudget/connbudget_test.go
+++ b/pkg/connbudget/connbudget_test.go
@@ -125,7 +125,7 @@
 		}
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
-			step := rapid.IntRange(0, 4).Draw(t, "step")
+			step := rapid.IntRange(0, 5).Draw(t, "step")
 			if step == 0 || len(open) == 0 {
 				id, v := b.Open(now, Door(rapid.IntRange(0, int(Doors)-1).Draw(t, "door")))
 				if closeAll(v); v.Granted {
@@ -139,6 +139,8 @@
 				closeAll(b.Hold(now, id, int64(rapid.IntRange(0, 4*ConnBytes).Draw(t, "bytes"))))
 			case 2, 3:
 				b.SetPhase(now, id, Phase(rapid.IntRange(0, int(Idle)).Draw(t, "phase")))
+			case 5:
+				closeAll(b.SetUnread(now, id, int64(rapid.IntRange(0, 4*ConnBytes).Draw(t, "unread"))))
 			case 4:
 				b.Close(id)
 				open = slices.DeleteFunc(open, func(o ID) bool { return o == id })
--- a/pkg/edge/clientbudget.go
+++ b/pkg/edge/clientbudget.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/connbudget"
+	"github.com/nutmeghitch/nutmeghitch/pkg/netconn"
 	"github.com/nutmeghitch/nutmeghitch/pkg/wait"
 )
 
@@ -19,8 +20,9 @@
 	// bodies, and answers that are not read. With bodyShare and bufferedShare it leaves a
 	// quarter of the memory limit to the rest of the process.
 	clientMemoryShare = 0.2
-	// unreadAnswerTimeout closes a connection to which one write takes longer. The longest
-	// write is an answer of 256 KB, for which it allows 4 KB a second.
+	// unreadAnswerTimeout closes a connection to which one write takes longer, or that takes
+	// no data for so long, also after the VM has closed it. The longest write is an answer of
+	// 256 KB, for which it allows 4 KB a second.
 	unreadAnswerTimeout = time.Minute
 	// sendBufferBytes bounds the part of an answer that the system holds for a connection;
 	// by itself it grows to 4 MB. It carries 16 MB a second at a round trip of 8 ms.
@@ -102,10 +104,34 @@
 		victims := b.remove(b.budget.CloseStalled(time.Now(), unreadAnswerTimeout))
 		b.mu.Unlock()
 		closeClients(victims)
+		b.countUnread()
 		b.report()
 	}
 }
 
+// countUnread counts the answers that the system holds for clients which do not read them.
+func (b *clientBudget) countUnread() {
+	b.mu.Lock()
+	written := make([]*clientConn, 0, len(b.conns))
+	for _, c := range b.conns {
+		if c.written.Load() {
+			written = append(written, c)
+		}
+	}
+	b.mu.Unlock()
+	for _, c := range written {
+		c.written.Store(false)
+		unread := netconn.UnreadBytes(c)
+		if unread > 0 {
+			c.written.Store(true) // until nothing is left
+		}
+		b.mu.Lock()
+		victims := b.remove(b.budget.SetUnread(time.Now(), c.id, int64(unread)).Close)
+		b.mu.Unlock()
+		closeClients(victims)
+	}
+}
+
 // report updates the metrics, and writes a line for each door at which connections were
 // closed or refused since the last report.
 func (b *clientBudget) report() {
@@ -168,7 +194,7 @@
 
 func closeClients(victims []*clientConn) {
 	for _, c := range victims {
-		if c.answering.Load() {
+		if c.answering.Load() || c.written.Load() {
 			// What is not read must not stay in the system's buffer, and an answer that is
 			// cut must not look complete.
 			_ = c.SetLinger(0) // fails only on a connection that has ended
@@ -227,7 +253,8 @@
 		_ = tcp.Close() // nothing was read from it
 		return nil
 	}
-	_ = tcp.SetWriteBuffer(sendBufferBytes) // fails only on a connection that has ended
+	// Both fail only on a connection that has ended.
+	_, _ = tcp.SetWriteBuffer(sendBufferBytes), netconn.SetUserTimeout(tcp, unreadAnswerTimeout)
 	return c
 }
 
--- a/pkg/edge/clientconn.go
+++ b/pkg/edge/clientconn.go
@@ -45,6 +45,8 @@
 	refused bool
 	// answering is set while an answer is written.
 	answering atomic.Bool
+	// written is set if a part of an answer may not have been read yet.
+	written atomic.Bool
 	// trusted is set once the connection is known to be one of another VM, whose bytes are
 	// bounded by what serves it.
 	trusted atomic.Bool
@@ -134,6 +136,7 @@
 		return c.TCPConn.Write(p)
 	}
 	c.answering.Store(true)
+	c.written.Store(true)
 	before, held := c.beginAnswer(len(p))
 	n, err := c.TCPConn.Write(p)
 	c.endAnswer(before, held)
--- a/pkg/netconn/netconn.go
+++ b/pkg/netconn/netconn.go
@@ -26,7 +26,7 @@
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var setErr error
 			err := raw.Control(func(fd uintptr) {
-				setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(peerTimeout.Milliseconds()))
+				setErr = setUserTimeout(fd, peerTimeout)
 			})
 			if err != nil {
 				return err
@@ -36,6 +36,43 @@
 	}
 }
 
+// setUserTimeout sets the time after which a connection fails whose peer acknowledges no
+// data, or takes none.
+func setUserTimeout(fd uintptr, d time.Duration) error {
+	return unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+}
+
+// SetUserTimeout sets the time after which the connection fails if its peer acknowledges no
+// data or takes none, also after it was closed here.
+func SetUserTimeout(c syscall.Conn, d time.Duration) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var setErr error
+	err = raw.Control(func(fd uintptr) { setErr = setUserTimeout(fd, d) })
+	return errors.CombineErrors(err, setErr)
+}
+
+// UnreadBytes returns how many bytes of a connection the system holds that the peer has not
+// acknowledged, 0 for one that has ended.
+func UnreadBytes(c syscall.Conn) int {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	unread := 0
+	err = raw.Control(func(fd uintptr) {
+		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
+			unread = n
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return unread
+}
+
 // KeepAlive returns a keep-alive configuration with which an idle connection
 // fails when the peer has not responded for about peerTimeout. The system
 // counts in whole seconds, so shorter times become one second.
