clienttest: play the same clients against nutmeghitchd

Callers saw no fault of it yet; nutmeghitchd was not played.

The ten kinds at a search, at a path without a route and at /readyz, and all of them mixed, with the same numbers of clients. The settings of nutmeghitchd name no machine: the bounds are the 200 MB of the stand-in's settings and its own limit of 10,000 connections. The tests of nutmeghitch-edge play the same clients with the same bounds as before.

--- a/pkg/clienttest/clients_test.go
+++ b/pkg/clienttest/clients_test.go
@@ -36,14 +36,6 @@
 // target is where clients send to.
 type target struct{ addr, path, largePath string }
 
-func (s *site) targets() []target {
-	return []target{
-		{s.settings.CallersAddr, routePath, largePath},
-		{s.settings.CallersAddr, noRoutePath, noRoutePath},
-		{s.settings.ReadyAddr, platform.ReadyPath, "/metrics"},
-	}
-}
-
 // client is one connection. Its errors end its part: the process may close it.
 type client struct {
 	net.Conn
@@ -89,17 +81,46 @@
 // afterwards.
 type play func(c *client)
 
+// kind is a number of clients that misbehave in the same way.
+type kind struct {
+	name    string
+	clients int
+	play    play
+}
+
+// kinds are all kinds of clients.
+var kinds = []kind{
+	{"bodies in one piece", clients, sendBody},
+	{"bodies in small pieces", clients, sendBodyInPieces},
+	{"bodies in chunks", clients, sendBodyInChunks},
+	{"bodies that stop short", clients, stopShort},
+	{"bodies far over the limit", clients, sendFarOverTheLimit},
+	{"very many short fields", clients, sendShortFields},
+	{"pipelined requests without reading", clients, pipelineWithoutReading},
+	{"slow senders", crowd, sendSlowly},
+	{"slow readers", crowd, readSlowly},
+	{"stops halfway", crowd, stopHalfway},
+}
+
 // runAtEachTarget plays one kind of clients at each target, each with a process of its
 // own.
-func runAtEachTarget(t *testing.T, clients int, p play) {
+func runAtEachTarget(t *testing.T, start func(*testing.T) *site, k kind) {
 	for i, name := range []string{"route", "no_route", "ready_path"} {
 		t.Run(name, func(t *testing.T) {
-			s := startSite(t)
-			s.check(clients, func(int) (target, play) { return s.targets()[i], p })
+			s := start(t)
+			s.check(k.clients, func(int) (target, play) { return s.targets[i], k.play })
 		})
 	}
 }
 
+// runMixed plays all kinds at all targets at once.
+func runMixed(t *testing.T, start func(*testing.T) *site) {
+	s := start(t)
+	s.check(crowd, func(i int) (target, play) {
+		return s.targets[i/len(kinds)%len(s.targets)], kinds[i%len(kinds)].play
+	})
+}
+
 // check plays all clients at once, waits until each has done its part, and checks that the
 // process lives within its machine and serves.
 func (s *site) check(clients int, partOf func(number int) (target, play)) {
@@ -125,11 +146,11 @@
 	sampling.Wait()
 	memory := s.peakMemoryKB()
 	s.t.Logf("memory %d KB, descriptors %d", memory, s.peakFDs)
-	if memory > memoryMB<<10 {
-		s.t.Errorf("the process has held %d KB, its machine has %d KB", memory, memoryMB<<10)
+	if memory > s.memoryMB<<10 {
+		s.t.Errorf("the process has held %d KB, its machine has %d KB", memory, s.memoryMB<<10)
 	}
-	if s.peakFDs > maxFDs {
-		s.t.Errorf("the process has had %d descriptors, its machine has %d", s.peakFDs, maxFDs)
+	if s.peakFDs > s.maxFDs {
+		s.t.Errorf("the process has had %d descriptors, its machine has %d", s.peakFDs, s.maxFDs)
 	}
 	if !s.alive() {
 		s.t.Errorf("the process has ended\n%s", s.logTail())
@@ -238,52 +259,42 @@
 }
 
 // Guards against memory that many legal bodies take at once.
-func TestBodiesInOnePiece(t *testing.T) { runAtEachTarget(t, clients, sendBody) }
+func TestBodiesInOnePiece(t *testing.T) { runAtEachTarget(t, startSite, kinds[0]) }
 
 // Guards against memory that legal bodies take which come in small pieces.
-func TestBodiesInSmallPieces(t *testing.T) { runAtEachTarget(t, clients, sendBodyInPieces) }
+func TestBodiesInSmallPieces(t *testing.T) { runAtEachTarget(t, startSite, kinds[1]) }
 
 // Guards against memory that legal bodies take whose length is not known before.
-func TestBodiesInChunks(t *testing.T) { runAtEachTarget(t, clients, sendBodyInChunks) }
+func TestBodiesInChunks(t *testing.T) { runAtEachTarget(t, startSite, kinds[2]) }
 
 // Guards against bodies that lack their last byte and hold their memory as long as their
 // senders like.
-func TestBodiesThatStopShort(t *testing.T) { runAtEachTarget(t, clients, stopShort) }
+func TestBodiesThatStopShort(t *testing.T) { runAtEachTarget(t, startSite, kinds[3]) }
 
 // Guards against bodies far beyond the limit that are taken into memory.
-func TestBodiesFarOverTheLimit(t *testing.T) { runAtEachTarget(t, clients, sendFarOverTheLimit) }
+func TestBodiesFarOverTheLimit(t *testing.T) { runAtEachTarget(t, startSite, kinds[4]) }
 
 // Guards against heads whose fields take a multiple of their bytes in memory.
-func TestVeryManyShortFields(t *testing.T) { runAtEachTarget(t, clients, sendShortFields) }
+func TestVeryManyShortFields(t *testing.T) { runAtEachTarget(t, startSite, kinds[5]) }
 
 // Guards against answers that pile up for a client which sends request after request
 // without reading.
 func TestPipelinedRequestsWithoutReading(t *testing.T) {
-	runAtEachTarget(t, clients, pipelineWithoutReading)
+	runAtEachTarget(t, startSite, kinds[6])
 }
 
 // Guards against connections that send a byte now and then and hold a descriptor each.
-func TestSlowSenders(t *testing.T) { runAtEachTarget(t, crowd, sendSlowly) }
+func TestSlowSenders(t *testing.T) { runAtEachTarget(t, startSite, kinds[7]) }
 
 // Guards against long answers that are held for clients which read a byte now and then.
-func TestSlowReaders(t *testing.T) { runAtEachTarget(t, crowd, readSlowly) }
+func TestSlowReaders(t *testing.T) { runAtEachTarget(t, startSite, kinds[8]) }
 
 // Guards against connections that stop in the middle of a head or a body and stay open.
-func TestStopsHalfway(t *testing.T) { runAtEachTarget(t, crowd, stopHalfway) }
+func TestStopsHalfway(t *testing.T) { runAtEachTarget(t, startSite, kinds[9]) }
 
 // Guards against limits that each hold alone and not together: all kinds at all targets
 // at once.
-func TestMixedClients(t *testing.T) {
-	kinds := []play{
-		sendBody, sendBodyInPieces, sendBodyInChunks, stopShort, sendFarOverTheLimit,
-		sendShortFields, pipelineWithoutReading, sendSlowly, readSlowly, stopHalfway,
-	}
-	s := startSite(t)
-	s.check(crowd, func(i int) (target, play) {
-		targets := s.targets()
-		return targets[i/len(kinds)%len(targets)], kinds[i%len(kinds)]
-	})
-}
+func TestMixedClients(t *testing.T) { runMixed(t, startSite) }
 
 // Guards against connections that stop in their first message at the port for other VMs.
 func TestStopsHalfwayAtThePeerPort(t *testing.T) {
--- a/pkg/clienttest/site_test.go
+++ b/pkg/clienttest/site_test.go
@@ -39,17 +39,17 @@
 	noRoutePath = "/none/x"
 )
 
-// program is the built nutmeghitch-edge, without the race detector, which multiplies the
-// memory of a process.
-var program string
+// program and daemon are the built nutmeghitch-edge and nutmeghitchd, without the race
+// detector, which multiplies the memory of a process.
+var program, daemon string
 
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "nutmeghitch-clienttest-")
 	if err != nil {
 		panic(err)
 	}
-	program = filepath.Join(dir, "nutmeghitch-edge")
-	build := exec.Command("go", "build", "-o", program, "../../cmd/nutmeghitch-edge")
+	program, daemon = filepath.Join(dir, "nutmeghitch-edge"), filepath.Join(dir, "nutmeghitchd")
+	build := exec.Command("go", "build", "-o", dir, "../../cmd/nutmeghitch-edge", "../../cmd/nutmeghitchd")
 	build.Stderr = os.Stderr
 	if err := build.Run(); err != nil {
 		panic(err)
@@ -59,9 +59,15 @@
 	os.Exit(code)
 }
 
-// site is a VM as a process, with its store and two replicas.
+// site is a VM as a process with what it needs.
 type site struct {
-	t        *testing.T
+	t *testing.T
+	// memoryMB and maxFDs are its machine.
+	memoryMB, maxFDs int
+	// targets are a route, a path without a route, and the ready path.
+	targets []target
+	// ordinary asks for the answers that the VM must go on to give.
+	ordinary []func(context.Context) error
 	settings standin.VMSettings
 	cmd      *exec.Cmd
 	logPath  string
@@ -71,7 +77,13 @@
 	peakFDs int
 }
 
-// startSite returns a site whose VM serves.
+func newSite(t *testing.T, memoryMB, maxFDs int) *site {
+	s := &site{t: t, memoryMB: memoryMB, maxFDs: maxFDs, exited: make(chan struct{}), logPath: filepath.Join(t.TempDir(), "log")}
+	s.client = &http.Client{Timeout: waitTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	return s
+}
+
+// startSite returns a site whose VM, nutmeghitch-edge with two replicas, serves.
 func startSite(t *testing.T) *site {
 	t.Helper()
 	store := standin.NewStore()
@@ -90,13 +102,27 @@
 		{Name: "read", Host: siteHost, Prefix: "/read/", Idempotent: true, Service: service},
 		{Name: "large", Host: siteHost, Prefix: "/large/", Idempotent: true, Service: service},
 	}, []string{service})
-	s := &site{t: t, exited: make(chan struct{}), logPath: filepath.Join(t.TempDir(), "log")}
-	s.client = &http.Client{Timeout: waitTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	s := newSite(t, memoryMB, maxFDs)
 	s.settings = standin.VMSettings{
 		Name: "vm0", Domain: "d0", CallersAddr: freeAddr(t), ReadyAddr: freeAddr(t), PeersAddr: freeAddr(t),
 		StoreAddr: storeServer.Listener.Addr().String(), MemoryMB: memoryMB, MaxFDs: maxFDs,
 	}
-	s.start()
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	assert.NilError(t, standin.WriteSettings(path, s.settings))
+	s.targets = []target{
+		{s.settings.CallersAddr, routePath, largePath},
+		{s.settings.CallersAddr, noRoutePath, noRoutePath},
+		{s.settings.ReadyAddr, platform.ReadyPath, "/metrics"},
+	}
+	s.ordinary = []func(context.Context) error{
+		func(ctx context.Context) error {
+			return s.ask(ctx, http.MethodGet, s.settings.ReadyAddr, platform.ReadyPath, "")
+		},
+		func(ctx context.Context) error {
+			return s.ask(ctx, http.MethodGet, s.settings.CallersAddr, routePath, "")
+		},
+	}
+	s.start(program, path)
 	s.awaitOrdinaryAnswers()
 	return s
 }
@@ -138,14 +164,12 @@
 	}
 }
 
-func (s *site) start() {
+func (s *site) start(program, settingsPath string) {
 	s.t.Helper()
-	path := filepath.Join(s.t.TempDir(), "settings.yaml")
-	assert.NilError(s.t, standin.WriteSettings(path, s.settings))
 	log, err := os.Create(s.logPath)
 	assert.NilError(s.t, err)
 	defer log.Close()
-	s.cmd = exec.Command(program, "--settings", path)
+	s.cmd = exec.Command(program, "--settings", settingsPath)
 	s.cmd.Stdout, s.cmd.Stderr = log, log
 	assert.NilError(s.t, s.cmd.Start())
 	go func() {
@@ -174,7 +198,7 @@
 	s.t.Helper()
 	ctx, cancel := context.WithTimeout(s.t.Context(), waitTimeout)
 	defer cancel()
-	for _, ask := range []func(context.Context) error{s.askReady, s.askRoute} {
+	for _, ask := range s.ordinary {
 		for err := ask(ctx); err != nil; err = ask(ctx) {
 			if ctx.Err() != nil || !s.alive() {
 				s.t.Fatalf("no ordinary answer: %v, alive %t\n%s", err, s.alive(), s.logTail())
@@ -184,16 +208,8 @@
 	}
 }
 
-func (s *site) askReady(ctx context.Context) error {
-	return s.ask(ctx, s.settings.ReadyAddr, platform.ReadyPath)
-}
-
-func (s *site) askRoute(ctx context.Context) error {
-	return s.ask(ctx, s.settings.CallersAddr, routePath)
-}
-
-func (s *site) ask(ctx context.Context, addr, path string) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, nil)
+func (s *site) ask(ctx context.Context, method, addr, path, body string) error {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, strings.NewReader(body))
 	if err != nil {
 		return err
 	}
