edge: count connections of other VMs only until their first message

Callers saw no fault: found on reading. The share of memory for the peer port allowed 459 connections on the smallest machines, and 118 other VMs may keep four each for relays, so that a large site would have lost relays.

Change: a connection of another VM leaves the budget with its first message. The peer port's share of descriptors is 5% in place of 25%, for connections without a message. Send buffers and TCP_USER_TIMEOUT are set for clients only.

pkg/clienttest with the race detector, 2 runs: all tests of nutmeghitch-edge green.

--- a/pkg/edge/clientbudget.go
+++ b/pkg/edge/clientbudget.go
@@ -27,18 +27,19 @@
 	// sendBufferBytes bounds the part of an answer that the system holds for a connection;
 	// by itself it grows to 4 MB. It carries 16 MB a second at a round trip of 8 ms.
 	sendBufferBytes = 128 << 10
-	// minReadyConns is the least limit of connections of the ready checks: a balancer keeps
-	// a few.
-	minReadyConns = 16
+	// minDoorConns is the least limit of the connections of a door: a balancer keeps a few,
+	// and a few VMs connect at a time.
+	minDoorConns = 16
 )
 
 // doorShares divide the memory for clients, and the VM's descriptors, between the doors.
-// A quarter of the descriptors is left to the connections to replicas, other VMs and the
-// store.
+// The rest of the descriptors is for connections to replicas and the store, and of other
+// VMs. Those count only until their first message: 118 VMs keep four connections each for
+// relays.
 var doorShares = [connbudget.Doors]struct{ memory, descriptors float64 }{
 	connbudget.Callers: {0.7, 0.45},
 	connbudget.Ready:   {0.1, 0.05},
-	connbudget.Peers:   {0.2, 0.25},
+	connbudget.Peers:   {0.2, 0.05},
 }
 
 // clientLimits returns the limits of the doors. Settings without memory or descriptors set
@@ -46,14 +47,11 @@
 func clientLimits(s Settings) [connbudget.Doors]connbudget.Limits {
 	var limits [connbudget.Doors]connbudget.Limits
 	for d, share := range doorShares {
-		limits[d] = connbudget.Limits{
-			Conns: int(share.descriptors * float64(s.Descriptors)),
-			Bytes: int64(share.memory * clientMemoryShare * float64(s.MemoryBytes)),
+		limits[d].Bytes = int64(share.memory * clientMemoryShare * float64(s.MemoryBytes))
+		if s.Descriptors > 0 {
+			limits[d].Conns = max(minDoorConns, int(share.descriptors*float64(s.Descriptors)))
 		}
 	}
-	if s.Descriptors > 0 {
-		limits[connbudget.Ready].Conns = max(minReadyConns, limits[connbudget.Ready].Conns)
-	}
 	return limits
 }
 
@@ -170,6 +168,14 @@
 	return victims
 }
 
+// forget takes a connection that has ended, or does not count any more, out of the budget.
+// b.mu must be held.
+func (b *clientBudget) forget(c *clientConn) {
+	b.budget.Close(c.id)
+	delete(b.conns, c.id)
+	b.ended.Broadcast()
+}
+
 // apply carries out a verdict and reports whether the connection that asked got what it
 // asked for. b.mu must be held, and is released.
 func (b *clientBudget) apply(verdict connbudget.Verdict, d connbudget.Door) bool {
@@ -253,8 +259,10 @@
 		_ = tcp.Close() // nothing was read from it
 		return nil
 	}
-	// Both fail only on a connection that has ended.
-	_, _ = tcp.SetWriteBuffer(sendBufferBytes), netconn.SetUserTimeout(tcp, unreadAnswerTimeout)
+	if d != connbudget.Peers {
+		// Both fail only on a connection that has ended.
+		_, _ = tcp.SetWriteBuffer(sendBufferBytes), netconn.SetUserTimeout(tcp, unreadAnswerTimeout)
+	}
 	return c
 }
 
--- a/pkg/edge/clientconn.go
+++ b/pkg/edge/clientconn.go
@@ -194,14 +194,16 @@
 }
 
 // RequestReceived tells that a request is complete: the connection is then not closed
-// until an answer is written.
+// until an answer is written. One of another VM counts no more.
 func (c *clientConn) RequestReceived() {
-	if c.door == connbudget.Peers {
-		c.trusted.Store(true)
-	}
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
-	c.budget.budget.SetPhase(time.Now(), c.id, connbudget.Serving)
+	if c.door != connbudget.Peers {
+		c.budget.budget.SetPhase(time.Now(), c.id, connbudget.Serving)
+		return
+	}
+	c.trusted.Store(true)
+	c.budget.forget(c)
 }
 
 // CloseWrite is called by net/http before it waits for 500 ms, so that the client reads
@@ -217,9 +219,7 @@
 // Close implements net.Conn.
 func (c *clientConn) Close() error {
 	c.budget.mu.Lock()
-	c.budget.budget.Close(c.id)
-	delete(c.budget.conns, c.id)
-	c.budget.ended.Broadcast()
+	c.budget.forget(c)
 	c.budget.mu.Unlock()
 	return c.TCPConn.Close()
 }
