frontend: bound the memory of all bodies

Callers of nutmeghitchd saw no fault yet. 240 clients that sent bodies far over the limit made it hold 245 MB, where the test allows 200.

Cause: up to 1 MB of each body was read into memory before it was refused, also where the stated length was beyond the limit, and nothing bounds the sum.

Change: a body with a stated length beyond the limit is refused at once, and all bodies together hold at most 32 MB beyond 8 KB of each, counted as in nutmeghitch-edge (exchange.ReadBody). One that finds no room gets 503 with memory_limit and Retry-After; nothing has run.

Ruled out: a new setting, because 32 bodies of the default limit at once are more than ordinary callers send; and a budget for connections and heads, which needs the machine's size in the settings of nutmeghitchd and counting below TLS.

--- a/pkg/frontend/callers.go
+++ b/pkg/frontend/callers.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/exchange"
 	"github.com/nutmeghitch/nutmeghitch/pkg/model"
 )
 
@@ -17,6 +18,14 @@
 // the other fields in a traffic frame of 4 MiB.
 const DefaultMaxBodyBytes = 1 << 20
 
+// bodyMemoryBytes bounds the bodies of all requests together, beyond 8 KB of each. It is
+// 32 bodies of the default limit, each held from its arrival to the answer.
+const bodyMemoryBytes = 32 << 20
+
+// bodyMemoryRetryAfter is the Retry-After of requests whose body finds no memory: those
+// before it are answered, or time out, within seconds.
+const bodyMemoryRetryAfter = time.Second
+
 // DefaultReadTimeout bounds the time that a caller takes to send a body.
 const DefaultReadTimeout = 10 * time.Second
 
@@ -40,6 +49,7 @@
 // callers is the handler of the callers' interface.
 type callers struct {
 	CallersConfig
+	bodies *exchange.Memory
 }
 
 // NewCallers returns the handler of the callers' interface.
@@ -56,7 +66,7 @@
 	if c.NewRequestID == nil {
 		c.NewRequestID = uuid.NewString
 	}
-	h := &callers{CallersConfig: c}
+	h := &callers{CallersConfig: c, bodies: exchange.NewMemory(bodyMemoryBytes)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/v1/search/{service}", h.handlePost(h.search))
 	mux.HandleFunc("/v1/call/{service}/{operation}", h.handlePost(h.call))
@@ -72,13 +82,16 @@
 	// id is the request id.
 	id     string
 	caller string
+	// body is what the body takes of the memory for bodies.
+	body *exchange.Holding
 }
 
 // handlePost returns a handler that serves POST requests with serve and writes
 // its error as a refusal.
 func (h *callers) handlePost(serve func(x *httpExchange) error) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		x := &httpExchange{w: w, r: r, arrived: time.Now()}
+		x := &httpExchange{w: w, r: r, arrived: time.Now(), body: h.bodies.NewHolding()}
+		defer x.body.End()
 		defer h.recoverPanic(x)
 		// The write deadline of a connection stays in force for its next
 		// request, so each request sets its own.
--- a/pkg/frontend/decode.go
+++ b/pkg/frontend/decode.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/textproto"
 	"os"
@@ -13,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/exchange"
 	"github.com/nutmeghitch/nutmeghitch/pkg/model"
 )
 
@@ -76,7 +76,10 @@
 		readBy = deadline
 	}
 	_ = http.NewResponseController(x.w).SetReadDeadline(readBy)
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, h.MaxBodyBytes))
+	if x.r.ContentLength > h.MaxBodyBytes {
+		return nil, errs.Refuse(errs.TooLarge, "the body has more than %d bytes", h.MaxBodyBytes)
+	}
+	body, err := exchange.ReadBody(http.MaxBytesReader(x.w, x.r.Body, h.MaxBodyBytes), x.r.ContentLength, int(h.MaxBodyBytes), x.body)
 	if err != nil {
 		return nil, bodyRefusal(err, h.MaxBodyBytes)
 	}
@@ -90,6 +93,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return errs.Refuse(errs.TooLarge, "the body has more than %d bytes", maxBytes)
+	case errs.Is(err, errs.MemoryLimit):
+		return errs.Refuse(errs.MemoryLimit, "no memory is left for the body").WithRetryAfter(bodyMemoryRetryAfter)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return errs.Refuse(errs.DeadlineExceeded, "the body did not arrive in time")
 	default:
