--- a/pkg/edge/clientbudget_test.go
+++ b/pkg/edge/clientbudget_test.go
@@ -91,3 +91,27 @@
 		assert.Assert(t, !h.reading)
 	}
 }
+
+// Guards against connections of other VMs that use up the share of those that have not
+// sent a message yet: a large site keeps hundreds of them.
+func TestKnownVMsDoNotCount(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	l, err := listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	budget := newClientBudget(Settings{Descriptors: 100}, log, tally.NoopScope)
+	bounded := budget.listener(connbudget.Peers, l)
+	defer bounded.Close()
+	for range 2 * minDoorConns {
+		vm, err := net.Dial("tcp", l.Addr().String())
+		assert.NilError(t, err)
+		defer vm.Close()
+		c, err := bounded.Accept()
+		assert.NilError(t, err)
+		defer c.Close()
+		c.(*clientConn).RequestReceived()
+		conns, bytes := budget.budget.Held(connbudget.Peers)
+		assert.Equal(t, conns, 0)
+		assert.Equal(t, bytes, int64(0))
+	}
+}
