forward: part the replicas of a service by version during a roll-out

What callers saw: a new version got its requests like any replica.

Cause: picks know no versions.

Ruled out: a filter in the loop over the replicas, which every request would pay for. A set of replicas with a plan now holds the sets of both versions; one without has a nil pointer.

Metric forward_rollout_answers by version and outcome.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -33,6 +33,9 @@
 	Service string
 	Addr    string
 	Domain  string
+	// Version is the version of the service that the replica runs, empty if its entry
+	// names none.
+	Version string
 	// Slots is the number of requests that the replica processes concurrently.
 	Slots    int
 	Draining bool
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -133,6 +133,8 @@
 	budgetRefusals tally.Counter
 	requestLatency tally.Histogram
 	replicaLatency tally.Histogram
+	// versions counts answers of services under roll-out.
+	versions map[bool]map[bool]tally.Counter
 }
 
 // Config holds what a Forwarder needs.
@@ -165,6 +167,7 @@
 			budgetRefusals: scope.Counter("budget_refusals"),
 			requestLatency: scope.Histogram("request_latency", c.Buckets),
 			replicaLatency: scope.Histogram("replica_latency", c.Buckets),
+			versions:       versionCounters(scope),
 		},
 	}
 	f.SetBodyStall(0)
--- a/pkg/forward/overload.go
+++ b/pkg/forward/overload.go
@@ -88,7 +88,7 @@
 		return 0
 	}
 	n := 0
-	for _, u := range rs.Upstreams {
+	for _, u := range rs.main(time.Now()).Upstreams {
 		if allReplicas || !u.Tracker.Down() {
 			n += u.Tracker.Slots
 		}
--- a/pkg/forward/relayplan.go
+++ b/pkg/forward/relayplan.go
@@ -99,7 +99,7 @@
 		return c
 	}
 	lowest, _ := best.Tracker.Cost(now, usualLatency)
-	for _, u := range s.replicas.Upstreams {
+	for _, u := range s.replicas.main(now).Upstreams {
 		if cost, usable := u.Tracker.Cost(now, usualLatency); usable && !u.Tracker.Local && !u.Tracker.RequestLimit().Named && float64(cost) <= relayCostSlack*float64(lowest) {
 			c.upstreams = append(c.upstreams, u)
 		}
--- a/pkg/forward/relaysend.go
+++ b/pkg/forward/relaysend.go
@@ -55,7 +55,7 @@
 // sendThrough relays the request of some shards to another VM.
 func (q *query) sendThrough(now time.Time, g *relayGroup) {
 	request := &wire.RelayRequest{
-		RequestID: q.id, Attempt: q.attempt.ID, Method: q.method, Head: q.head, Body: q.body, Fingerprint: q.attempt.Fingerprint, Exact: q.attempt.Exact, TopK: q.route.TopK,
+		RequestID: q.id, Route: q.route.Name, Attempt: q.attempt.ID, Method: q.method, Head: q.head, Body: q.body, Fingerprint: q.attempt.Fingerprint, Exact: q.attempt.Exact, TopK: q.route.TopK,
 		Usual: q.usualLatency(), Left: q.sendDeadline(now).Sub(now),
 		FirstReply: max(time.Millisecond, q.hedgeDelay()-relayReportLead), End: q.start.Add(q.cutoff).Sub(now),
 	}
--- a/pkg/forward/relayserve.go
+++ b/pkg/forward/relayserve.go
@@ -111,6 +111,7 @@
 			})
 			now := time.Now()
 			f.recordOutcome(u, now, start, reply, refusal, relayedAttempt(request, start))
+			f.recordVersion(u, request.Route, request.Usual, now, start, reply, refusal, false)
 			p := f.relayedPart(i, u, now.Sub(start), reply, refusal)
 			p.limits = view.localLimits(i, service)
 			if u.Tracker.Leaving() {
@@ -134,7 +135,7 @@
 // pickRelayed returns the replica of a service in this VM's failure domain that gets
 // a relayed request. A service whose replica would answer too late is refused, so
 // that the sender can ask one in another domain, and so is one that fails often.
-func (f *Forwarder) pickRelayed(view *View, now time.Time, service string, request *wire.RelayRequest) (*Upstream, *errs.Refusal) {
+func (f *Forwarder) pickRelayed(view *View, now time.Time, service string, request *wire.RelayRequest) (u *Upstream, refusal *errs.Refusal) {
 	if view == nil || f.closeConnections.Load() {
 		return nil, errs.Refuse(errs.Stopping, "this VM takes no relayed requests")
 	}
@@ -148,8 +149,17 @@
 			elsewhere = append(elsewhere, u)
 		}
 	}
-	u := rs.cheapest(now, request.Usual, elsewhere)
-	if u == nil {
+	if filter := rs.rollout; filter != nil {
+		var counted bool
+		if rs, counted = filter.sideForRelay(now, request.Usual, elsewhere); counted {
+			defer func() {
+				if refusal != nil {
+					filter.credit.Return()
+				}
+			}()
+		}
+	}
+	if u = rs.cheapest(now, request.Usual, elsewhere); u == nil {
 		return nil, errs.Refuse(errs.NoReplica, "no replica of %s in this failure domain can take requests now", service)
 	}
 	if d, _ := u.Tracker.ExpectedLatency(now, request.Usual); d > request.End {
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -94,6 +94,7 @@
 	reply, refusal := u.Pool.Do(q.ctx, call)
 	now := time.Now()
 	q.forwarder.recordOutcome(u, now, start, reply, refusal, q.attempt)
+	q.forwarder.recordVersion(u, q.route.Name, q.usualLatency(), now, start, reply, refusal, resultSent)
 	if !resultSent {
 		q.results <- sendResult{shard: s, upstream: u, start: start, reply: reply, refusal: refusal}
 	}
--- a/pkg/forward/view.go
+++ b/pkg/forward/view.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/discovery"
@@ -16,6 +17,8 @@
 	Member  *discovery.Member
 	Tracker *replica.Tracker
 	Pool    *exchange.Pool
+	// rollout is set while the service is under roll-out.
+	rollout atomic.Pointer[rolloutSide]
 }
 
 // ReplicaSet holds the replicas of one service to which requests may be sent.
@@ -24,6 +27,8 @@
 	Upstreams []*Upstream
 	// Budget bounds the hedges and retries of the service.
 	Budget *hedge.Policy
+	// rollout is set while a new version of the service replaces the old one.
+	rollout *rolloutFilter
 }
 
 // View is an immutable snapshot of the routes, replicas and budgets by which
@@ -47,6 +52,9 @@
 // names a request limit is picked only within its limits. pick returns nil if no
 // replica is available.
 func (rs *ReplicaSet) pick(now time.Time, usualLatency time.Duration, tried []*Upstream) *Upstream {
+	if rs.rollout != nil {
+		return rs.rollout.pick(now, usualLatency, tried)
+	}
 	for range len(rs.Upstreams) {
 		u := rs.cheapest(now, usualLatency, tried)
 		if u == nil || u.Tracker.AllowSend(now) {
@@ -58,6 +66,9 @@
 
 // cheapest is pick without counting the request against the limits of the replica.
 func (rs *ReplicaSet) cheapest(now time.Time, usualLatency time.Duration, tried []*Upstream) *Upstream {
+	if rs.rollout != nil {
+		return rs.rollout.cheapest(now, usualLatency, tried)
+	}
 	var cheapest *Upstream
 	var lowestCost time.Duration
 	n := len(rs.Upstreams)
--- a/pkg/wire/relay.go
+++ b/pkg/wire/relay.go
@@ -16,7 +16,9 @@
 	RequestID string `msgpack:"id"`
 	// Attempt identifies the attempt in the ledger of crashes. Older VMs leave it empty.
 	Attempt string `msgpack:"attempt"`
-	Method  string `msgpack:"method"`
+	// Route names the route for the evidence of roll-outs. Older VMs leave it empty.
+	Route  string `msgpack:"route"`
+	Method string `msgpack:"method"`
 	// Head is the request line and the header lines that all sends share.
 	Head []byte `msgpack:"head"`
 	Body []byte `msgpack:"body"`
