--- a/pkg/edge/reload.go
+++ b/pkg/edge/reload.go
@@ -52,6 +52,7 @@
 	note(s.CallersAddr != before.CallersAddr, "address for callers")
 	note(s.ReadyAddr != before.ReadyAddr, "address for the balancer")
 	note(s.PeersAddr != before.PeersAddr, "address for other VMs")
+	note(s.Rollouts != before.Rollouts, "roll-outs in the contracts")
 	note(s.StoreAddr != before.StoreAddr, "address of the store")
 	return changed
 }
@@ -59,5 +60,6 @@
 // keepRestartOnly restores the values that only a restart can change.
 func (s *Settings) keepRestartOnly(before Settings) {
 	s.VM, s.Domain, s.StoreAddr = before.VM, before.Domain, before.StoreAddr
+	s.Rollouts = before.Rollouts
 	s.CallersAddr, s.ReadyAddr, s.PeersAddr = before.CallersAddr, before.ReadyAddr, before.PeersAddr
 }
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -27,6 +27,8 @@
 	Cores       int
 	MemoryBytes int64
 	Bounds      Bounds
+	// Rollouts is set if versions of services are replaced by orders only.
+	Rollouts bool
 }
 
 // Bounds are limits set by the operators that apply to all VMs together.
@@ -45,6 +47,11 @@
 	// A cold replica gets in any second at most its warm-up rate times
 	// ColdRateFactor plus ColdSlackPerSecond requests.
 	ColdRateFactor, ColdSlackPerSecond float64
+	// Between order and deadline, all VMs together send a bad version at most CanaryShare
+	// of the requests to its service plus CanarySlack, and none later than Rollback after
+	// its 50th bad answer.
+	CanaryShare, CanarySlack float64
+	Rollback                 time.Duration
 }
 
 // Validate reports all missing or invalid values in one error.
@@ -63,6 +70,7 @@
 	check(s.MemoryBytes >= 0, "the memory limit is negative")
 	check(s.Bounds.StopGrace >= 0, "the grace time is negative")
 	check(s.Bounds.BodyStall >= 0, "the time without a byte of a body is negative")
+	check(s.Bounds.CanaryShare >= 0 && s.Bounds.CanaryShare <= 1 && s.Bounds.CanarySlack >= 0 && s.Bounds.Rollback >= 0, "a bound of roll-outs is negative, or their share above 1")
 	check(s.Bounds.RetryRatio >= 0 && s.Bounds.RetrySlack >= 0, "the retry budget is negative")
 	if len(problems) == 0 {
 		return nil
--- a/pkg/feed/hub.go
+++ b/pkg/feed/hub.go
@@ -55,6 +55,9 @@
 type Hub struct {
 	source Source
 	log    logrus.FieldLogger
+	// OnReport is given what subscribers report; nil ignores it. It is set before the
+	// first Serve.
+	OnReport func(topics []wire.FeedTopic)
 
 	mu          sync.Mutex
 	subscribers map[*subscriber]bool
@@ -113,6 +116,9 @@
 		return
 	}
 	h.log.WithField("vm", request.VM).Info("feed subscriber connected")
+	if h.OnReport != nil {
+		go h.readReports(c) // ends with the connection
+	}
 	err := h.send(ctx, c, s)
 	h.mu.Lock()
 	delete(h.subscribers, s)
@@ -120,6 +126,20 @@
 	h.log.WithFields(logrus.Fields{"vm": request.VM, "error": err}).Info("feed subscriber disconnected")
 }
 
+// readReports passes on what a subscriber reports until its connection ends.
+func (h *Hub) readReports(c net.Conn) {
+	_ = c.SetReadDeadline(time.Time{}) // a closed socket fails in the read
+	reader := wire.NewReader(c, maxReportBytes)
+	for {
+		_, m, err := reader.Next()
+		report, ok := m.(*wire.FeedUpdate)
+		if err != nil || !ok {
+			return // send notices the end of the connection
+		}
+		h.OnReport(report.Topics)
+	}
+}
+
 // send writes the queued updates, and heartbeats while there are none.
 func (h *Hub) send(ctx context.Context, c net.Conn, s *subscriber) error {
 	heartbeat := time.NewTicker(heartbeatInterval)
--- a/pkg/feed/ranking.go
+++ b/pkg/feed/ranking.go
@@ -48,6 +48,12 @@
 	return names
 }
 
+// Rank returns the position of a VM in the ranking, -1 if it is not among the VMs. The
+// first WatcherCount VMs watch the store.
+func Rank(name string, vms map[string]discovery.VM) int {
+	return slices.Index(namesByRank(vms), name)
+}
+
 // HigherRanked returns the VMs that are ranked before the named VM, in order of
 // their rank. A task that one VM does for the whole fleet is done by the first
 // VM of the ranking that can be reached.
--- a/pkg/feed/subscribe.go
+++ b/pkg/feed/subscribe.go
@@ -22,6 +22,11 @@
 	// confirmed for this time. The store confirms urgent topics at least every
 	// 2 s, and a change must take effect within 3 s.
 	maxVerificationAge = 2300 * time.Millisecond
+	// reportTimeout bounds the write of a report, whose few kilobytes fit into the
+	// buffers of the connection.
+	reportTimeout = 100 * time.Millisecond
+	// maxReportBytes bounds a report.
+	maxReportBytes = 256 << 10
 )
 
 // DialFunc opens a connection to another VM.
@@ -79,6 +84,13 @@
 	return update.Topics, nil
 }
 
+// Report sends what this VM reports to the VM that feeds it. A VM of an older version does
+// not read it. After an error nothing more can be reported.
+func (s *Subscription) Report(topics []wire.FeedTopic) error {
+	_ = s.conn.SetWriteDeadline(time.Now().Add(reportTimeout)) // a closed socket fails in the write
+	return wire.Write(s.conn, 0, &wire.FeedUpdate{Topics: topics}, maxReportBytes)
+}
+
 // VerifiedAt returns when the store has confirmed the state of the sender, as of
 // the last update.
 func (s *Subscription) VerifiedAt() time.Time { return s.verifiedAt }
--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -120,8 +120,8 @@
 }
 
 func (t Tally) plus(o Tally) Tally {
-	sum := make([]int, max(len(t.Latency), len(o.Latency)))
-	copy(sum, t.Latency)
+	sum := append([]int(nil), t.Latency...)
+	sum = append(sum, make([]int, max(0, len(o.Latency)-len(sum)))...)
 	for i, n := range o.Latency {
 		sum[i] += n
 	}
--- a/pkg/rollout/machine.go
+++ b/pkg/rollout/machine.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"fmt"
 	"slices"
 	"time"
 )
@@ -32,10 +33,8 @@
 	Now time.Time
 	// Order is the order in the store, nil if there is none.
 	Order *Order
-	// OrderRevision is the revision of the order. SameEra is set if it can be compared
-	// with that of the agreement: the store has not come back from a copy since.
-	OrderRevision int64
-	SameEra       bool
+	// OrderEra and OrderRevision are the position of the order in the store.
+	OrderEra, OrderRevision int64
 	// Agreement is the state that is known, nil if there is none.
 	Agreement *Agreement
 	// InUse holds the versions in use, for a service without an agreement.
@@ -76,7 +75,7 @@
 	case a.Phase == Shift && !in.Now.Before(a.ShiftedAt.Add(a.hold())) && in.Now.Before(deadline):
 		return a.ended(in.Now, Done, ""), true
 	case !in.Now.Before(deadline):
-		return a.ended(in.Now, Undone, "not decided by the deadline"), true
+		return a.ended(in.Now, Undone, fmt.Sprintf("not decided by the deadline, %d replicas of the version are ready", in.NewReplicas)), true
 	case a.Phase == Canary && !in.Now.Before(deadline.Add(-a.lead())) && in.ready():
 		next := *a
 		next.Step++
@@ -93,7 +92,7 @@
 		return false
 	}
 	// The same order again: it was written after the decision, and has no status.
-	again := a.Final() && in.SameEra && in.OrderRevision > a.OrderRevision && in.Order.Status == Status{}
+	again := a.Final() && in.OrderEra == a.OrderEra && in.OrderRevision > a.OrderRevision && in.Order.Status == Status{}
 	return !again
 }
 
@@ -106,7 +105,7 @@
 // begin returns the agreement of a new order.
 func (in Input) begin() Agreement {
 	next := Agreement{
-		Service: in.Order.Service, Generation: 1, Target: in.Order.Target, Duration: in.Order.Duration, OrderRevision: in.OrderRevision,
+		Service: in.Order.Service, Generation: 1, Target: in.Order.Target, Duration: in.Order.Duration, OrderEra: in.OrderEra, OrderRevision: in.OrderRevision,
 		Base: slices.Clone(in.InUse), Phase: Canary, StartedAt: in.Now,
 	}
 	if a := in.Agreement; a != nil {
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -64,10 +64,11 @@
 	// came. Of two agreements, the one with the higher pair is the later.
 	Generation int64 `json:"generation"`
 	Step       int64 `json:"step"`
-	// Target and Duration are those of the order, OrderRevision its revision in the
-	// store when it was first seen.
+	// Target and Duration are those of the order, OrderEra and OrderRevision its position
+	// in the store when it was first seen.
 	Target        string        `json:"target"`
 	Duration      time.Duration `json:"duration_ns"`
+	OrderEra      int64         `json:"order_era"`
 	OrderRevision int64         `json:"order_revision"`
 	// Base holds the versions that were in use before the order.
 	Base  []string `json:"base"`
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -133,7 +133,7 @@
 		"second order after a roll-back":  {change: func(in *Input) { in.Order.Target, in.Agreement = "v3", testAgreement(Undone) }, at: 30, phase: Canary, target: "v3", base: "v1"},
 		"same order given again":          {change: func(in *Input) { in.Agreement, in.OrderRevision = testAgreement(Undone), 20 }, at: 30, phase: Canary, target: "v2", base: "v1"},
 		"status not written yet":          {change: func(in *Input) { in.Agreement = testAgreement(Undone) }, at: 30},
-		"restored store without status":   {change: func(in *Input) { in.Agreement, in.OrderRevision, in.SameEra = testAgreement(Done), 20, false }, at: 30},
+		"restored store without status":   {change: func(in *Input) { in.Agreement, in.OrderRevision, in.OrderEra = testAgreement(Done), 20, 2 }, at: 30},
 		"restored store with older order": {change: func(in *Input) { in.Order.Target, in.Order.Status = "v0", Status{Succeeded, "v0"} }, at: 3, phase: Undone, target: "v2", base: "v1"},
 		"canary goes on":                  {at: 7},
 		"canary ends":                     {at: 8, phase: Shift, target: "v2", base: "v1"},
@@ -144,7 +144,7 @@
 		"store away until the deadline":   {change: func(in *Input) { in.Agreement = testAgreement(Shift) }, at: 40, phase: Undone, target: "v2", base: "v1"},
 		"bad in the shift":                {change: func(in *Input) { in.Agreement, in.Evidence = testAgreement(Shift), badEvidence() }, at: 11.9, phase: Undone, target: "v2", base: "v1"},
 	} {
-		in := Input{Now: second(test.at), Order: testOrder(), OrderRevision: 7, SameEra: true, Agreement: testAgreement(Canary), InUse: []string{"v1"}, OldReplicas: 4, NewReplicas: 4}
+		in := Input{Now: second(test.at), Order: testOrder(), OrderRevision: 7, Agreement: testAgreement(Canary), InUse: []string{"v1"}, OldReplicas: 4, NewReplicas: 4}
 		if test.change != nil {
 			test.change(&in)
 		}
@@ -180,7 +180,7 @@
 	assert.Assert(t, canary.ShareAt(now) < 0.1 && canary.ShareAt(now) > 0 && !canary.LastResort)
 	shift := PlanFor(testAgreement(Shift), true, 0.1)
 	assert.Assert(t, shift.ShareAt(now) == 1)
-	_, early := Next(Input{Now: shift.OldUntil.Add(DrainTime - time.Millisecond), Order: testOrder(), OrderRevision: 7, SameEra: true, Agreement: testAgreement(Shift)})
+	_, early := Next(Input{Now: shift.OldUntil.Add(DrainTime - time.Millisecond), Order: testOrder(), OrderRevision: 7, Agreement: testAgreement(Shift)})
 	assert.Assert(t, !early) // requests at old replicas have their time
 	for phase, version := range map[Phase]string{Done: "v2", Undone: "v1"} {
 		final := PlanFor(testAgreement(phase), false, 0.1)
--- a/pkg/rollout/sim_test.go
+++ b/pkg/rollout/sim_test.go
@@ -199,7 +199,7 @@
 
 // decide lets a VM write what it would, if it is its turn.
 func (h *history) decide(vm *simVM, a *Agreement, order *Order, now time.Time) {
-	in := Input{Now: now, Order: order, OrderRevision: 1, SameEra: true, Agreement: a, InUse: []string{"v1"}, OldReplicas: 4, NewReplicas: 4}
+	in := Input{Now: now, Order: order, OrderRevision: 1, Agreement: a, InUse: []string{"v1"}, OldReplicas: 4, NewReplicas: 4}
 	watchers := max(2, (len(h.vms)+23)/24)
 	if a != nil {
 		in.Evidence = a.Evidence
