edge: roll out versions of services by orders in the store

What callers saw: a new version got its full part of the requests at once, a bad one too, and nothing told the operators.

Cause: the tier read neither orders nor versions.

Ruled out: acknowledgements of each VM before the old replicas stop: a write for each VM, and a VM that is gone or cut off would keep a good version from succeeding. The shift is held for the time in which a VM in touch has learned of it. Ruled out too: a feed from a VM of an older build, which knows neither versions nor orders; a VM with roll-outs in force watches the store instead.

Change: topics of orders and agreements (only if the settings list the word rollout in contracts), a plan for each view, writes in turn by the ranking of the feeds, evidence passed on through the feed connections, and a version that a VM finds bad gets no more of its requests before that is written.

--- a/pkg/edge/controller.go
+++ b/pkg/edge/controller.go
@@ -12,6 +12,7 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/feed"
 	"github.com/nutmeghitch/nutmeghitch/pkg/forward"
 	"github.com/nutmeghitch/nutmeghitch/pkg/poison"
+	"github.com/nutmeghitch/nutmeghitch/pkg/rollout"
 	"github.com/nutmeghitch/nutmeghitch/pkg/storewatch"
 	"github.com/nutmeghitch/nutmeghitch/pkg/wait"
 	"github.com/nutmeghitch/nutmeghitch/pkg/wire"
@@ -64,6 +65,11 @@
 	// may be nil.
 	onLostCrash func(discovery.Crash)
 	onLostLimit func(*forward.Upstream)
+	// agreements is the topic of roll-outs, nil if the settings do not have them in force.
+	// rolloutsFedAt is when a feed has last confirmed it, rolloutWrites holds writes.
+	agreements    *topic[rollout.Agreement]
+	rolloutsFedAt atomic.Pointer[time.Time]
+	rolloutWrites chan rolloutWrite
 	// status is the latest feed status, for use by other goroutines.
 	status atomic.Pointer[feed.Status]
 }
@@ -72,12 +78,17 @@
 	c := &controller{
 		state: s, forwarder: f, prober: p, readiness: r, ledger: ledger, log: log,
 		events:       make(chan func(time.Time) bool, eventQueueSize),
-		failedTopics: map[string]bool{},
+		failedTopics: map[string]bool{}, rolloutWrites: make(chan rolloutWrite, rolloutQueueSize),
 		storeBreaker: storewatch.NewBreaker(), ownEntryRemoved: make(chan struct{}, 1),
 	}
 	p.hear = f.Hear
 	c.hub = feed.NewHub(c, log.WithField("part", "feed"))
 	c.topics = c.newTopics(store)
+	if s.settings.Rollouts {
+		c.hub.OnReport = func(ctx context.Context, topics []wire.FeedTopic) {
+			c.post(ctx, func(time.Time) bool { return c.absorbEvidence(topics) })
+		}
+	}
 	c.status.Store(&feed.Status{})
 	return c
 }
@@ -115,6 +126,7 @@
 	for _, t := range c.topics {
 		changed = t.removeUnlisted(now) || changed
 	}
+	changed = c.advanceRollouts(now) || changed
 	return c.takeRestoredConfig(now) || changed
 }
 
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -62,6 +62,7 @@
 	RequestLimits() storewatch.Source[discovery.RequestLimit]
 	ReportRequestLimit(ctx context.Context, limit discovery.RequestLimit) error
 	DeleteRequestLimit(ctx context.Context, replica string) error
+	RolloutStore
 }
 
 // Config holds what one VM needs to run.
@@ -178,6 +179,7 @@
 	scope.Go(func(ctx context.Context) error { s.register(ctx); return nil })
 	scope.Go(func(ctx context.Context) error { s.crashes.run(ctx); return nil })
 	scope.Go(func(ctx context.Context) error { s.limits.run(ctx); return nil })
+	scope.Go(func(ctx context.Context) error { s.controller.writeRollouts(ctx, s.config.Store); return nil })
 	scope.Go(func(ctx context.Context) error { s.applyUpdates(ctx); return nil })
 	return nil
 }
--- a/pkg/edge/fleet_test.go
+++ b/pkg/edge/fleet_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,6 +32,11 @@
 	mu      sync.Mutex
 	content storeContent
 	down    bool
+	// loseReplies makes conditional writes take place without an answer.
+	loseReplies   bool
+	rolloutWrites atomic.Int64
+	// slow is added to the time of conditional writes.
+	slow time.Duration
 	// changed is closed and replaced when waiting watches must look again.
 	changed chan struct{}
 }
@@ -241,6 +247,10 @@
 	dialReplica func(vm string) exchange.DialFunc
 	// domainOf returns the failure domain of a VM; nil if all are in one.
 	domainOf func(vm string) string
+	// storeOf returns the store as a VM reaches it; nil if all reach store.
+	storeOf func(vm string) Store
+	// rollouts puts roll-outs in force.
+	rollouts bool
 }
 
 // inVMFleet runs f with a fleet that has started and in which all VMs are registered.
@@ -285,7 +295,12 @@
 		}
 		return f.dialReplica(name)(ctx, network, addr)
 	}
-	c.topics = c.newTopics(f.store)
+	f.setRollouts(c)
+	var store Store = f.store
+	if f.storeOf != nil {
+		store = f.storeOf(name)
+	}
+	c.topics = c.newTopics(store)
 	vm := &controllerService{config: Config{Settings: settings, Store: f.store, Log: log}, controller: c, forwarder: c.forwarder, prober: c.prober}
 	vm.settings.Store(&settings)
 	vm.limits = newLimitReporter(c, f.store, log)
@@ -301,6 +316,7 @@
 	go vm.register(f.ctx)
 	go vm.limits.run(f.ctx)
 	go vm.crashes.run(f.ctx)
+	go c.writeRollouts(f.ctx, store)
 	vm.forwarded = newForwardedServer(vm.forwarder.ServeForwarded, log)
 	go func() { _ = vm.forwarded.run(f.ctx) }() // ends with ctx
 	go vm.newLinkWatcher(updates, f.dial).run(f.ctx)
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -92,6 +92,7 @@
 	// restoredDomains holds the failure domains that were put back into service
 	// since the last view was built.
 	restoredDomains map[string]bool
+	rollouts        *rolloutState
 }
 
 func newState(s Settings, log logrus.FieldLogger, dial exchange.DialFunc) *state {
@@ -110,6 +111,7 @@
 		retryBudgets:    map[string]*hedge.Policy{},
 		hedgePolicies:   map[string]*hedge.Policy{},
 		restoredDomains: map[string]bool{},
+		rollouts:        newRolloutState(),
 	}
 }
 
@@ -160,6 +162,7 @@
 			current[replicaKeyOf(m)] = true
 			replicaSet.Upstreams = append(replicaSet.Upstreams, u)
 		}
+		s.applyRolloutPlan(replicaSet)
 		v.ReplicaSets[name] = replicaSet
 	}
 	s.removeUpstreams(current, members)
--- a/pkg/edge/topics.go
+++ b/pkg/edge/topics.go
@@ -34,7 +34,7 @@
 
 // newTopics returns the topics of the objects in the store.
 func (c *controller) newTopics(store Store) []anyTopic {
-	return []anyTopic{
+	return append([]anyTopic{
 		&topic[*routes.Table]{
 			name: topicConfig, controller: c, source: store.Configs(), maxWatchWait: urgentWatchWait, urgent: true,
 			apply: c.applyConfig, currentItems: c.currentConfig,
@@ -61,7 +61,7 @@
 			name: topicLimits, controller: c, source: store.RequestLimits(), maxWatchWait: longWatchWait, background: true,
 			apply: c.applyLimit, removeAbsent: c.removeAbsentLimits, currentItems: c.currentLimits, lost: c.reportLostLimits,
 		},
-	}
+	}, c.newRolloutTopics(store)...)
 }
 
 // topic returns the topic with the name.
--- a/pkg/edge/updatesource.go
+++ b/pkg/edge/updatesource.go
@@ -193,7 +193,12 @@
 			subscription.Close()
 			continue
 		}
-		s.confirmedAt = subscription.VerifiedAt()
+		if s.controller.agreements != nil && !slices.ContainsFunc(all, func(t wire.FeedTopic) bool { return t.Name == topicAgreements }) {
+			s.log.WithField("vm", vm.Name).Info("feed of a VM not used: it does not know of roll-outs")
+			subscription.Close()
+			continue
+		}
+		s.setConfirmed(subscription)
 		s.log.WithField("vm", vm.Name).Info("subscribed to the feed of a VM")
 		s.controller.post(ctx, func(now time.Time) bool { return s.controller.applyFeed(now, all) })
 		return subscription
@@ -223,19 +228,31 @@
 	defer subscription.Close()
 	stop := context.AfterFunc(ctx, subscription.Close)
 	defer stop()
+	if s.controller.agreements != nil {
+		reportCtx, stopReports := context.WithCancel(ctx)
+		defer stopReports()
+		go s.reportEvidence(reportCtx, subscription)
+	}
 	for {
 		topics, err := subscription.Next()
 		if err != nil {
 			s.log.WithField("error", err).Info("feed subscription ended")
 			return
 		}
-		s.confirmedAt = subscription.VerifiedAt()
+		s.setConfirmed(subscription)
 		if len(topics) > 0 {
 			s.controller.post(ctx, func(now time.Time) bool { return s.controller.applyFeed(now, topics) })
 		}
 	}
 }
 
+// setConfirmed takes over when the store has confirmed the state of the sender.
+func (s *updateSource) setConfirmed(subscription *feed.Subscription) {
+	s.confirmedAt = subscription.VerifiedAt()
+	at := s.confirmedAt
+	s.controller.rolloutsFedAt.Store(&at)
+}
+
 // vms returns the known VMs by name, or nil when ctx ends.
 func (s *updateSource) vms(ctx context.Context) map[string]discovery.VM {
 	known, _ := askState(ctx, s.controller, func(s *state) map[string]discovery.VM { return maps.Clone(s.vms) })
--- a/pkg/feed/hub.go
+++ b/pkg/feed/hub.go
@@ -57,7 +57,7 @@
 	log    logrus.FieldLogger
 	// OnReport is given what subscribers report; nil ignores it. It is set before the
 	// first Serve.
-	OnReport func(topics []wire.FeedTopic)
+	OnReport func(ctx context.Context, topics []wire.FeedTopic)
 
 	mu          sync.Mutex
 	subscribers map[*subscriber]bool
@@ -117,7 +117,7 @@
 	}
 	h.log.WithField("vm", request.VM).Info("feed subscriber connected")
 	if h.OnReport != nil {
-		go h.readReports(c) // ends with the connection
+		go h.readReports(ctx, c) // ends with the connection
 	}
 	err := h.send(ctx, c, s)
 	h.mu.Lock()
@@ -127,7 +127,7 @@
 }
 
 // readReports passes on what a subscriber reports until its connection ends.
-func (h *Hub) readReports(c net.Conn) {
+func (h *Hub) readReports(ctx context.Context, c net.Conn) {
 	_ = c.SetReadDeadline(time.Time{}) // a closed socket fails in the read
 	reader := wire.NewReader(c, maxReportBytes)
 	for {
@@ -136,7 +136,7 @@
 		if err != nil || !ok {
 			return // send notices the end of the connection
 		}
-		h.OnReport(report.Topics)
+		h.OnReport(ctx, report.Topics)
 	}
 }
 
--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -128,6 +128,23 @@
 	return Tally{Answers: t.Answers + o.Answers, Failed: t.Failed + o.Failed, Latency: sum}
 }
 
+// Valid reports whether evidence that another VM has sent can be added.
+func (e Evidence) Valid() bool {
+	for _, pairs := range []map[string]Pair{e.Total, e.Recent} {
+		if len(pairs) > maxRoutes+1 {
+			return false
+		}
+		for _, p := range pairs {
+			for _, t := range []Tally{p.Old, p.New} {
+				if t.Answers < 0 || t.Failed < 0 || len(t.Latency) > buckets || slices.ContainsFunc(t.Latency, func(n int) bool { return n < 0 }) {
+					return false
+				}
+			}
+		}
+	}
+	return e.Window >= 0
+}
+
 // clone returns a copy whose maps can be changed. The tallies are never changed.
 func (e Evidence) clone() Evidence {
 	return Evidence{Total: maps.Clone(e.Total), Window: e.Window, Recent: maps.Clone(e.Recent)}
--- a/pkg/rollout/machine.go
+++ b/pkg/rollout/machine.go
@@ -15,8 +15,12 @@
 	// moved. It is more than the usual target of a request, 400 ms.
 	DrainTime = 700 * time.Millisecond
 	// decisionMargin is the time between the end of the shift and the deadline, for two
-	// writes to a store that takes 250 ms for each.
-	decisionMargin = 800 * time.Millisecond
+	// writes and the read between them at a store that takes 250 ms for each, and for a
+	// writer that is lost.
+	decisionMargin = 1300 * time.Millisecond
+	// quietTime before the end of the shift, no evidence is reported, so that no report
+	// overtakes the decision at such a store.
+	quietTime = 500 * time.Millisecond
 	// shiftLead is the part of the duration before the deadline in which the requests
 	// move.
 	shiftLead = Lease + DrainTime + decisionMargin
@@ -135,6 +139,11 @@
 	return min(shiftLead, time.Duration(maxShiftShare*float64(a.Duration)))
 }
 
+// Quiet reports whether no evidence is reported because a decision is near.
+func (a *Agreement) Quiet(now time.Time) bool {
+	return a.Phase == Shift && !now.Before(a.ShiftedAt.Add(a.hold()-quietTime))
+}
+
 // hold is the time for which all VMs have sent everything to the new version when the
 // old replicas may stop.
 func (a *Agreement) hold() time.Duration {
--- a/pkg/rollout/verdict.go
+++ b/pkg/rollout/verdict.go
@@ -10,7 +10,7 @@
 	// one route. A roll-out has up to some hundred looks, which are not independent.
 	verdictLevel = 1e-4
 	// minBad is the number of bad answers that a verdict needs.
-	minBad = 4
+	minBad = 6
 	// tolerance and toleranceFactor set the rate of bad answers that a good version
 	// may have, by that of the old one: it runs on other machines, with empty caches.
 	tolerance       = 0.03
