--- a/pkg/edge/rollout_test.go
+++ b/pkg/edge/rollout_test.go
@@ -197,5 +197,11 @@
 		upstreams := c.state.view(start).ReplicaSets["s"].Upstreams
 		assert.Equal(t, len(upstreams), map[bool]int{false: 2, true: 1}[inForce])
 		assert.Equal(t, upstreams[0].Member.Version, "v1")
+		if inForce { // and after a success, and after operators have deleted the agreement
+			c.applyAgreement(start, storewatch.Item[rollout.Agreement]{Name: "s", Revision: 3, Value: rollout.Agreement{Service: "s", Generation: 1, Target: "v2", Base: []string{"v1"}, Phase: rollout.Done}})
+			assert.Equal(t, c.state.view(start).ReplicaSets["s"].Upstreams[0].Member.Version, "v2")
+			c.applyAgreement(start, storewatch.Item[rollout.Agreement]{Name: "s", Deleted: true})
+			assert.Equal(t, c.state.view(start).ReplicaSets["s"].Upstreams[0].Member.Version, "v1")
+		}
 	}
 }
--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -167,7 +167,7 @@
 		return false
 	}
 	if item.Deleted {
-		r.stored, r.known, r.storedRevision = nil, nil, 0
+		r.stored, r.known, r.storedRevision, r.inUse = nil, nil, 0, nil
 		return true
 	}
 	a := item.Value
