soak: roll out versions with processes and the stand-in of the store

What callers saw: nothing.

Cause: no test played an order against the real program.

Ruled out: orders among the drawn faults, whose replacement of replicas runs at the same time; a failing replica may rightly undo a roll-out there.

--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -45,7 +45,9 @@
 	// Faults is the number of faults in the plan, Gap the time between them.
 	Faults int
 	Gap    time.Duration
-	Out    io.Writer
+	// Contracts are the words of what is in force on the site.
+	Contracts []string
+	Out       io.Writer
 }
 
 // Result is what a run showed.
@@ -160,6 +162,7 @@
 	var seeds []string
 	for i := range s.config.VMs {
 		v := &vm{binary: s.config.Binary, dir: s.config.Dir}
+		v.Contracts = s.config.Contracts
 		p, err := newProxy(l.Addr().String())
 		if err != nil {
 			return err
--- a/pkg/soak/soak_test.go
+++ b/pkg/soak/soak_test.go
@@ -240,3 +240,20 @@
 		assert.Assert(t, n >= firstPort && n < firstPort+ports, addr)
 	}
 }
+
+// Guards against processes that read orders, write the status or choose replicas otherwise
+// than the platform expects: a bad version is rolled back, a good one succeeds, and no
+// request is cut when the old replicas stop.
+func TestVersionsAreRolledOut(t *testing.T) {
+	c := config(t, 4, 0)
+	c.Contracts = []string{"rollout"}
+	r, err := run(t.Context(), c, func(s *site, ctx context.Context) {
+		if state := s.rollOut(ctx, "v2", standin.Failing); state != "rolled_back" {
+			s.checker.breach("the bad version: %q", state)
+		}
+		if state := s.rollOut(ctx, "v3", standin.Healthy); state != "succeeded" {
+			s.checker.breach("the good version: %q", state)
+		}
+	})
+	check(t, r, err)
+}
