rollout: report evidence less often, and wait for 45 recent answers

Cause: the window begins anew in the shift, and a stall is a large part of its first answers.

Change: a verdict over the window needs 45 answers; 1 report a second in the canary phase and 3 in the shift in place of 2 and 5, shared by more than four roll-outs at a time; answers are counted in place.

--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -86,6 +86,17 @@
 	return r
 }
 
+// running returns the number of services under roll-out.
+func (s *rolloutState) running() int {
+	n := 0
+	for _, r := range s.services {
+		if r.known != nil && !r.known.Final() {
+			n++
+		}
+	}
+	return n
+}
+
 // rolloutRecorder passes answers on to the reporter of a roll-out.
 type rolloutRecorder struct {
 	*rollout.Reporter
--- a/pkg/edge/rolloutwrites.go
+++ b/pkg/edge/rolloutwrites.go
@@ -162,7 +162,7 @@
 	case outdated:
 		c.queueRolloutWrite(r, rolloutWrite{service: name, status: r.known.Status(), revision: r.orderRevision})
 	case !r.known.Final() && !r.known.Quiet(now) && c.watchingStore && r.stored != nil && !r.known.Later(r.stored):
-		id, delta, ok := r.recorder.Take(now, feed.Rank(c.state.settings.VM, c.state.vms), feed.WatcherCount(len(c.state.vms)), r.known.Phase == rollout.Shift)
+		id, delta, ok := r.recorder.Take(now, feed.Rank(c.state.settings.VM, c.state.vms), feed.WatcherCount(len(c.state.vms)), c.state.rollouts.running(), r.known.Phase == rollout.Shift)
 		if ok {
 			next := r.known.WithReport(id, delta)
 			c.queueRolloutWrite(r, rolloutWrite{service: name, agreement: &next, revision: r.storedRevision, reportID: id, recorder: r.recorder})
--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -1,7 +1,6 @@
 package rollout
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -75,24 +74,45 @@
 	return min(buckets-1, int(math.Ceil(2*math.Log2(float64(latency)/float64(time.Millisecond)))))
 }
 
-// Record counts one answer.
+// Record counts one answer. It changes the evidence in place, so that an answer costs no
+// copy; sums and copies of the evidence are not affected.
 func (e *Evidence) Record(window int64, a Answer) {
 	if a.Untimed && !a.Failed {
 		return
 	}
-	one := Tally{Answers: 1}
-	if a.Failed {
-		one.Failed = 1
-	} else {
-		one.Latency = make([]int, bucketOf(a.Latency)+1)
-		one.Latency[len(one.Latency)-1] = 1
+	if window > e.Window {
+		e.Window, e.Recent = window, nil
+	}
+	e.Total = recordIn(e.Total, a)
+	if window == e.Window {
+		e.Recent = recordIn(e.Recent, a)
+	}
+}
+
+func recordIn(pairs map[string]Pair, a Answer) map[string]Pair {
+	if pairs == nil {
+		pairs = map[string]Pair{}
 	}
-	pair := Pair{Old: one}
+	if _, known := pairs[a.Route]; !known && len(pairs) >= maxRoutes {
+		a.Route = ""
+	}
+	pair := pairs[a.Route]
+	tally := &pair.Old
 	if a.New {
-		pair = Pair{New: one}
+		tally = &pair.New
+	}
+	tally.Answers++
+	if a.Failed {
+		tally.Failed++
+	} else {
+		bucket := bucketOf(a.Latency)
+		for len(tally.Latency) <= bucket {
+			tally.Latency = append(tally.Latency, 0)
+		}
+		tally.Latency[bucket]++
 	}
-	single := map[string]Pair{a.Route: pair}
-	e.Add(Evidence{Total: single, Window: window, Recent: single})
+	pairs[a.Route] = pair
+	return pairs
 }
 
 // Add adds other evidence. Of the recent windows, the later one counts.
@@ -145,9 +165,9 @@
 	return e.Window >= 0
 }
 
-// clone returns a copy whose maps can be changed. The tallies are never changed.
+// clone returns a copy that shares nothing.
 func (e Evidence) clone() Evidence {
-	return Evidence{Total: maps.Clone(e.Total), Window: e.Window, Recent: maps.Clone(e.Recent)}
+	return Evidence{Total: addPairs(nil, e.Total), Window: e.Window, Recent: addPairs(nil, e.Recent)}
 }
 
 // Plus returns the sum of both.
--- a/pkg/rollout/reporter.go
+++ b/pkg/rollout/reporter.go
@@ -7,10 +7,13 @@
 )
 
 const (
-	// canaryReports and shiftReports are the reports a second of all VMs together,
-	// whatever their number. In the shift the next decision has less time.
-	canaryReports = 2.0
-	shiftReports  = 5.0
+	// canaryReports and shiftReports are the reports a second of all VMs together for one
+	// service, whatever their number. In the shift the next decision has less time.
+	canaryReports = 1.0
+	shiftReports  = 3.0
+	// fullRate is the number of roll-outs at a time up to which each is reported at that
+	// rate. The VMs that report know their own part of the evidence at once in any case.
+	fullRate = 4
 	// retryDelay is the pause after a report that another write has overtaken; the other
 	// write is known by then.
 	retryDelay = 100 * time.Millisecond
@@ -64,7 +67,7 @@
 func (r *Reporter) Absorb(evidence Evidence) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.unreported = r.unreported.Plus(evidence)
+	r.unreported.Add(evidence)
 }
 
 // Flush returns what was not reported and forgets it, for a VM that passes it on.
@@ -84,9 +87,9 @@
 }
 
 // Take returns the next report if there is one and it is due. The VMs of the first ranks,
-// which watch the store, report in turn. Settle or Retry must follow once the outcome is
+// which watch the store, report in turn; running is the number of roll-outs. Settle or Retry must follow once the outcome is
 // known, Reconcile if it is not.
-func (r *Reporter) Take(now time.Time, rank, watchers int, shifting bool) (id string, delta Evidence, ok bool) {
+func (r *Reporter) Take(now time.Time, rank, watchers, running int, shifting bool) (id string, delta Evidence, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if fresh, _ := r.unreported.NewAnswers(); r.sentID != "" || fresh == 0 {
@@ -96,7 +99,7 @@
 	if shifting {
 		rate = shiftReports
 	}
-	period := time.Duration(float64(watchers) / rate * float64(time.Second))
+	period := time.Duration(float64(watchers) / rate * max(1, float64(running)/fullRate) * float64(time.Second))
 	if r.notBefore.IsZero() {
 		// The next turn of this rank in a period.
 		offset := time.Duration(float64(rank%max(1, watchers)) / float64(max(1, watchers)) * float64(period))
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 )
 
@@ -26,9 +27,18 @@
 	fleets := []int{5, 26, 33, 119}
 	count, wrong, overShare, late := map[string]int{}, map[string]int{}, map[string]int{}, map[string]int{}
 	writes, most, conflicts := 0, 0, 0
-	for i := range 1000 {
-		h := newHistory(uint64(i), kinds[i%len(kinds)], fleets[i/len(kinds)%len(fleets)])
-		h.play()
+	histories := make([]*history, 1000)
+	var playing errgroup.Group
+	playing.SetLimit(3)
+	for i := range histories {
+		playing.Go(func() error {
+			histories[i] = newHistory(uint64(i), kinds[i%len(kinds)], fleets[i/len(kinds)%len(fleets)])
+			histories[i].play()
+			return nil
+		})
+	}
+	assert.NilError(t, playing.Wait())
+	for _, h := range histories {
 		count[h.kind]++
 		want := Undone
 		if h.kind == "good" {
@@ -198,7 +208,7 @@
 	r.Record(now, time.Time{}, Answer{Route: "r", New: true, Latency: time.Millisecond})
 	take := func() (string, Evidence) {
 		for range 100 {
-			if id, delta, ok := r.Take(now, 1, 2, false); ok {
+			if id, delta, ok := r.Take(now, 1, 2, 1, false); ok {
 				return id, delta
 			}
 			now = now.Add(50 * time.Millisecond)
--- a/pkg/rollout/sim_test.go
+++ b/pkg/rollout/sim_test.go
@@ -213,7 +213,7 @@
 	if !changed {
 		vm.wants = ""
 		if a != nil && !a.Final() && !a.Quiet(now) && vm.feeder == nil {
-			if id, delta, ok := vm.reporter.Take(now, vm.rank, watchers, a.Phase == Shift); ok {
+			if id, delta, ok := vm.reporter.Take(now, vm.rank, watchers, 1, a.Phase == Shift); ok {
 				if h.write(a, a.WithReport(id, delta), now) {
 					vm.reporter.Settle(id)
 				} else {
--- a/pkg/rollout/verdict.go
+++ b/pkg/rollout/verdict.go
@@ -11,6 +11,9 @@
 	verdictLevel = 1e-4
 	// minBad is the number of bad answers that a verdict needs.
 	minBad = 6
+	// minRecent is the number of recent answers that a verdict needs. A replica that stalls
+	// for some tenths of a second makes several answers slow at once.
+	minRecent = 45
 	// tolerance and toleranceFactor set the rate of bad answers that a good version
 	// may have, by that of the old one: it runs on other machines, with empty caches.
 	tolerance       = 0.03
@@ -46,7 +49,7 @@
 		if bad, why := compare(name, oldCount, newCount, allowed); bad {
 			return true, why
 		}
-		if bad, why := compare(name+" lately", oldCount, newRecent, allowed); bad {
+		if bad, why := compareRecent(name+" lately", oldCount, newRecent, allowed); bad {
 			return true, why
 		}
 		oldAll, newAll = oldAll.plus(oldCount), newAll.plus(newCount)
@@ -56,7 +59,7 @@
 	if bad, why := compare("all routes", oldAll, newAll, allowed); bad {
 		return true, why
 	}
-	return compare("all routes lately", oldAll, newRecentAll, allowed)
+	return compareRecent("all routes lately", oldAll, newRecentAll, allowed)
 }
 
 func (t Tally) count(slowFrom int) count { return count{t.bad(slowFrom), t.Answers} }
@@ -74,6 +77,13 @@
 	return true, fmt.Sprintf("%s: %d of %d answers bad, %d of %d of the old version", what, fresh.bad, fresh.answers, old.bad, old.answers)
 }
 
+func compareRecent(what string, old, fresh count, allowed float64) (bool, string) {
+	if fresh.answers < minRecent {
+		return false, ""
+	}
+	return compare(what, old, fresh, allowed)
+}
+
 // binomialTail returns the probability of at least k of n at rate p, for k above n*p;
 // else 1.
 func binomialTail(k, n int, p float64) float64 {
