rollout: count refusals as evidence, and do not finish without new replicas

What callers saw: a version that answers each request with a refusal (503, did not run) showed no evidence and would have replaced the old one; so would one whose replicas ended in the shift, after which the old ones stop.

Cause: refusals were left out as they are retried elsewhere, and the number of new replicas was checked before the shift only.

Ruled out: connections that cannot be opened as evidence: replicas that start or leave look the same.

Change: a refusal of a warm replica counts as bad; the shift ends only while half as many new replicas as old ones can be reached. Orders are watched with calls of 20 s in place of 2 s.

--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -110,7 +110,8 @@
 }
 
 // newRolloutTopics returns the topics of roll-outs, none if the settings do not have them
-// in force: reading them costs calls.
+// in force: reading them costs calls. Only the agreements need a confirmation at short
+// intervals; a VM that has missed a change of an order learns of it from them.
 func (c *controller) newRolloutTopics(store RolloutStore) []anyTopic {
 	if !c.state.settings.Rollouts {
 		return nil
@@ -121,7 +122,7 @@
 	}
 	return []anyTopic{
 		&topic[rollout.Order]{
-			name: topicRollouts, controller: c, source: store.Rollouts(), maxWatchWait: urgentWatchWait, urgent: true,
+			name: topicRollouts, controller: c, source: store.Rollouts(), maxWatchWait: longWatchWait,
 			apply: c.applyOrder, removeAbsent: c.removeAbsentOrders, currentItems: c.currentOrders,
 		},
 		c.agreements,
--- a/pkg/forward/rollout.go
+++ b/pkg/forward/rollout.go
@@ -183,10 +183,14 @@
 	if side == nil {
 		return
 	}
-	answer := rollout.Answer{Route: route, New: side.isNew, Latency: now.Sub(start), Untimed: streamed || u.Tracker.IsCold(start)}
+	cold := u.Tracker.IsCold(start)
+	answer := rollout.Answer{Route: route, New: side.isNew, Latency: now.Sub(start), Untimed: streamed || cold}
 	switch {
 	case refusal == nil && f.notRun(reply):
-		return
+		if cold || reply.Status == http.StatusMisdirectedRequest {
+			return
+		}
+		answer.Failed = true // at the same load, a good version refuses no more than the old one
 	case refusal == nil:
 		answer.Failed = reply.Status >= http.StatusBadRequest || reply.Header.Get(f.headers.Receipt) == ""
 	case refusal.RunState == errs.DidNotRun || refusal.Code == errs.MemoryLimit:
--- a/pkg/forward/rollout_test.go
+++ b/pkg/forward/rollout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -62,6 +63,8 @@
 			sends := old.requests.Load() + fresh.requests.Load()
 			assert.Assert(t, fresh.requests.Load() >= 9 && float64(fresh.requests.Load()) <= 0.05*float64(sends), "%d of %d", fresh.requests.Load(), sends)
 			assert.Assert(t, len(log.answers) >= 200-10)
+			failed := slices.ContainsFunc(log.answers, func(a rollout.Answer) bool { return a.New && a.Failed && a.Route == "plain" })
+			assert.Equal(t, failed, bad)
 			relayed := 0
 			for range 200 {
 				u, refusal := v.forwarder.pickRelayed(v.view, time.Now(), "s", &wire.RelayRequest{Usual: time.Millisecond, End: time.Hour})
--- a/pkg/rollout/machine.go
+++ b/pkg/rollout/machine.go
@@ -76,7 +76,7 @@
 	}
 	deadline := a.StartedAt.Add(a.Duration)
 	switch {
-	case a.Phase == Shift && !in.Now.Before(a.ShiftedAt.Add(a.hold())) && in.Now.Before(deadline):
+	case a.Phase == Shift && !in.Now.Before(a.ShiftedAt.Add(a.hold())) && in.Now.Before(deadline) && in.ready():
 		return a.ended(in.Now, Done, ""), true
 	case !in.Now.Before(deadline):
 		return a.ended(in.Now, Undone, fmt.Sprintf("not decided by the deadline, %d replicas of the version are ready", in.NewReplicas)), true
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -151,6 +151,7 @@
 		"no replica by the deadline":      {change: func(in *Input) { in.NewReplicas = 0 }, at: 12, phase: Undone, target: "v2", base: "v1"},
 		"shift goes on":                   {change: func(in *Input) { in.Agreement = testAgreement(Shift) }, at: 11.5},
 		"shift ends":                      {change: func(in *Input) { in.Agreement = testAgreement(Shift) }, at: 11.7, phase: Done, target: "v2", base: "v1"},
+		"new replicas have ended":         {change: func(in *Input) { in.Agreement, in.NewReplicas = testAgreement(Shift), 1 }, at: 11.8},
 		"store away until the deadline":   {change: func(in *Input) { in.Agreement = testAgreement(Shift) }, at: 40, phase: Undone, target: "v2", base: "v1"},
 		"bad in the shift":                {change: func(in *Input) { in.Agreement, in.Evidence = testAgreement(Shift), badEvidence() }, at: 11.9, phase: Undone, target: "v2", base: "v1"},
 	} {
