edge: play roll-outs of a fan-out with relays

What callers saw: nothing.

Cause: the plays had one service; shares and evidence of relayed sends, and orders for several services at once, were tested by the picks alone.

Ruled out: nothing.

Change: rolloutPlay with shards: all are rolled out at the same time, VMs are in three failure domains and the replicas in one, so that the others relay.

--- a/pkg/edge/rollout_test.go
+++ b/pkg/edge/rollout_test.go
@@ -77,12 +77,14 @@
 
 // checkBad checks the bounds on a bad version.
 func (s *rolloutSite) checkBad() {
-	old, _ := s.sent("v1", s.ordered)
-	fresh, _ := s.sent("v2", s.ordered)
-	assert.Assert(s.t, float64(fresh) <= 0.1*float64(old+fresh)+50, "%d of %d", fresh, old+fresh)
-	if len(s.badAt) >= 50 {
-		_, late := s.sent("v2", s.badAt[49].Add(5*time.Second))
-		assert.Equal(s.t, late, 0)
+	for _, service := range s.services {
+		old, _ := s.sent(service+"/v1", s.ordered)
+		fresh, _ := s.sent(service+"/v2", s.ordered)
+		assert.Assert(s.t, float64(fresh) <= 0.1*float64(old+fresh)+50, "%s: %d of %d", service, fresh, old+fresh)
+		if badAt := s.badAt[service]; len(badAt) >= 50 {
+			_, late := s.sent(service+"/v2", badAt[49].Add(5*time.Second))
+			assert.Equal(s.t, late, 0)
+		}
 	}
 }
 
@@ -94,6 +96,8 @@
 	late := bad
 	late.badFrom = 9 * time.Second
 	slow := rolloutPlay{vms: 26, slow: 4, playFor: 16 * time.Second}
+	fanOut, badFanOut := good, bad
+	fanOut.shards, badFanOut.shards = 8, 8
 	with := func(p rolloutPlay, events map[time.Duration]func(*rolloutSite)) rolloutPlay {
 		p.events = events
 		return p
@@ -104,8 +108,10 @@
 		assert.Equal(t, s.state, rollout.Succeeded)
 		assert.Assert(t, s.decided.Sub(s.ordered) <= 12*time.Second)
 		assert.Equal(t, s.broken, 0)
-		_, late := s.sent("v1", s.decided)
-		assert.Equal(t, late, 0)
+		for _, service := range s.services {
+			_, late := s.sent(service+"/v1", s.decided)
+			assert.Equal(t, late, 0)
+		}
 		assert.Equal(t, s.failed, 0)
 	}
 	rolledBack := func(s *rolloutSite) {
@@ -117,10 +123,15 @@
 		play  rolloutPlay
 		check func(s *rolloutSite)
 	}{
-		"good":             {good, succeeds},
-		"bad":              {bad, rolledBack},
-		"bad late":         {late, rolledBack},
-		"slow on 26 VMs":   {slow, rolledBack},
+		"good":           {good, succeeds},
+		"bad":            {bad, rolledBack},
+		"bad late":       {late, rolledBack},
+		"slow on 26 VMs": {slow, rolledBack},
+		"good, 8 shards": {fanOut, func(s *rolloutSite) {
+			succeeds(s)
+			assert.Assert(t, len(s.arrivals["vm1 t0/v2"]) > len(s.arrivals["vm2 t0/v2"])+len(s.arrivals["vm3 t0/v2"]), "not relayed")
+		}},
+		"bad, 8 shards":    {badFanOut, rolledBack},
 		"answers are lost": {with(good, map[time.Duration]func(*rolloutSite){0: func(s *rolloutSite) { s.fleet.store.setLoseReplies(true) }}), succeeds},
 		"store is slow":    {with(good, map[time.Duration]func(*rolloutSite){0: func(s *rolloutSite) { s.fleet.store.slow = 250 * time.Millisecond }}), succeeds},
 		"a VM starts":      {with(good, map[time.Duration]func(*rolloutSite){second(5): func(s *rolloutSite) { s.fleet.start("vm6") }}), succeeds},
@@ -128,12 +139,12 @@
 			s.fleet.store.put(memRollouts, "none", rollout.Order{Service: "none", Target: "v9", Duration: time.Second})
 		}}), succeeds},
 		"withdrawn": {with(good, map[time.Duration]func(*rolloutSite){second(9): func(s *rolloutSite) { s.fleet.store.put(memRollouts, "s", nil) }}), func(s *rolloutSite) {
-			_, late := s.sent("v2", s.ordered.Add(second(9.5)))
+			_, late := s.sent("s/v2", s.ordered.Add(second(9.5)))
 			assert.Equal(t, late, 0)
 			assert.Equal(t, s.failed, 0)
 		}},
 		"replaced": {with(good, map[time.Duration]func(*rolloutSite){second(4): func(s *rolloutSite) { s.startReplicas("v3"); s.order("v3", 12*time.Second) }}), func(s *rolloutSite) {
-			_, late := s.sent("v2", s.ordered.Add(second(4.5)))
+			_, late := s.sent("s/v2", s.ordered.Add(second(4.5)))
 			assert.Equal(t, late, 0)
 			order := s.fleet.store.copied().objects[memRollouts]["s"].value.(rollout.Order)
 			assert.Equal(t, order.Status, rollout.Status{State: rollout.Succeeded, Target: "v3"})
@@ -141,7 +152,7 @@
 		"store away for the rest": {with(late, map[time.Duration]func(*rolloutSite){
 			second(8.5): func(s *rolloutSite) { s.fleet.store.setDown(true) }, second(14): func(s *rolloutSite) { s.fleet.store.setDown(false) },
 		}), func(s *rolloutSite) {
-			_, late := s.sent("v2", s.ordered.Add(second(8.5)+rollout.Lease+100*time.Millisecond))
+			_, late := s.sent("s/v2", s.ordered.Add(second(8.5)+rollout.Lease+100*time.Millisecond))
 			assert.Equal(t, late, 0)
 			assert.Equal(t, s.state, rollout.RolledBack)
 		}},
@@ -164,7 +175,7 @@
 		"a VM is cut off": {with(good, map[time.Duration]func(*rolloutSite){second(2): func(s *rolloutSite) { s.cut[s.watcher()].Store(true) }}), func(s *rolloutSite) {
 			assert.Equal(t, s.state, rollout.Succeeded)
 			vm := s.watcher()
-			for _, at := range s.arrivals[vm+" v2"] {
+			for _, at := range s.arrivals[vm+" s/v2"] {
 				assert.Assert(t, at.Before(s.ordered.Add(second(5.1))) || at.After(s.decided), "%s", at.Sub(s.ordered))
 			}
 			assert.Assert(t, s.served[vm] > 20, "%d", s.served[vm]) // by the new replicas
@@ -172,9 +183,12 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			test.play.play(t, func(s *rolloutSite) {
-				old, _ := s.sent("v1", s.ordered)
-				fresh, _ := s.sent("v2", s.ordered)
-				t.Logf("%s after %s, %d requests to v1, %d to v2, %d bad answers, %d failed, %d conditional writes", s.state, s.decided.Sub(s.ordered), old, fresh, len(s.badAt), s.failed, s.fleet.store.rolloutWrites.Load())
+				for _, service := range s.services {
+					old, _ := s.sent(service+"/v1", s.ordered)
+					fresh, _ := s.sent(service+"/v2", s.ordered)
+					t.Logf("%s: %d requests to v1, %d to v2, %d bad answers", service, old, fresh, len(s.badAt[service]))
+				}
+				t.Logf("%s after %s, %d failed, %d conditional writes", s.state, s.decided.Sub(s.ordered), s.failed, s.fleet.store.rolloutWrites.Load())
 				test.check(s)
 			})
 		})
--- a/pkg/edge/rolloutfleet_test.go
+++ b/pkg/edge/rolloutfleet_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -28,6 +29,9 @@
 // rolloutPlay is a roll-out of service s from v1 to v2 in virtual time.
 type rolloutPlay struct {
 	vms int
+	// shards is the number of services of a fan-out in place of s, which are rolled out at
+	// the same time. VMs are then in three failure domains, and those of two relay.
+	shards int
 	// failing of 100 answers of the new version fail from badFrom on; slow multiplies the
 	// time of the others.
 	failing int
@@ -47,6 +51,8 @@
 	t       *testing.T
 	fleet   *vmFleet
 	ordered time.Time
+	// services are the services that are rolled out.
+	services []string
 
 	mu       sync.Mutex
 	random   *rand.Rand
@@ -55,7 +61,7 @@
 	cut      map[string]*atomic.Bool
 	arrivals map[string][]time.Time // by VM and version
 	broken   int                    // requests in flight at an old replica that stopped
-	badAt    []time.Time
+	badAt    map[string][]time.Time
 	served   map[string]int // by VM, in the last seconds
 	failed   int
 	state    rollout.State
@@ -64,7 +70,7 @@
 
 func (p rolloutPlay) play(t *testing.T, check func(s *rolloutSite)) {
 	t.Helper()
-	s := &rolloutSite{rolloutPlay: p, t: t, random: rand.New(rand.NewPCG(5, 5)), stopped: map[string]bool{}, conns: map[string][]net.Conn{}, cut: map[string]*atomic.Bool{}, arrivals: map[string][]time.Time{}, served: map[string]int{}}
+	s := &rolloutSite{rolloutPlay: p, t: t, random: rand.New(rand.NewPCG(5, 5)), stopped: map[string]bool{}, conns: map[string][]net.Conn{}, cut: map[string]*atomic.Bool{}, arrivals: map[string][]time.Time{}, served: map[string]int{}, badAt: map[string][]time.Time{}}
 	inVMFleet(t, 0, func(fleet *vmFleet) {
 		s.fleet, fleet.rollouts = fleet, true
 		fleet.dialReplica = func(vm string) exchange.DialFunc {
@@ -75,7 +81,24 @@
 		route := func(name string) *routes.Route {
 			return &routes.Route{Name: name, Host: "h.example", Prefix: "/" + name + "/", Idempotent: true, Timeout: 1500 * time.Millisecond, Target: 400 * time.Millisecond, Attempts: 3, Services: []routes.Weighted{{Service: "s", Weight: 1}}}
 		}
-		table, err := routes.NewTable(1, routes.Limits{BodyBytes: 1000}, []*routes.Route{route("one"), route("two")}, []*routes.Service{service})
+		all := []*routes.Route{route("one"), route("two")}
+		services := []*routes.Service{service}
+		if p.shards > 0 {
+			services = nil
+			fleet.domainOf = domainOfName
+		}
+		for i := range p.shards {
+			shard := *service
+			shard.Name = fmt.Sprint("t", i)
+			services = append(services, &shard)
+			for _, r := range all {
+				r.Shards, r.Services, r.TopK, r.MinCoverage = append(r.Shards, shard.Name), nil, 1, 0.5
+			}
+		}
+		for _, service := range services {
+			s.services = append(s.services, service.Name)
+		}
+		table, err := routes.NewTable(1, routes.Limits{BodyBytes: 1000}, all, services)
 		assert.NilError(t, err)
 		fleet.store.put(memConfigs, "main", table)
 		s.startReplicas("v1")
@@ -92,9 +115,11 @@
 }
 
 func (s *rolloutSite) startReplicas(version string) {
-	for i := range 4 {
-		id := fmt.Sprint(version, "-", i)
-		s.fleet.store.put(memReplicas, id, discovery.Replica{ID: id, Service: "s", Addr: id, Domain: "d1", Version: version, Slots: 8, Born: time.Now().UnixMilli()})
+	for _, service := range s.services {
+		for i := range 4 {
+			id := fmt.Sprint(service, "/", version, "-", i)
+			s.fleet.store.put(memReplicas, id, discovery.Replica{ID: id, Service: service, Addr: id, Domain: "d1", Version: version, Slots: 8, Born: time.Now().UnixMilli()})
+		}
 	}
 }
 
@@ -102,17 +127,21 @@
 func (s *rolloutSite) stopReplicas(version string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stopped[version] = true
-	for _, c := range s.conns[version] {
-		_ = c.Close() // ends the replica's goroutine
-	}
-	for i := range 4 {
-		s.fleet.store.put(memReplicas, fmt.Sprint(version, "-", i), nil)
+	for _, service := range s.services {
+		s.stopped[service+"/"+version] = true
+		for _, c := range s.conns[service+"/"+version] {
+			_ = c.Close() // ends the replica's goroutine
+		}
+		for i := range 4 {
+			s.fleet.store.put(memReplicas, fmt.Sprint(service, "/", version, "-", i), nil)
+		}
 	}
 }
 
 func (s *rolloutSite) order(target string, duration time.Duration) {
-	s.fleet.store.put(memRollouts, "s", rollout.Order{Service: "s", Target: target, Duration: duration})
+	for _, service := range s.services {
+		s.fleet.store.put(memRollouts, service, rollout.Order{Service: service, Target: target, Duration: duration})
+	}
 }
 
 // run gives the order, sends requests through all VMs and does what the platform does at
@@ -136,18 +165,34 @@
 		if s.everyStep != nil {
 			s.everyStep()
 		}
-		order, ok := s.fleet.store.copied().objects[memRollouts]["s"].value.(rollout.Order)
-		if ok && s.state != order.Status.State && order.Status.Target == "v2" {
-			s.state, s.decided = order.Status.State, time.Now()
-			if s.state == rollout.Succeeded {
+		s.watchStatus()
+	}
+	cancel()
+	senders.Wait()
+}
+
+// watchStatus notes the state that the last of all services has, and stops the old
+// replicas after a success.
+func (s *rolloutSite) watchStatus() {
+	states := map[rollout.State]bool{}
+	for _, service := range s.services {
+		if order, ok := s.fleet.store.copied().objects[memRollouts][service].value.(rollout.Order); ok && order.Status.Target == "v2" {
+			states[order.Status.State] = true
+		}
+	}
+	for state := range states {
+		if len(states) == 1 && state != s.state {
+			s.state, s.decided = state, time.Now()
+			if state == rollout.Succeeded {
 				s.stopReplicas("v1")
 			}
 		}
 	}
-	cancel()
-	senders.Wait()
 }
 
+// domainOfName returns one of three failure domains by the number at the end of a name.
+func domainOfName(name string) string { return fmt.Sprint("d", int(name[len(name)-1]-'0')%3) }
+
 // send sends requests through a VM, on average one in each gap.
 func (s *rolloutSite) send(ctx context.Context, vm *controllerService, gap time.Duration) {
 	name := vm.config.Settings.VM
@@ -178,24 +223,25 @@
 
 func (s *rolloutSite) dial(ctx context.Context, vm, addr string) (net.Conn, error) {
 	time.Sleep(time.Millisecond)
-	if len(addr) != len("v1-0") || addr[0] != 'v' || addr[2] != '-' {
+	group, _, isReplica := strings.Cut(addr, "-") // a service and a version
+	if !isReplica {
 		return s.fleet.dial(ctx, "", addr)
 	}
-	version := addr[:2]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stopped[version] {
+	if s.stopped[group] {
 		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
 	}
 	client, server := net.Pipe()
-	s.conns[version] = append(s.conns[version], server)
-	go s.serve(server, vm, version, addr)
+	s.conns[group] = append(s.conns[group], server)
+	go s.serve(server, vm, group, addr)
 	return client, nil
 }
 
 // serve is a replica on one connection of a VM.
-func (s *rolloutSite) serve(c net.Conn, vm, version, id string) {
+func (s *rolloutSite) serve(c net.Conn, vm, group, id string) {
 	defer c.Close()
+	service, version, _ := strings.Cut(group, "/")
 	reader := bufio.NewReader(c)
 	for {
 		request, err := http.ReadRequest(reader)
@@ -207,7 +253,7 @@
 			continue
 		}
 		s.mu.Lock()
-		s.arrivals[vm+" "+version] = append(s.arrivals[vm+" "+version], time.Now())
+		s.arrivals[vm+" "+group] = append(s.arrivals[vm+" "+group], time.Now())
 		work, status := time.Duration(15+s.random.IntN(10))*time.Millisecond, "200 OK"
 		if version == "v2" && time.Since(s.ordered) >= s.badFrom {
 			if s.random.IntN(100) < s.failing {
@@ -215,25 +261,25 @@
 			}
 			work *= time.Duration(max(1, s.slow))
 			if s.failing > 0 && status[0] == '5' || s.slow > 1 {
-				s.badAt = append(s.badAt, time.Now())
+				s.badAt[service] = append(s.badAt[service], time.Now())
 			}
 		}
 		s.mu.Unlock()
 		time.Sleep(work)
 		s.mu.Lock()
-		if s.stopped[version] {
+		if s.stopped[group] {
 			s.broken++
 		}
 		s.mu.Unlock()
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 %s\r\nId: %s\r\nReceipt: s\r\nContent-Length: 1\r\n\r\na", status, request.Header.Get("Id")) // the VM may have closed the connection
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 %s\r\nId: %s\r\nReceipt: s\r\nContent-Length: 16\r\n\r\n0123456789abcdef", status, request.Header.Get("Id")) // the VM may have closed the connection
 	}
 }
 
-// sent returns the numbers of requests that the VMs have sent to a version, and how many
+// sent returns the numbers of requests that the VMs have sent to a version of a service, and how many
 // of them later than a time.
-func (s *rolloutSite) sent(version string, after time.Time) (all, late int) {
+func (s *rolloutSite) sent(group string, after time.Time) (all, late int) {
 	for i := range s.fleet.vms {
-		for _, at := range s.arrivals[fmt.Sprint("vm", i+1, " ", version)] {
+		for _, at := range s.arrivals[fmt.Sprint("vm", i+1, " ", group)] {
 			if all++; at.After(after) {
 				late++
 			}
