edge: keep the first order of a service without versions to its share

What callers saw: nothing yet. With replicas whose entries name no version, the first order would have sent every request to the new version.

Cause: the versions in use of such a service were unknown, and an empty list of them allows every version.

Ruled out: keeping "no version" as the version in use as soon as it is seen: a seed VM of an older build passes on entries without versions.

Change: it stands for the version in use until a replica names one, and becomes that of the agreement.

--- a/pkg/edge/rollout_test.go
+++ b/pkg/edge/rollout_test.go
@@ -195,6 +195,23 @@
 	}
 }
 
+// Guards against a new version that gets every request because the replicas before the
+// first order name no version.
+func TestFirstOrderOfAServiceWithoutVersions(t *testing.T) {
+	c := newTestController(t)
+	c.state.settings.Rollouts = true
+	c.topics = c.newTopics(newMemoryStore())
+	configTopic(c).update(start, configBatch(testTable(t, 1), 1), true)
+	replicaTopic(c).update(start, storewatch.Batch[discovery.Replica]{Position: storewatch.Position{Revision: 2}, Items: []storewatch.Item[discovery.Replica]{
+		{Name: "r1", Revision: 2, Value: discovery.Replica{ID: "r1", Service: "s", Addr: "r1", Domain: "d1", Born: 1}},
+	}}, true)
+	assert.Equal(t, len(c.state.view(start).ReplicaSets["s"].Upstreams), 1)
+	c.applyOrder(start, storewatch.Item[rollout.Order]{Name: "s", Value: rollout.Order{Service: "s", Target: "v2", Duration: time.Minute}})
+	next, changed := rollout.Next(c.rolloutInput(start, "s", c.state.rollouts.service("s")))
+	assert.Assert(t, changed)
+	assert.DeepEqual(t, next.Base, []string{""})
+}
+
 // Guards against roll-outs that change anything where the settings do not have them in
 // force, and against replicas of a version that no order allows where they have.
 func TestVersionsWithoutAnOrder(t *testing.T) {
--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -58,6 +58,8 @@
 	storedRevision int64
 	// inUse holds the version that the service had when this VM saw it first.
 	inUse []string
+	// unversioned stands for it while the replicas name no version.
+	unversioned []string
 	// recorder and credit are those of the generation of the agreement.
 	recorder *rolloutRecorder
 	credit   *rollout.Credit
@@ -279,11 +281,12 @@
 	a := r.known
 	if a == nil {
 		if len(r.inUse) == 0 && len(replicas) > 0 {
-			oldest := oldestVersion(replicas)
-			if oldest == "" { // from a seed VM of an older build, which does not know versions
-				return rollout.Plan{InUse: []string{oldest}}
+			oldest := []string{oldestVersion(replicas)}
+			if oldest[0] == "" { // perhaps from a seed VM of an older build, which does not know versions
+				r.unversioned = oldest
+				return rollout.Plan{InUse: oldest}
 			}
-			r.inUse = []string{oldest}
+			r.inUse = oldest
 		}
 		return rollout.Plan{InUse: r.inUse}
 	}
--- a/pkg/edge/rolloutwrites.go
+++ b/pkg/edge/rolloutwrites.go
@@ -110,6 +110,9 @@
 // rolloutInput returns the input of the state machine.
 func (c *controller) rolloutInput(now time.Time, name string, r *serviceRollout) rollout.Input {
 	in := rollout.Input{Now: now, Order: c.usableOrder(name, r), OrderEra: c.topic(topicRollouts).position().Era, OrderRevision: r.orderRevision, Agreement: r.known, InUse: r.inUse}
+	if len(in.InUse) == 0 {
+		in.InUse = r.unversioned
+	}
 	if r.order != nil && (r.known == nil || !r.known.Final()) {
 		in.OldReplicas, in.NewReplicas = c.state.countReplicas(now, name, r)
 	}
