--- a/pkg/edge/reload.go
+++ b/pkg/edge/reload.go
@@ -54,6 +54,7 @@
 	note(s.CallersAddr != before.CallersAddr, "address for callers")
 	note(s.ReadyAddr != before.ReadyAddr, "address for the balancer")
 	note(s.PeersAddr != before.PeersAddr, "address for other VMs")
+	note(s.Rollouts != before.Rollouts, "roll-outs in the contracts")
 	note(s.StoreAddr != before.StoreAddr, "address of the store")
 	note(s.TenantsRequired != before.TenantsRequired, "contract of tenants")
 	return changed
@@ -62,6 +63,6 @@
 // keepRestartOnly restores the values that only a restart can change.
 func (s *Settings) keepRestartOnly(before Settings) {
 	s.VM, s.Domain, s.StoreAddr = before.VM, before.Domain, before.StoreAddr
-	s.TenantsRequired = before.TenantsRequired
+	s.TenantsRequired, s.Rollouts = before.TenantsRequired, before.Rollouts
 	s.CallersAddr, s.ReadyAddr, s.PeersAddr = before.CallersAddr, before.ReadyAddr, before.PeersAddr
 }
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -32,6 +32,8 @@
 	// TenantsRequired is set where tenants are in force: the configuration of a VM whose
 	// build does not pass tenants on is not used.
 	TenantsRequired bool
+	// Rollouts is set if versions of services are replaced by orders only.
+	Rollouts bool
 }
 
 // Bounds are limits set by the operators that apply to all VMs together.
@@ -61,6 +63,11 @@
 	// need a key. A Revoke of 0 stands for defaultApply.
 	StrictRevoke bool
 	Revoke       time.Duration
+	// Between order and deadline, all VMs together send a bad version at most CanaryShare
+	// of the requests to its service plus CanarySlack, and none later than Rollback after
+	// its 50th bad answer.
+	CanaryShare, CanarySlack float64
+	Rollback                 time.Duration
 }
 
 // defaultApply is the bound of the platform where the settings name none.
@@ -98,6 +105,7 @@
 	check(s.Bounds.StopGrace >= 0, "the grace time is negative")
 	check(s.Bounds.BodyStall >= 0, "the time without a byte of a body is negative")
 	check(s.Bounds.ConfigApply >= 0 && s.Bounds.Contact >= 0 && s.Bounds.Revoke >= 0, "a time bound of the configuration is negative")
+	check(s.Bounds.CanaryShare >= 0 && s.Bounds.CanaryShare <= 1 && s.Bounds.CanarySlack >= 0 && s.Bounds.Rollback >= 0, "a bound of roll-outs is negative, or their share above 1")
 	check(s.Bounds.RetryRatio >= 0 && s.Bounds.RetrySlack >= 0, "the retry budget is negative")
 	if len(problems) == 0 {
 		return nil
--- a/pkg/edge/updatesource.go
+++ b/pkg/edge/updatesource.go
@@ -198,8 +198,13 @@
 			subscription.Close()
 			continue
 		}
+		if s.controller.agreements != nil && !slices.ContainsFunc(all, func(t wire.FeedTopic) bool { return t.Name == topicAgreements }) {
+			s.log.WithField("vm", vm.Name).Info("feed of a VM not used: it does not know of roll-outs")
+			subscription.Close()
+			continue
+		}
 		verifiedAt := subscription.VerifiedAt()
-		s.confirmedAt = verifiedAt
+		s.setConfirmed(subscription)
 		s.log.WithField("vm", vm.Name).Info("subscribed to the feed of a VM")
 		s.controller.post(ctx, func(now time.Time) bool { return s.controller.applyFeed(now, all, verifiedAt) })
 		return subscription
@@ -229,6 +234,11 @@
 	defer subscription.Close()
 	stop := context.AfterFunc(ctx, subscription.Close)
 	defer stop()
+	if s.controller.agreements != nil {
+		reportCtx, stopReports := context.WithCancel(ctx)
+		defer stopReports()
+		go s.reportEvidence(reportCtx, subscription)
+	}
 	for {
 		topics, err := subscription.Next()
 		if err != nil {
@@ -236,7 +246,7 @@
 			return
 		}
 		verifiedAt := subscription.VerifiedAt()
-		s.confirmedAt = verifiedAt
+		s.setConfirmed(subscription)
 		s.controller.post(ctx, func(now time.Time) bool {
 			changed := s.controller.applyFeed(now, topics, verifiedAt)
 			s.controller.confirmFeed(verifiedAt)
@@ -245,6 +255,13 @@
 	}
 }
 
+// setConfirmed takes over when the store has confirmed the state of the sender.
+func (s *updateSource) setConfirmed(subscription *feed.Subscription) {
+	s.confirmedAt = subscription.VerifiedAt()
+	at := s.confirmedAt
+	s.controller.rolloutsFedAt.Store(&at)
+}
+
 // vms returns the known VMs by name, or nil when ctx ends.
 func (s *updateSource) vms(ctx context.Context) map[string]discovery.VM {
 	known, _ := askState(ctx, s.controller, func(s *state) map[string]discovery.VM { return maps.Clone(s.vms) })
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -142,6 +142,8 @@
 	admissionRefusals admissionRefusals
 	requestLatency    tally.Histogram
 	replicaLatency    tally.Histogram
+	// versions counts answers of services under roll-out.
+	versions map[bool]map[bool]tally.Counter
 }
 
 // Config holds what a Forwarder needs.
@@ -176,6 +178,7 @@
 			admissionRefusals: newAdmissionRefusals(scope),
 			requestLatency:    scope.Histogram("request_latency", c.Buckets),
 			replicaLatency:    scope.Histogram("replica_latency", c.Buckets),
+			versions:          versionCounters(scope),
 		},
 	}
 	f.SetBodyStall(0)
