wire, errs: messages and refusals for caps of tenants

The peer port had no message by which VMs ask each other for tokens of a cap.

A VM of an older build closes a connection with an unknown kind; the shell that follows leaves such a VM out. Caps of other VMs that cannot be calculated with (infinite, not a number) get no token: a bucket would never run empty by them.

--- a/pkg/errs/errs.go
+++ b/pkg/errs/errs.go
@@ -27,6 +27,8 @@
 	KeyReused            Code = "key_reused"
 	Overloaded           Code = "overloaded"
 	ShareExceeded        Code = "share_exceeded"
+	QuotaExceeded        Code = "quota_exceeded"
+	QuotaUnknown         Code = "quota_unknown"
 	DeadlineExceeded     Code = "deadline_exceeded"
 	OutcomeUnknown       Code = "outcome_unknown"
 	Poisoned             Code = "poisoned"
@@ -159,7 +161,7 @@
 		return http.StatusUnprocessableEntity
 	case OutcomeUnknown:
 		return http.StatusConflict
-	case ShareExceeded:
+	case ShareExceeded, QuotaExceeded:
 		return http.StatusTooManyRequests
 	case DeadlineExceeded:
 		return http.StatusGatewayTimeout
--- a/pkg/quota/members.go
+++ b/pkg/quota/members.go
@@ -89,6 +89,14 @@
 	}
 }
 
+// markCurrent ends that.
+func (m *members) markCurrent(now time.Time, name string) {
+	if k, ok := m.known[name]; ok && k.olderUntil.After(now) {
+		k.olderUntil = time.Time{}
+		m.recount(now)
+	}
+}
+
 // counts reports whether a VM counts.
 func (m *members) counts(now time.Time, name string) bool {
 	k, ok := m.known[name]
--- a/pkg/quota/node.go
+++ b/pkg/quota/node.go
@@ -48,6 +48,18 @@
 // MarkOlder leaves out a VM that does not know the messages, for a while.
 func (n *Node) MarkOlder(now time.Time, vm string) { n.members.markOlder(now, vm) }
 
+// MarkCurrent records that a VM knows the messages.
+func (n *Node) MarkCurrent(now time.Time, vm string) { n.members.markCurrent(now, vm) }
+
+// GrantingVM returns the VM that is the first to be asked for tokens of a tenant, "" if no
+// VM is known.
+func (n *Node) GrantingVM(tenant string) string {
+	if ranked := n.members.ranked(tenant); len(ranked) > 0 {
+		return ranked[0]
+	}
+	return ""
+}
+
 // Granting reports whether this VM has the right to grant.
 func (n *Node) Granting(now time.Time) bool {
 	return !n.leaving && n.own.valid(now, n.members.electors(n.self))
@@ -131,7 +143,7 @@
 // Grant answers a request for tokens. This VM grants if it has its right and all VMs
 // ranked before it are known not to grant.
 func (n *Node) Grant(now time.Time, a Ask) Grant {
-	if !a.Cap.limited() || a.Count < 1 {
+	if !a.Cap.limited() || !a.Cap.valid() || a.Count < 1 {
 		return Grant{Outcome: NotGranting}
 	}
 	ranked := n.members.ranked(a.Tenant)
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -8,7 +8,10 @@
 // window, at most (rate x window + burst) x (1 + overage) + slack requests are admitted.
 package quota
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Parts of the requests that overage and slack allow beyond rate x window + burst. Their
 // sum, with two starts in a window, is 0.93: the rest is for the time between admission
@@ -47,6 +50,11 @@
 // limited reports whether there is a limit.
 func (c Cap) limited() bool { return c.PerSecond > 0 }
 
+// valid reports whether the numbers of another VM can be calculated with.
+func (c Cap) valid() bool {
+	return !math.IsInf(c.PerSecond, 0) && !math.IsNaN(c.Burst) && !math.IsInf(c.Burst, 0)
+}
+
 // Bounds are the operators' bounds on what all VMs together admit beyond a cap.
 type Bounds struct {
 	Window time.Duration
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -62,6 +62,8 @@
 	KindRelayRequest:   func() Message { return new(RelayRequest) },
 	KindRelayReply:     func() Message { return new(RelayReply) },
 	KindForwardOpen:    func() Message { return new(ForwardOpen) },
+	KindQuotaRequest:   func() Message { return new(QuotaRequest) },
+	KindQuotaReply:     func() Message { return new(QuotaReply) },
 }
 
 // appender is an io.Writer that appends to a slice.
--- a/pkg/wire/fuzz_test.go
+++ b/pkg/wire/fuzz_test.go
@@ -18,6 +18,8 @@
 		&FeedUpdate{Topics: []FeedTopic{{Name: "replicas", Full: true, Revision: 3, Items: []FeedItem{{Name: "i", Revision: 2, Value: []byte{1}}}}}},
 		&RelayRequest{RequestID: "1", Services: []string{"a", "b"}, Left: time.Second},
 		&ForwardOpen{VM: "a"},
+		&QuotaRequest{VM: "a", Ask: &QuotaAsk{Tenant: "t", Rate: 0.5, Burst: 2, Count: 1}},
+		&QuotaReply{Outcome: 1, Count: 1, RetryAfter: time.Second},
 		&RelayReply{Records: []byte("0123456789abcdef"), Answered: []RelayAnswer{{Receipt: "r"}}, Failed: []RelayFailure{{Service: 1}}, Done: true},
 	} {
 		frame, err := Append(nil, 0, m, maxFrameBytes)
--- a/pkg/wire/messages.go
+++ b/pkg/wire/messages.go
@@ -43,9 +43,11 @@
 	KindRelayRequest
 	KindRelayReply
 	KindForwardOpen
+	KindQuotaRequest
+	KindQuotaReply
 
 	// lastKind is the highest kind that has a message type.
-	lastKind = KindForwardOpen
+	lastKind = KindQuotaReply
 )
 
 // Message is implemented by every message of the protocol.
