edge, forward: refuse requests beyond the cap of their tenant

Callers of a tenant with a cap were all served, whatever they sent: nothing enforced rate_per_s and burst.

Where the settings' contracts contain quota, each VM takes part in the caps of pkg/quota over the peer port: one connection per pair of VMs in use, requests matched by stream number. A request waits at most 20 ms for the first VM and 12 ms for each of the two after it, and a VM that did not answer is left out for 250 ms. Over the cap: 429 with the time until a token is there, plus up to the time between two tokens, at most 100 ms. If no VM answers: 503. A VM gives its right to grant back when its planned stop begins. VMs of older builds close the connection; after two such closes a VM is left out.

The request is decided after its body is in and before it adds to the budget of extra sends, so that refused requests buy no retries. A forwarded request is counted by the VM that has read its key. Tenants without a cap, and sites without the contract, do not get there.

Ruled out: deciding before the body (a token may be used for 100 ms only); admission before the cap (a tenant over its cap would fill the queue of others).

--- a/pkg/edge/callers.go
+++ b/pkg/edge/callers.go
@@ -90,6 +90,9 @@
 	s.log.Info("stopping: reporting not ready to the load balancer")
 	s.ready.stopping.Store(true)
 	s.controller.forwarder.SetCloseConnections(true)
+	if s.controller.quota != nil {
+		s.controller.quota.leave()
+	}
 	if end, ok := ctx.Deadline(); ok {
 		s.controller.forwarder.StopBy(end.Add(-lastAnswersTime))
 	}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -142,6 +142,8 @@
 	crashes    *crashReporter
 	limits     *limitReporter
 	forwarded  *forwardedServer
+	// quota is nil where no caps are in force.
+	quota *quotaService
 }
 
 func newControllerService(c Config, ready *readiness) *controllerService {
@@ -159,6 +161,10 @@
 	s := newState(c.Settings, c.Log.WithField("part", "control"), dialer.DialContext)
 	service := &controllerService{config: c, forwarder: f, prober: p, controller: newController(s, f, p, ready, ledger, c.Store, c.Log.WithField("part", "control"))}
 	service.settings.Store(&c.Settings)
+	if c.Settings.CapsInForce {
+		service.quota = newQuotaService(c.Settings.VM, c.Settings.Bounds.quota(), c.Log.WithField("part", "quota"), c.Metrics.Scope)
+		f.SetQuota(service.quota)
+	}
 	return service
 }
 
@@ -197,7 +203,7 @@
 		if err != nil {
 			return err
 		}
-		peers := &peerServer{hub: s.controller.hub, relay: s.forwarder.ServeRelay, forwarded: s.forwarded, log: s.config.Log.WithField("part", "peers")}
+		peers := &peerServer{hub: s.controller.hub, relay: s.forwarder.ServeRelay, forwarded: s.forwarded, quota: s.quota, log: s.config.Log.WithField("part", "peers")}
 		scope.Go(func(ctx context.Context) error { return peers.run(ctx, l) })
 	}
 	detector := &isolationDetector{self: s.self(), updates: updates, forwarder: s.forwarder, ready: s.controller.readiness, prober: s.prober, dial: dialer.DialContext, log: log}
@@ -206,6 +212,10 @@
 	scope.Go(func(ctx context.Context) error { detector.run(ctx); return nil })
 	watcher := s.newLinkWatcher(updates, relay.DialFunc(dialer.DialContext))
 	scope.Go(func(ctx context.Context) error { watcher.run(ctx); return nil })
+	if s.quota != nil {
+		s.quota.start(scope.Context(), updates.vms, relay.DialFunc(dialer.DialContext), s.forwarder)
+		scope.Go(func(ctx context.Context) error { s.quota.run(ctx); return nil })
+	}
 	cleaner := &vmCleaner{self: s.self(), controller: s.controller, updates: updates, store: s.config.Store, dial: dialer.DialContext, log: log, unreachableSince: map[discovery.VM]time.Time{}}
 	scope.Go(func(ctx context.Context) error { cleaner.run(ctx); return nil })
 	return nil
--- a/pkg/edge/fleet_test.go
+++ b/pkg/edge/fleet_test.go
@@ -7,17 +7,20 @@
 	"maps"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/discovery"
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/exchange"
 	"github.com/nutmeghitch/nutmeghitch/pkg/forward"
+	"github.com/nutmeghitch/nutmeghitch/pkg/quota"
 	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
 	"github.com/nutmeghitch/nutmeghitch/pkg/storewatch"
 	"github.com/nutmeghitch/nutmeghitch/pkg/wait"
@@ -241,6 +244,11 @@
 	dialReplica func(vm string) exchange.DialFunc
 	// domainOf returns the failure domain of a VM; nil if all are in one.
 	domainOf func(vm string) string
+	// withoutCaps returns whether a VM is of a build that does not know caps; nil if no
+	// VM keeps them.
+	withoutCaps func(vm string) bool
+	// withoutPeers is the VM whose connections for caps cannot be opened, "" for none.
+	withoutPeers atomic.Value
 }
 
 // inVMFleet runs f with a fleet that has started and in which all VMs are registered.
@@ -303,6 +311,17 @@
 	go vm.crashes.run(f.ctx)
 	vm.forwarded = newForwardedServer(vm.forwarder.ServeForwarded, log)
 	go func() { _ = vm.forwarded.run(f.ctx) }() // ends with ctx
+	if f.withoutCaps != nil && !f.withoutCaps(name) {
+		vm.quota = newQuotaService(name, quota.Bounds{Window: 5 * time.Second, Overage: 0.1, Slack: 20}, log, tally.NoopScope)
+		vm.quota.start(f.ctx, updates.vms, func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if f.withoutPeers.Load() == name {
+				return nil, context.DeadlineExceeded
+			}
+			return f.dial(ctx, network, addr)
+		}, vm.forwarder)
+		vm.forwarder.SetQuota(vm.quota)
+		go vm.quota.run(f.ctx)
+	}
 	go vm.newLinkWatcher(updates, f.dial).run(f.ctx)
 	return vm
 }
@@ -312,7 +331,7 @@
 	for _, vm := range f.vms {
 		if vm.config.Settings.VM == addr {
 			client, server := net.Pipe()
-			go (&peerServer{hub: vm.controller.hub, relay: vm.forwarder.ServeRelay, forwarded: vm.forwarded, log: vm.config.Log}).serve(f.ctx, server)
+			go (&peerServer{hub: vm.controller.hub, relay: vm.forwarder.ServeRelay, forwarded: vm.forwarded, quota: vm.quota, log: vm.config.Log}).serve(f.ctx, server)
 			return client, nil
 		}
 	}
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -29,13 +29,15 @@
 	maxAcceptPause = time.Second
 )
 
-// peerServer serves the connections of other VMs: feeds, relayed requests, and requests
-// that they forward for their callers.
+// peerServer serves the connections of other VMs: feeds, relayed requests, requests
+// that they forward for their callers, and the caps of tenants.
 type peerServer struct {
 	hub       *feed.Hub
 	relay     relay.Handler
 	forwarded *forwardedServer
-	log       logrus.FieldLogger
+	// quota is nil where no caps are in force.
+	quota *quotaService
+	log   logrus.FieldLogger
 }
 
 // run accepts connections until ctx ends.
@@ -67,7 +69,7 @@
 // only checks whether this one is reachable closes it without a message.
 func (s *peerServer) serve(ctx context.Context, c net.Conn) {
 	_ = c.SetReadDeadline(time.Now().Add(firstMessageTimeout)) // a closed socket fails in the read
-	_, m, err := wire.NewReader(c, maxFirstMessageBytes).Next()
+	stream, m, err := wire.NewReader(c, maxFirstMessageBytes).Next()
 	switch first := m.(type) {
 	case *wire.FeedSubscribe:
 		s.hub.Serve(ctx, c, first)
@@ -77,6 +79,12 @@
 		s.log.WithField("vm", first.VM).Info("another VM forwards requests of its callers")
 		_ = c.SetReadDeadline(time.Time{}) // a closed socket fails in the read
 		s.forwarded.serve(ctx, forwardedConn{Conn: c, readsReports: first.Reports, namesTenants: first.Tenants})
+	case *wire.QuotaRequest:
+		if s.quota == nil {
+			_ = c.Close() // nothing was sent on it
+			return
+		}
+		s.quota.serve(ctx, c, stream, first)
 	default:
 		_ = c.Close() // nothing was sent on it
 		if !errors.Is(err, net.ErrClosed) && !errors.Is(err, io.EOF) {
--- a/pkg/edge/reload.go
+++ b/pkg/edge/reload.go
@@ -32,6 +32,9 @@
 	next.keepRestartOnly(*before)
 	s.settings.Store(&next)
 	s.forwarder.SetBodyStall(next.Bounds.BodyStall)
+	if s.quota != nil {
+		s.quota.setBounds(next.Bounds.quota())
+	}
 	s.forwarder.SetTenantBounds(next.Bounds.tenantBounds())
 	s.controller.post(ctx, func(time.Time) bool {
 		s.controller.state.apply(next)
@@ -54,6 +57,7 @@
 	note(s.ReadyAddr != before.ReadyAddr, "address for the balancer")
 	note(s.PeersAddr != before.PeersAddr, "address for other VMs")
 	note(s.StoreAddr != before.StoreAddr, "address of the store")
+	note(s.CapsInForce != before.CapsInForce, "contract of caps")
 	note(s.TenantsRequired != before.TenantsRequired, "contract of tenants")
 	return changed
 }
@@ -61,6 +65,6 @@
 // keepRestartOnly restores the values that only a restart can change.
 func (s *Settings) keepRestartOnly(before Settings) {
 	s.VM, s.Domain, s.StoreAddr = before.VM, before.Domain, before.StoreAddr
-	s.TenantsRequired = before.TenantsRequired
+	s.TenantsRequired, s.CapsInForce = before.TenantsRequired, before.CapsInForce
 	s.CallersAddr, s.ReadyAddr, s.PeersAddr = before.CallersAddr, before.ReadyAddr, before.PeersAddr
 }
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
+	"github.com/nutmeghitch/nutmeghitch/pkg/quota"
 	"github.com/nutmeghitch/nutmeghitch/pkg/tenant"
 )
 
@@ -23,6 +24,9 @@
 	// Seeds are the peer addresses of some VMs. They may be out of date.
 	Seeds []string
 
+	// CapsInForce is set where the caps of tenants are in force.
+	CapsInForce bool
+
 	// Cores and MemoryBytes are the resources of the VM. A memory size of 0 means
 	// no limit.
 	Cores       int
@@ -57,6 +61,15 @@
 	// need a key. A Revoke of 0 stands for defaultApply.
 	StrictRevoke bool
 	Revoke       time.Duration
+	// In any QuotaWindow, all VMs together send replicas at most QuotaOverage more
+	// requests of a tenant than its cap, plus QuotaSlack. A window of 0 stands for 5 s.
+	QuotaWindow              time.Duration
+	QuotaOverage, QuotaSlack float64
+}
+
+// quota returns the bounds on caps.
+func (b Bounds) quota() quota.Bounds {
+	return quota.Bounds{Window: b.QuotaWindow, Overage: b.QuotaOverage, Slack: b.QuotaSlack}
 }
 
 // defaultApply is the bound of the platform where the settings name none.
@@ -94,6 +107,7 @@
 	check(s.Bounds.BodyStall >= 0, "the time without a byte of a body is negative")
 	check(s.Bounds.ConfigApply >= 0 && s.Bounds.Contact >= 0 && s.Bounds.Revoke >= 0, "a time bound of the configuration is negative")
 	check(s.Bounds.RetryRatio >= 0 && s.Bounds.RetrySlack >= 0, "the retry budget is negative")
+	check(s.Bounds.QuotaWindow >= 0 && s.Bounds.QuotaOverage >= 0 && s.Bounds.QuotaSlack >= 0, "a bound of the caps is negative")
 	if len(problems) == 0 {
 		return nil
 	}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -123,7 +123,9 @@
 	lastAnswer atomic.Int64
 	stop       *plannedStop
 	tenants    *tenantCheck
-	metrics    forwardMetrics
+	// quota holds what keeps the caps of tenants.
+	quota   atomic.Pointer[Quota]
+	metrics forwardMetrics
 }
 
 type forwardMetrics struct {
@@ -271,6 +273,9 @@
 	if q.isBlocked(time.Now()) {
 		return nil, label, crashRefusal()
 	}
+	if refusal := q.admitTenant(r.Context()); refusal != nil {
+		return nil, label, refusal
+	}
 	q.recordPrimarySends()
 	return q, label, nil
 }
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -327,3 +327,34 @@
 	assert.Equal(t, names(time.Minute+leaveDelay, young), "new ")
 	assert.Equal(t, names(2*time.Minute, old, young), "new old ")
 }
+
+// BenchmarkFleet measures the messages that each VM sends, requests and answers, with the
+// usual load of a site.
+func BenchmarkFleet(b *testing.B) {
+	for _, size := range []struct {
+		vms, tenants int
+		perSecond    float64
+	}{{33, 84, 120}, {1500, 10000, 5454}} {
+		b.Run(fmt.Sprint(size.vms), func(b *testing.B) {
+			for b.Loop() {
+				s := newSim(1, size.vms, 3, nil)
+				s.caps = drawnCaps(s.rand, size.tenants)
+				total := 0.0
+				for _, c := range s.caps {
+					total += c.PerSecond
+				}
+				for tenant, c := range s.caps {
+					rate := c.PerSecond / total * size.perSecond
+					s.caps[tenant] = Cap{PerSecond: 1.6 * rate, Burst: 1.6 * rate}
+					s.load(tenant, func() float64 { return rate }, s.anyVM)
+				}
+				s.runUntil(4 * time.Second)
+				s.messages, s.votes = 0, 0
+				s.runUntil(9 * time.Second)
+				perVM := func(n int) float64 { return float64(n) / float64(size.vms) / 5 }
+				b.ReportMetric(perVM(s.votes), "vote-messages/s/VM")
+				b.ReportMetric(perVM(s.messages-s.votes), "ask-messages/s/VM")
+			}
+		})
+	}
+}
--- a/pkg/quota/sim_test.go
+++ b/pkg/quota/sim_test.go
@@ -54,7 +54,8 @@
 	reached, refused map[string][]time.Time
 	// doubleRights counts the times at which two VMs had the right for one tenant.
 	doubleRights int
-	messages     int
+	// messages counts all that were sent, votes those about rights to grant.
+	messages, votes int
 }
 
 func newSim(seed uint64, vms, domains int, caps map[string]Cap) *sim {
@@ -114,6 +115,7 @@
 func (s *sim) sendVotes(from string, requests []VoteRequest) {
 	n, askedAt := s.nodes[from], s.now
 	for _, r := range requests {
+		s.votes += 2
 		s.deliver(from, r.To, func() {
 			other := s.nodes[r.To]
 			if other == nil {
