soak, standin: give a tenant a cap on even seeds; edge: read the VMs at once

No run of real processes had a cap. On the seeds that play with tenants, one of the two has 15 requests a second and a burst of 8, of which its callers send several times as many. Checked: in no window of 5 s do more of its requests reach replicas than cap and settings allow; some are refused; the other tenant never gets 429.

The runs showed that a VM which has just started refused the first requests of tenants with caps for up to 1.1 s with quota_unknown, because it had read the list of VMs before that was known and read it again only a second later. It now reads it each 100 ms until there is one.

--- a/cmd/nutmeghitch-soak/main.go
+++ b/cmd/nutmeghitch-soak/main.go
@@ -83,7 +83,7 @@
 	for _, violation := range result.Broken {
 		fmt.Fprintf(stdout, "seed %d BROKEN %s\n", seed, violation)
 	}
-	fmt.Fprintf(stdout, "seed %d: %d requests sent, %d served, %d promises broken\n", seed, result.Asked, result.Served, len(result.Broken))
+	fmt.Fprintf(stdout, "seed %d: %d requests sent, %d served, %.2f of a cap used, %d promises broken\n", seed, result.Asked, result.Served, result.MostOfCap, len(result.Broken))
 	return len(result.Broken) == 0
 }
 
--- a/pkg/edge/quotarun.go
+++ b/pkg/edge/quotarun.go
@@ -114,13 +114,17 @@
 
 // run takes part in the caps until ctx ends.
 func (s *quotaService) run(ctx context.Context) {
-	var listedAt, loggedAt time.Time
+	var listedAt time.Time
+	loggedAt := time.Now()
 	granting, known := false, (*routes.Table)(nil)
 	for wait.Sleep(ctx, quotaTick) {
 		now := time.Now()
 		if now.Sub(listedAt) >= quotaVMsInterval {
-			listedAt = now
-			s.setVMs(now, s.vms(ctx))
+			vms := s.vms(ctx)
+			if len(vms) > 0 { // a VM that has just started knows them soon
+				listedAt = now
+			}
+			s.setVMs(now, vms)
 		}
 		if t := s.table(); t != known {
 			known = t
--- a/pkg/soak/callers.go
+++ b/pkg/soak/callers.go
@@ -45,6 +45,8 @@
 	sets [][]string
 	// tenants is set if callers need keys.
 	tenants bool
+	// mostOfCap is the greatest part of what a window allows that has reached replicas.
+	mostOfCap float64
 
 	mu     sync.Mutex
 	served int
@@ -168,6 +170,7 @@
 
 // finish checks what can be told only when all sends have ended.
 func (c *checker) finish() {
+	c.checkCap()
 	for _, a := range c.all {
 		c.checkTenant(a)
 		ran := c.runs.ServicesOf(a.id)
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -51,6 +51,9 @@
 // Result is what a run showed.
 type Result struct {
 	Asked, Served int
+	// MostOfCap is the greatest part of what its cap and the settings allow in a window
+	// that has reached replicas of a tenant, 0 without tenants.
+	MostOfCap float64
 	// Broken holds a line for each broken promise.
 	Broken []string
 }
@@ -116,7 +119,7 @@
 	stop()
 	callers.Wait()
 	s.checker.finish()
-	return Result{Asked: len(s.checker.all), Served: s.checker.served, Broken: s.checker.broken}, nil
+	return Result{Asked: len(s.checker.all), Served: s.checker.served, MostOfCap: s.checker.mostOfCap, Broken: s.checker.broken}, nil
 }
 
 // notStarted returns the error of a run in which a VM ended, or no answer came, before
@@ -166,7 +169,7 @@
 		}
 		s.stores = append(s.stores, p)
 		if s.hasTenants() {
-			v.Contracts = []string{"tenants"}
+			v.Contracts = []string{"tenants", "quota"}
 		}
 		v.Name, v.Domain, v.StoreAddr, v.Seeds = fmt.Sprint("vm", i), fmt.Sprint("d", i%3), p.addr(), seeds
 		for _, addr := range []*string{&v.CallersAddr, &v.ReadyAddr, &v.PeersAddr} {
--- a/pkg/soak/soak_test.go
+++ b/pkg/soak/soak_test.go
@@ -54,7 +54,7 @@
 	for _, line := range r.Broken {
 		t.Error(line)
 	}
-	t.Logf("%d asked, %d served", r.Asked, r.Served)
+	t.Logf("%d asked, %d served, %.2f of a cap used", r.Asked, r.Served, r.MostOfCap)
 }
 
 // Guards against any promise that a short run with a fixed seed, or a seed that
--- a/pkg/soak/tenants.go
+++ b/pkg/soak/tenants.go
@@ -19,6 +19,10 @@
 	tenants = 2
 	// wrongKeyShare: one in so many requests has a key that no tenant holds.
 	wrongKeyShare = 15
+	// capPerSecond and capBurst are the cap of all tenants but the first, far below what
+	// the callers send, and capWindowSeconds is the window of the settings.
+	capPerSecond, capBurst = 15, 8
+	capWindowSeconds       = 5
 )
 
 // hasTenants reports whether the configurations of the run have tenants.
@@ -41,12 +45,47 @@
 		t := standin.Tenant{Name: tenantName(i), Keys: []string{lastingKey(tenantName(i))}}
 		if i == 0 {
 			t.Keys = append(t.Keys, versionKey(s.version))
+		} else {
+			t.PerSecond, t.Burst = capPerSecond, capBurst
 		}
 		all = append(all, t)
 	}
 	return all
 }
 
+// checkCap checks that no more requests of a tenant with a cap have reached replicas in a
+// window than its cap and the settings allow, whatever happened to the VMs, and that the
+// others were not refused because of one.
+func (c *checker) checkCap() {
+	var runs []time.Time
+	over := 0
+	for _, a := range c.all {
+		capped := a.tenant != "" && a.tenant != tenantName(0)
+		if a.status == http.StatusTooManyRequests {
+			if over++; !capped {
+				c.breach("%s: status 429 for %q", a.id, a.tenant)
+			}
+		}
+		if at, ran := c.runs.FirstRunOf(a.id); ran && capped {
+			runs = append(runs, at)
+		}
+	}
+	slices.SortFunc(runs, time.Time.Compare)
+	const limit = (capPerSecond*capWindowSeconds+capBurst)*1.1 + 20
+	for first, i := 0, 0; i < len(runs); i++ {
+		for runs[i].Sub(runs[first]) >= capWindowSeconds*time.Second {
+			first++
+		}
+		c.mostOfCap = max(c.mostOfCap, float64(i-first+1)/limit)
+	}
+	if c.mostOfCap > 1 {
+		c.breach("requests of a tenant with a cap: %.2f times of what a window allows", c.mostOfCap)
+	}
+	if c.tenants && over == 0 {
+		c.breach("no request was refused because of the cap")
+	}
+}
+
 // addKey adds the key of a request. A tenant that the caller names must have no effect.
 func (a *asked) addKey(h http.Header) {
 	if a.tenant == "" {
