edge, quota: wait for the first answer of all VMs that were asked for a token

Callers below their caps got 503 when the VM that keeps the bucket paused: VMs with a fifth of a core do so for up to 80 ms. The VMs were asked one after the other, an answer after 20 ms did not count for the request that had caused it, and the lapsed token was missing afterwards.

Now the next VM is asked too after 12 ms, and the first answer that decides counts for 60 ms, or half of the route's target latency.

--- a/pkg/edge/quota.go
+++ b/pkg/edge/quota.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
@@ -21,11 +22,14 @@
 )
 
 const (
-	// quotaAskTimeout is how long a request waits for the granting VM: twice the longest
-	// round trip between failure domains and a pause of a busy VM. quotaNextTimeout is
-	// that for each VM after it.
-	quotaAskTimeout  = 20 * time.Millisecond
-	quotaNextTimeout = 12 * time.Millisecond
+	// quotaAskTimeout is how long a request waits for a VM before it asks the next one too:
+	// the longest round trip between failure domains takes 7.8 ms. quotaWait is how long it
+	// waits for all: a VM with a fifth of a core may pause for up to 80 ms, and a caller
+	// that is refused comes back after quotaUnknownRetry. With 10 in 100 messages delayed
+	// by such pauses, 3.5 in 100 simulated requests below their caps are refused, 5.5 if
+	// it is 40 ms.
+	quotaAskTimeout = 12 * time.Millisecond
+	quotaWait       = 60 * time.Millisecond
 	// quotaUnknownRetry is the Retry-After of a request for which no VM answered: VMs that
 	// take over need about a second, but another VM may reach one now.
 	quotaUnknownRetry = 100 * time.Millisecond
@@ -115,7 +119,7 @@
 	case d.Verdict == quota.Refuse:
 		s.count(t, false, s.metrics.refused)
 		return errs.Refuse(errs.QuotaExceeded, "tenant %q is over its cap of %g requests a second", t.Name, t.RatePerSecond).WithRetryAfter(d.RetryAfter + quotaSpread(c))
-	case ctx.Err() != nil:
+	case errors.Is(ctx.Err(), context.Canceled):
 		return errs.Refuse(errs.Canceled, "the caller has left")
 	case s.takeReserve(t.Name, c):
 		s.count(t, true, s.metrics.reserve)
@@ -140,73 +144,107 @@
 	return rand.N(between + 1)
 }
 
-// askRanked asks the VMs that may give out tokens, one after the other. The decision has
-// the verdict AskOthers if none has decided.
+// rankedAsk is a request of a caller that waits for an answer of a ranked VM.
+type rankedAsk struct {
+	ask quota.Ask
+	// answers gets the answer of each VM that was asked. decided is set by the first one
+	// that decides; later ones are late.
+	answers chan quota.Grant
+	decided atomic.Bool
+}
+
+// decides reports whether an answer ends the request.
+func decides(g quota.Grant) bool { return g.Outcome == quota.Granted || g.Outcome == quota.OverCap }
+
+// askRanked asks the VMs that may give out tokens: the next one when one does not grant, or
+// has not answered in time. The first answer that decides counts. The decision has the
+// verdict AskOthers if there is none.
 func (s *quotaService) askRanked(ctx context.Context, d quota.Decision) quota.Decision {
-	timeout := quotaAskTimeout
-	for _, vm := range d.Ranked {
-		grant := s.ask(ctx, vm, d.Ask, timeout)
-		timeout = quotaNextTimeout
-		switch grant.Outcome {
-		case quota.Granted:
-			return quota.Decision{Verdict: quota.Admit}
-		case quota.OverCap:
-			return quota.Decision{Verdict: quota.Refuse, RetryAfter: grant.RetryAfter}
+	ctx, cancel := context.WithTimeout(ctx, quotaWait)
+	defer cancel()
+	r := &rankedAsk{ask: d.Ask, answers: make(chan quota.Grant, len(d.Ranked))}
+	timer := time.NewTimer(quotaAskTimeout)
+	defer timer.Stop()
+	ranked, waiting := d.Ranked, 0
+	var asked *quotaLink
+	for askNext := true; ; {
+		for ; askNext && len(ranked) > 0; ranked = ranked[1:] {
+			if sent, link := s.ask(ranked[0], r); sent {
+				asked, askNext = link, false
+				waiting++
+				timer.Reset(quotaAskTimeout)
+			}
+		}
+		if waiting == 0 {
+			return d
 		}
-		if ctx.Err() != nil {
-			break
+		select {
+		case g := <-r.answers:
+			if decides(g) {
+				return decisionOf(g)
+			}
+			waiting, askNext = waiting-1, true
+		case <-timer.C:
+			if askNext = true; asked != nil {
+				asked.pause(time.Now())
+			}
+		case <-ctx.Done():
+			if r.decided.CompareAndSwap(false, true) {
+				return d
+			}
+			for g := range r.answers {
+				if decides(g) {
+					return decisionOf(g)
+				}
+			}
 		}
 	}
-	return d
 }
 
-// ask asks a VM for tokens. The grant is empty if it does not answer in time.
-func (s *quotaService) ask(ctx context.Context, vm string, a quota.Ask, timeout time.Duration) quota.Grant {
+func decisionOf(g quota.Grant) quota.Decision {
+	if g.Outcome == quota.Granted {
+		return quota.Decision{Verdict: quota.Admit}
+	}
+	return quota.Decision{Verdict: quota.Refuse, RetryAfter: g.RetryAfter}
+}
+
+// ask sends a request for tokens to a VM, and returns its link unless that is this VM. It
+// reports false if the VM is not usable now.
+func (s *quotaService) ask(vm string, r *rankedAsk) (bool, *quotaLink) {
 	askedAt := time.Now()
 	if vm == s.self {
 		s.mu.Lock()
-		defer s.mu.Unlock()
-		grant := s.node.Grant(askedAt, a)
-		s.node.Answered(askedAt, askedAt, a.Tenant, grant, false)
-		return grant
+		grant := s.node.Grant(askedAt, r.ask)
+		s.mu.Unlock()
+		s.answered(askedAt, r, grant)
+		return true, nil
 	}
 	link := s.link(vm)
 	if link == nil || !link.usable(askedAt) {
-		return quota.Grant{}
+		return false, nil
 	}
 	s.metrics.asks.Inc(1)
-	// waiting is taken by the answer or by the end of the wait, whichever comes first.
-	var waiting atomic.Bool
-	waiting.Store(true)
-	answer := make(chan quota.Grant, 1)
-	request := &wire.QuotaRequest{VM: s.self, Ask: &wire.QuotaAsk{Tenant: a.Tenant, Rate: a.Cap.PerSecond, Burst: a.Cap.Burst, Count: a.Count}}
+	request := &wire.QuotaRequest{VM: s.self, Ask: &wire.QuotaAsk{Tenant: r.ask.Tenant, Rate: r.ask.Cap.PerSecond, Burst: r.ask.Cap.Burst, Count: r.ask.Count}}
 	link.send(s.ctx, request, func(reply *wire.QuotaReply) {
 		var grant quota.Grant
 		if reply != nil {
+			s.metrics.answered.Inc(1)
 			grant = quota.Grant{Outcome: quota.Outcome(reply.Outcome), Count: reply.Count, RetryAfter: reply.RetryAfter}
 		}
-		inTime := waiting.CompareAndSwap(true, false)
-		s.mu.Lock()
-		s.node.Answered(time.Now(), askedAt, a.Tenant, grant, !inTime)
-		s.mu.Unlock()
-		answer <- grant
+		s.answered(askedAt, r, grant)
 	})
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
-	select {
-	case grant := <-answer:
-		s.metrics.answered.Inc(1)
-		return grant
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	if !waiting.CompareAndSwap(true, false) {
-		return <-answer
-	}
-	if ctx.Err() == nil {
-		link.pause(time.Now())
+	return true, link
+}
+
+// answered takes the answer to a request of askedAt, empty if there is none.
+func (s *quotaService) answered(askedAt time.Time, r *rankedAsk, g quota.Grant) {
+	inTime := decides(g) && r.decided.CompareAndSwap(false, true)
+	s.mu.Lock()
+	s.node.Answered(time.Now(), askedAt, r.ask.Tenant, g, !inTime)
+	s.mu.Unlock()
+	if inTime || !decides(g) {
+		r.answers <- g
 	}
-	return quota.Grant{}
 }
 
 // serve answers the requests of another VM until its connection ends.
--- a/pkg/edge/quota_test.go
+++ b/pkg/edge/quota_test.go
@@ -105,7 +105,7 @@
 			for range 10 {
 				before := time.Now()
 				refusal := alone.quota.Admit(fleet.ctx, tenant)
-				assert.Check(t, time.Since(before) <= 2*quotaAskTimeout, "%s", time.Since(before))
+				assert.Check(t, time.Since(before) <= quotaWait, "%s", time.Since(before))
 				if refusal == nil {
 					admitted++
 					continue
@@ -141,11 +141,11 @@
 		services = append(services, s)
 	}
 	go func() { _ = (&peerServer{quota: services[1], log: log}).run(b.Context(), listener) }() // ends with the benchmark
-	ask := quota.Ask{Tenant: "t", Cap: quota.Cap{PerSecond: 1, Burst: 1}, Count: 1}
+	d := quota.Decision{Ask: quota.Ask{Tenant: "t", Cap: quota.Cap{PerSecond: 1e6, Burst: 1e6}, Count: 1}, Ranked: []string{"b"}}
 	var before, after syscall.Rusage
 	assert.NilError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &before))
 	for b.Loop() {
-		services[0].ask(b.Context(), "b", ask, time.Second)
+		services[0].askRanked(b.Context(), d)
 	}
 	assert.NilError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &after))
 	b.ReportMetric(float64(after.Utime.Nano()+after.Stime.Nano()-before.Utime.Nano()-before.Stime.Nano())/1000/float64(b.N), "cpu-us/op")
--- a/pkg/forward/quota.go
+++ b/pkg/forward/quota.go
@@ -2,16 +2,22 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/nutmeghitch/nutmeghitch/pkg/errs"
 	"github.com/nutmeghitch/nutmeghitch/pkg/routes"
 )
 
+// maxQuotaWaitShare of the target is the longest wait for other VMs: the other half is for
+// the replicas. The usual wait is a millisecond or two.
+const maxQuotaWaitShare = 0.5
+
 // Quota keeps the caps of tenants over all VMs.
 type Quota interface {
 	// Admit decides on a caller's request, which counts once whatever its sends. It
 	// returns nil, or the refusal of a request that is over the tenant's cap or whose
-	// caller has left while other VMs were asked.
+	// caller has left while other VMs were asked. It waits for these until ctx ends at
+	// the latest.
 	Admit(ctx context.Context, t *routes.Tenant) *errs.Refusal
 }
 
@@ -25,8 +31,14 @@
 	if q.tenant == nil || q.tenant.RatePerSecond <= 0 || q.vouched {
 		return nil
 	}
-	if quota := q.forwarder.quota.Load(); quota != nil && *quota != nil {
-		return (*quota).Admit(ctx, q.tenant)
+	quota := q.forwarder.quota.Load()
+	if quota == nil || *quota == nil {
+		return nil
+	}
+	if q.route.Target > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(maxQuotaWaitShare*float64(q.route.Target)))
+		defer cancel()
 	}
-	return nil
+	return (*quota).Admit(ctx, q.tenant)
 }
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -97,10 +97,17 @@
 
 // Guards against refusals of a tenant below its cap because one VM lacks a share: all of
 // its requests come to one VM, move between VMs, or are spread. A single bucket that
-// sees all requests is the measure.
+// sees all requests is the measure. Also guards against refusals because VMs pause: some
+// messages take up to 80 ms longer.
 func TestRequestsBelowTheCapAreNotRefused(t *testing.T) {
-	for _, vms := range []int{5, 33} {
+	for _, size := range []struct {
+		vms     int
+		slow    float64
+		refused int
+	}{{5, 0, 60}, {33, 0, 60}, {33, 0.02, 150}} {
+		vms := size.vms
 		s := newSim(1, vms, 3, nil)
+		s.slow = size.slow
 		s.caps = drawnCaps(s.rand, 30)
 		const from, end = 20 * time.Second, 80 * time.Second
 		ideal, requests := 0, 0
@@ -131,7 +138,7 @@
 			refused += s.refusedBetween(tenant, from, end)
 		}
 		t.Logf("%d VMs: %d requests, %d refused, %d by one bucket, %d messages", vms, requests, refused, ideal, s.messages)
-		assert.Check(t, float64(refused) <= 1.05*float64(ideal)+5, "%d VMs: %d refused, %d by one bucket", vms, refused, ideal)
+		assert.Check(t, refused <= size.refused && refused <= ideal, "%d VMs: %d refused, %d by one bucket", vms, refused, ideal)
 	}
 }
 
--- a/pkg/quota/sim_test.go
+++ b/pkg/quota/sim_test.go
@@ -11,8 +11,12 @@
 // simStart is the time at which simulations begin.
 var simStart = time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
 
-// askTimeout is how long a simulated VM waits for an answer, as the shell does.
-const askTimeout = 20 * time.Millisecond
+// askTimeout and askWait are how long a simulated VM waits for an answer before it asks
+// the next one, and for all answers, as the shell does.
+const (
+	askTimeout = 12 * time.Millisecond
+	askWait    = 60 * time.Millisecond
+)
 
 type simEvent struct {
 	at  time.Time
@@ -45,6 +49,8 @@
 	bounds Bounds
 	// nodes holds the running VMs; a restarted one is another Node.
 	nodes map[string]*Node
+	// slow is the part of messages that wait up to 80 ms for a processor.
+	slow float64
 	// cut reports whether messages from a to b are lost, loss is the part of all that are.
 	cut  func(a, b string) bool
 	loss float64
@@ -109,7 +115,11 @@
 	if s.cut(from, to) || s.rand.Float64() < s.loss {
 		return
 	}
-	s.after(500*time.Microsecond+time.Duration(s.rand.Int64N(int64(3500*time.Microsecond))), receive)
+	latency := 500*time.Microsecond + time.Duration(s.rand.Int64N(int64(3500*time.Microsecond)))
+	if s.rand.Float64() < s.slow {
+		latency += time.Duration(s.rand.Int64N(int64(80 * time.Millisecond)))
+	}
+	s.after(latency, receive)
 }
 
 func (s *sim) sendVotes(from string, requests []VoteRequest) {
@@ -152,48 +162,68 @@
 	s.after(time.Duration(s.rand.Int64N(int64(10*time.Millisecond))), func() { s.reached[tenant] = append(s.reached[tenant], s.now) })
 }
 
+// askNext asks the ranked VMs as the shell does: the next one after askTimeout or when one
+// does not grant; answers to all of them count until askWait is over.
 func (s *sim) askNext(vm string, n *Node, a Ask, ranked []string) {
-	if len(ranked) == 0 {
-		if n.TakeReserve(s.now, a.Tenant, a.Cap) {
+	began, decided, waiting, asked := s.now, false, 0, 0
+	var next func()
+	end := func(g Grant) {
+		decided = true
+		switch {
+		case g.Outcome == Granted:
+			s.admit(a.Tenant)
+		case g.Outcome != OverCap && n.TakeReserve(s.now, a.Tenant, a.Cap):
 			s.admit(a.Tenant)
-		} else {
+		default:
 			s.refused[a.Tenant] = append(s.refused[a.Tenant], s.now)
 		}
-		return
 	}
-	askedAt, to, done := s.now, ranked[0], false
-	answered := func(g Grant) {
+	answered := func(askedAt time.Time, g Grant) {
 		if s.nodes[vm] != n {
 			return
 		}
-		n.Answered(s.now, askedAt, a.Tenant, g, done)
-		if done {
+		waiting--
+		n.Answered(s.now, askedAt, a.Tenant, g, decided)
+		switch {
+		case decided:
+		case g.Outcome == Granted || g.Outcome == OverCap:
+			end(g)
+		case asked < len(ranked):
+			next()
+		case waiting == 0:
+			end(Grant{})
+		}
+	}
+	next = func() {
+		askedAt, to := s.now, ranked[asked]
+		asked++
+		waiting++
+		if to == vm {
+			answered(askedAt, n.Grant(s.now, a))
 			return
 		}
-		done = true
-		switch g.Outcome {
-		case Granted:
-			s.admit(a.Tenant)
-		case OverCap:
-			s.refused[a.Tenant] = append(s.refused[a.Tenant], s.now)
-		default:
-			s.askNext(vm, n, a, ranked[1:])
+		s.deliver(vm, to, func() {
+			if other := s.nodes[to]; other != nil {
+				g := other.Grant(s.now, a)
+				s.deliver(to, vm, func() { answered(askedAt, g) })
+			}
+		})
+		if number := asked; number < len(ranked) {
+			s.after(askTimeout, func() {
+				if !decided && asked == number && s.nodes[vm] == n {
+					next()
+				}
+			})
 		}
 	}
-	if to == vm {
-		answered(n.Grant(s.now, a))
+	if len(ranked) == 0 {
+		end(Grant{})
 		return
 	}
-	s.deliver(vm, to, func() {
-		if other := s.nodes[to]; other != nil {
-			g := other.Grant(s.now, a)
-			s.deliver(to, vm, func() { answered(g) })
-		}
-	})
-	s.after(askTimeout, func() {
-		if !done && s.nodes[vm] == n {
-			done = true
-			s.askNext(vm, n, a, ranked[1:])
+	next()
+	s.after(askWait-s.now.Sub(began), func() {
+		if !decided && s.nodes[vm] == n {
+			end(Grant{})
 		}
 	})
 }
