--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -147,6 +147,8 @@
 	forwarded  *forwardedServer
 	// clients bounds what the connections that the VM accepts hold.
 	clients *clientBudget
+	// quota is nil where no caps are in force.
+	quota *quotaService
 }
 
 func newControllerService(c Config, ready *readiness) *controllerService {
@@ -165,6 +167,10 @@
 	service := &controllerService{config: c, forwarder: f, prober: p, controller: newController(s, f, p, ready, ledger, c.Store, c.Log.WithField("part", "control"))}
 	service.settings.Store(&c.Settings)
 	service.clients = newClientBudget(c.Settings, c.Log.WithField("part", "clients"), c.Metrics.Scope)
+	if c.Settings.CapsInForce {
+		service.quota = newQuotaService(c.Settings.VM, c.Settings.Bounds.quota(), c.Log.WithField("part", "quota"), c.Metrics.Scope)
+		f.SetQuota(service.quota)
+	}
 	return service
 }
 
@@ -206,7 +212,7 @@
 			return err
 		}
 		l = s.clients.listener(connbudget.Peers, l)
-		peers := &peerServer{hub: s.controller.hub, relay: s.forwarder.ServeRelay, forwarded: s.forwarded, log: s.config.Log.WithField("part", "peers")}
+		peers := &peerServer{hub: s.controller.hub, relay: s.forwarder.ServeRelay, forwarded: s.forwarded, quota: s.quota, log: s.config.Log.WithField("part", "peers")}
 		scope.Go(func(ctx context.Context) error { return peers.run(ctx, l) })
 	}
 	detector := &isolationDetector{self: s.self(), updates: updates, forwarder: s.forwarder, ready: s.controller.readiness, prober: s.prober, dial: dialer.DialContext, log: log}
@@ -215,6 +221,10 @@
 	scope.Go(func(ctx context.Context) error { detector.run(ctx); return nil })
 	watcher := s.newLinkWatcher(updates, relay.DialFunc(dialer.DialContext))
 	scope.Go(func(ctx context.Context) error { watcher.run(ctx); return nil })
+	if s.quota != nil {
+		s.quota.start(scope.Context(), updates.vms, relay.DialFunc(dialer.DialContext), s.forwarder)
+		scope.Go(func(ctx context.Context) error { s.quota.run(ctx); return nil })
+	}
 	cleaner := &vmCleaner{self: s.self(), controller: s.controller, updates: updates, store: s.config.Store, dial: dialer.DialContext, log: log, unreachableSince: map[discovery.VM]time.Time{}}
 	scope.Go(func(ctx context.Context) error { cleaner.run(ctx); return nil })
 	return nil
