quota: admit moderate excess while it stays within the operators' bound

Cause: the bucket alone decided. What overage and slack allow was kept for changes of the granting VM.

Change: a granting VM that has had its right for a window admits requests beyond the bucket while all that the tenant has asked for in the window stays within 0.85 of the bound, and in each part of it within 1.2 times the mean. Beyond that the bucket decides for two windows.

Measured: a test plays moderate excess, many times the cap and a change of the granting VM for three caps: no window above 0.95 of the bound, nothing refused below 0.68 of it.

--- a/pkg/quota/granter.go
+++ b/pkg/quota/granter.go
@@ -56,6 +56,10 @@
 	right   right
 	reserve bucket
 	usedAt  time.Time
+	demand  demand
+	// strictUntil is how long the bucket alone decides, because the tenant has asked for
+	// more than may be tolerated.
+	strictUntil time.Time
 }
 
 // Granter keeps the buckets of tenants. It handles takeovers, after which a bucket starts
@@ -96,15 +100,19 @@
 	}
 	capacity := g.bounds.capacity(a.Cap)
 	t.bucket.fill(now, a.Cap.PerSecond, capacity)
-	if t.bucket.level < 1 {
+	t.demand.add(now, g.bounds.window(), 1)
+	if t.bucket.level < 1 && !g.tolerates(now, t, a.Cap) {
 		wait := (1 - t.bucket.level) / a.Cap.PerSecond
 		return Grant{Outcome: OverCap, RetryAfter: seconds(wait)}
 	}
 	n := 1
 	if spare := t.bucket.level - extraLevel*capacity; a.Count > 1 && spare >= 2 {
 		n = min(a.Count, int(spare))
+		t.demand.add(now, g.bounds.window(), n-1)
 	}
-	t.bucket.level -= float64(n)
+	// The debt of tolerated requests is bounded, so that a tenant is not refused for long
+	// once it asks for more.
+	t.bucket.level = max(t.bucket.level-float64(n), -a.Cap.PerSecond*g.bounds.window().Seconds()/demandSlots)
 	return Grant{Outcome: Granted, Count: n}
 }
 
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -365,3 +365,47 @@
 		})
 	}
 }
+
+// Guards against callers that are refused though their tenant asks for less than the
+// operators' bound allows, and against a tenant that breaks the bound because such requests
+// are admitted: it asks for somewhat more than its cap, then for many times that, and the
+// granting VM changes meanwhile.
+func TestModerateExcessIsAdmittedWithinTheBound(t *testing.T) {
+	bounds := Bounds{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
+	for _, c := range []Cap{{PerSecond: 0.5, Burst: 1}, {PerSecond: 6, Burst: 6}, {PerSecond: 38, Burst: 38}} {
+		allowed := c.PerSecond*5 + c.Burst + bounds.extra(c)
+		g, now := NewGranter(bounds), time.Unix(1000, 0)
+		held := right{since: now}
+		now = now.Add(10 * time.Second)
+		var granted []time.Time
+		refused := 0
+		play := func(perSecond float64, d time.Duration) {
+			for end := now.Add(d); now.Before(end); now = now.Add(time.Duration(float64(time.Second) / perSecond)) {
+				if g.Grant(now, Ask{Tenant: "t", Cap: c, Count: 1}, held).Outcome != Granted {
+					refused++
+					continue
+				}
+				granted = append(granted, now)
+				inWindow := 0
+				for _, at := range granted {
+					if now.Sub(at) < 5*time.Second {
+						inWindow++
+					}
+				}
+				assert.Assert(t, float64(inWindow) <= 0.95*allowed, "%+v: %d in a window, %.0f allowed", c, inWindow, allowed)
+			}
+		}
+		play(0.8*toleratedShare*allowed/5, 30*time.Second)
+		assert.Equal(t, refused, 0)
+		play(6*allowed/5, 30*time.Second)
+		assert.Assert(t, refused > 0)
+		g, held = NewGranter(bounds), right{since: now}
+		play(6*allowed/5, 10*time.Second)
+		held = right{since: now}
+		play(6*allowed/5, 10*time.Second)
+		refused = 0
+		now = now.Add(strictWindows * 5 * time.Second)
+		play(0.8*toleratedShare*allowed/5, 20*time.Second)
+		assert.Equal(t, refused, 0, "%+v: it asks for little again", c)
+	}
+}
