quota: grant what the operators' bound allows in a window

Cause: beyond the bucket nothing was admitted to a tenant that asks for more than 0.85 of the bound.

Change: the granting VM counts what it has granted in the window and grants up to 0.88 of the bound, with peaks bounded. A VM that has begun to grant within the last window goes by the bucket, as before: it does not know what its predecessor has granted.

--- a/pkg/quota/granter.go
+++ b/pkg/quota/granter.go
@@ -56,10 +56,7 @@
 	right   right
 	reserve bucket
 	usedAt  time.Time
-	demand  demand
-	// strictUntil is how long the bucket alone decides, because the tenant has asked for
-	// more than may be tolerated.
-	strictUntil time.Time
+	usage   usage
 }
 
 // Granter keeps the buckets of tenants. It handles takeovers, after which a bucket starts
@@ -100,19 +97,16 @@
 	}
 	capacity := g.bounds.capacity(a.Cap)
 	t.bucket.fill(now, a.Cap.PerSecond, capacity)
-	t.demand.add(now, g.bounds.window(), 1)
-	if t.bucket.level < 1 && !g.tolerates(now, t, a.Cap) {
-		wait := (1 - t.bucket.level) / a.Cap.PerSecond
-		return Grant{Outcome: OverCap, RetryAfter: seconds(wait)}
+	if !g.admits(now, t, a.Cap) {
+		return Grant{Outcome: OverCap, RetryAfter: g.retryAfter(now, t, a.Cap)}
 	}
 	n := 1
 	if spare := t.bucket.level - extraLevel*capacity; a.Count > 1 && spare >= 2 {
 		n = min(a.Count, int(spare))
-		t.demand.add(now, g.bounds.window(), n-1)
 	}
-	// The debt of tolerated requests is bounded, so that a tenant is not refused for long
-	// once it asks for more.
-	t.bucket.level = max(t.bucket.level-float64(n), -a.Cap.PerSecond*g.bounds.window().Seconds()/demandSlots)
+	t.usage.add(n)
+	// A bucket deep in debt would refuse requests long after a peak.
+	t.bucket.level = max(t.bucket.level-float64(n), -a.Cap.PerSecond*peakSlots*slotTime(g.bounds.window()).Seconds())
 	return Grant{Outcome: Granted, Count: n}
 }
 
