quota: give calm tenants spare tokens for changes of the granting VM

Change: with a token of a tenant that has used at most half of what may be granted in the window, a VM gets a spare one for two seconds, to be used only while no VM answers. Spare tokens are at most as many as were granted in that time, so that both are within the bound.

--- a/pkg/edge/quota.go
+++ b/pkg/edge/quota.go
@@ -229,7 +229,7 @@
 		var grant quota.Grant
 		if reply != nil {
 			s.metrics.answered.Inc(1)
-			grant = quota.Grant{Outcome: quota.Outcome(reply.Outcome), Count: reply.Count, RetryAfter: reply.RetryAfter}
+			grant = quota.Grant{Outcome: quota.Outcome(reply.Outcome), Count: reply.Count, RetryAfter: reply.RetryAfter, Spare: reply.Spare}
 		}
 		s.answered(askedAt, r, grant)
 	})
@@ -284,7 +284,7 @@
 	reply := &wire.QuotaReply{Outcome: uint8(quota.NotGranting)}
 	if r.Ask != nil {
 		g := s.node.Grant(now, quota.Ask{Tenant: r.Ask.Tenant, Cap: quota.Cap{PerSecond: r.Ask.Rate, Burst: r.Ask.Burst}, Count: r.Ask.Count})
-		reply.Outcome, reply.Count, reply.RetryAfter = uint8(g.Outcome), g.Count, g.RetryAfter
+		reply.Outcome, reply.Count, reply.RetryAfter, reply.Spare = uint8(g.Outcome), g.Count, g.RetryAfter, g.Spare
 	}
 	if r.Vote != nil {
 		reply.Voted = s.node.Decide(now, quota.Vote{Kind: quota.VoteKind(r.Vote.Kind), Subject: r.Vote.Subject})
--- a/pkg/quota/granter.go
+++ b/pkg/quota/granter.go
@@ -41,6 +41,8 @@
 	Count   int
 	// RetryAfter is the time until the bucket holds a token, where it is empty.
 	RetryAfter time.Duration
+	// Spare gives one more token, which may be used within spareTime while no VM answers.
+	Spare bool
 }
 
 // right is the right of this VM to grant for a tenant. It differs from an earlier one if
@@ -105,9 +107,10 @@
 		n = min(a.Count, int(spare))
 	}
 	t.usage.add(n)
+	spare := g.calm(now, t, a.Cap)
 	// A bucket deep in debt would refuse requests long after a peak.
 	t.bucket.level = max(t.bucket.level-float64(n), -a.Cap.PerSecond*peakSlots*slotTime(g.bounds.window()).Seconds())
-	return Grant{Outcome: Granted, Count: n}
+	return Grant{Outcome: Granted, Count: n, Spare: spare}
 }
 
 // GrantReserve gives out a token of the reserve, while it is not known whether another VM
--- a/pkg/quota/holder.go
+++ b/pkg/quota/holder.go
@@ -38,6 +38,9 @@
 	AskOthers
 )
 
+// maxSpares bounds the spare tokens of a tenant that a VM keeps.
+const maxSpares = 64
+
 type tokens struct {
 	n     int
 	until time.Time
@@ -52,6 +55,8 @@
 	// and usesBefore those in the one before.
 	interval         int64
 	uses, usesBefore int
+	// spares holds until when each spare token may be used.
+	spares []time.Time
 	// permit is the interval of the local reserve whose permit was used last.
 	permit int64
 	usedAt time.Time
@@ -119,6 +124,9 @@
 // the answer is late.
 func (h *Holder) Add(now, askedAt time.Time, tenant string, g Grant, late bool) {
 	t := h.tenant(now, tenant)
+	if g.Spare && len(t.spares) < maxSpares {
+		t.spares = append(t.spares, askedAt.Add(spareTime))
+	}
 	switch g.Outcome {
 	case Granted:
 		n := g.Count
@@ -129,6 +137,7 @@
 			t.tokens = append(t.tokens, tokens{n: n, until: until})
 		}
 	case OverCap:
+		t.spares = nil
 		if !late {
 			t.placeAt = now.Add(g.RetryAfter)
 			t.refusedUntil = now.Add(min(g.RetryAfter, maxRefusedTime))
@@ -136,6 +145,20 @@
 	}
 }
 
+// TakeSpare decides on a request for which no VM gave an answer, by the spare tokens of
+// earlier answers.
+func (h *Holder) TakeSpare(now time.Time, tenant string) bool {
+	t := h.tenant(now, tenant)
+	for len(t.spares) > 0 {
+		until := t.spares[0]
+		t.spares = t.spares[1:]
+		if until.After(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // TakeReserve decides on a request for which no VM gave an answer. VM number position of
 // vms has a permit in turn by the time of day, as for the request limits of replicas, so
 // that the permits of all VMs stay within their bound without a message.
--- a/pkg/quota/node.go
+++ b/pkg/quota/node.go
@@ -189,6 +189,9 @@
 
 // TakeReserve decides on a request for which no VM gave an answer.
 func (n *Node) TakeReserve(now time.Time, tenant string, c Cap) bool {
+	if n.holder.TakeSpare(now, tenant) {
+		return true
+	}
 	position := slices.IndexFunc(n.members.counted, func(vm VM) bool { return vm.Name == n.self })
 	return position >= 0 && n.holder.TakeReserve(now, tenant, c, position, len(n.members.counted))
 }
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -408,3 +408,39 @@
 		assert.Equal(t, refused, 0, "%+v: it asks for little again", c)
 	}
 }
+
+// Guards against ordinary tenants that are refused in the second in which the granting VM
+// changes, and against more spare tokens than the cap has left.
+func TestSpareTokensServeCalmTenants(t *testing.T) {
+	bounds, c := Bounds{Window: 5 * time.Second, Overage: 0.1, Slack: 20}, Cap{PerSecond: 6, Burst: 6}
+	g, h, now := NewGranter(bounds), NewHolder(bounds), time.Unix(1000, 0)
+	held, granted := right{since: now}, 0
+	now = now.Add(10 * time.Second)
+	ask := func(n int) {
+		for range n {
+			grant := g.Grant(now, Ask{Tenant: "t", Cap: c, Count: 1}, held)
+			if grant.Outcome == Granted {
+				granted++
+			}
+			h.Add(now, now, "t", grant, false)
+			now = now.Add(20 * time.Millisecond)
+		}
+	}
+	spare := func() (n int) {
+		for h.TakeSpare(now, "t") {
+			n++
+		}
+		return n
+	}
+	ask(5)
+	assert.Equal(t, spare(), 5)
+	ask(5)
+	now = now.Add(spareTime)
+	assert.Equal(t, spare(), 0, "too old")
+	now = now.Add(10 * time.Second)
+	granted = 0
+	ask(40)
+	assert.Assert(t, float64(granted+spare()) <= g.usable(c), "%d tokens and the spare ones, %.0f usable", granted, g.usable(c))
+	ask(60)
+	assert.Equal(t, spare(), 0, "the tenant is over its cap")
+}
--- a/pkg/quota/usage.go
+++ b/pkg/quota/usage.go
@@ -17,6 +17,11 @@
 	// begins within a window then meets no burst at its beginning.
 	peakFactor = 1.2
 	peakSlack  = 2
+	// calmShare is the part of the usable tokens of a window up to which a tenant is calm, and
+	// spareTime how long a spare token may be used. There are at most as many spare tokens as
+	// tokens were granted within spareTime, so that both are within the usable ones.
+	calmShare = 0.5
+	spareTime = 2 * time.Second
 )
 
 // usage counts the tokens of a tenant that were granted, by parts of the window.
@@ -62,7 +67,7 @@
 	if now.Sub(t.right.since) < window {
 		return t.bucket.level >= 1
 	}
-	usable := usableShare * (c.PerSecond*window.Seconds() + c.Burst + g.bounds.extra(c))
+	usable := g.usable(c)
 	inWindow, inPeak := t.usage.recent()
 	if float64(inWindow+1) > usable {
 		return false
@@ -70,6 +75,21 @@
 	return t.bucket.level >= 1 || float64(inPeak+1) <= peakFactor*usable*peakSlots/usageSlots+peakSlack
 }
 
+// usable returns the tokens that may be granted in a window.
+func (g *Granter) usable(c Cap) float64 {
+	return usableShare * (c.PerSecond*g.bounds.window().Seconds() + c.Burst + g.bounds.extra(c))
+}
+
+// calm reports whether a tenant uses so little that each VM that gets a token may have a spare
+// one. Spare tokens serve ordinary tenants in the second in which the granting VM changes.
+func (g *Granter) calm(now time.Time, t *tenantBuckets, c Cap) bool {
+	if now.Sub(t.right.since) < g.bounds.window() {
+		return false
+	}
+	inWindow, _ := t.usage.recent()
+	return float64(inWindow) <= calmShare*g.usable(c)
+}
+
 // retryAfter returns the time until a token of a tenant may be free that has none now.
 func (g *Granter) retryAfter(now time.Time, t *tenantBuckets, c Cap) time.Duration {
 	part := slotTime(g.bounds.window())
--- a/pkg/wire/quota.go
+++ b/pkg/wire/quota.go
@@ -34,6 +34,8 @@
 	Count      int           `msgpack:"n"`
 	RetryAfter time.Duration `msgpack:"retry"`
 	Voted      bool          `msgpack:"voted"`
+	// Spare gives a token for the time in which no VM answers.
+	Spare bool `msgpack:"spare"`
 }
 
 // Kind implements Message.
