quota: give calm tenants spare tokens within the bound

A window grants 0.85 of the bound (0.88), peaks are 1.1 times the mean (1.2), a calm tenant uses at most 0.4 (0.5) without peaks, and spare tokens live 1.2 s (2 s).

--- a/pkg/quota/usage.go
+++ b/pkg/quota/usage.go
@@ -11,17 +11,17 @@
 	// usableShare is the part of what the operators' bound allows in a window that a VM
 	// grants. The rest is for the changes of the granting VM: its successor does not know
 	// what it has granted.
-	usableShare = 0.88
+	usableShare = 0.85
 	// peakFactor and peakSlack bound the grants beyond the bucket in peakSlots parts of the
 	// window: peakFactor times the mean, and some for the chance of arrivals. A successor that
 	// begins within a window then meets no burst at its beginning.
-	peakFactor = 1.2
+	peakFactor = 1.1
 	peakSlack  = 2
 	// calmShare is the part of the usable tokens of a window up to which a tenant is calm, and
 	// spareTime how long a spare token may be used. There are at most as many spare tokens as
 	// tokens were granted within spareTime, so that both are within the usable ones.
-	calmShare = 0.5
-	spareTime = 2 * time.Second
+	calmShare = 0.4
+	spareTime = 1200 * time.Millisecond
 )
 
 // usage counts the tokens of a tenant that were granted, by parts of the window.
@@ -86,8 +86,9 @@
 	if now.Sub(t.right.since) < g.bounds.window() {
 		return false
 	}
-	inWindow, _ := t.usage.recent()
-	return float64(inWindow) <= calmShare*g.usable(c)
+	inWindow, inPeak := t.usage.recent()
+	calm := calmShare * g.usable(c)
+	return float64(inWindow) <= calm && float64(inPeak) <= peakFactor*calm*peakSlots/usageSlots+peakSlack
 }
 
 // retryAfter returns the time until a token of a tenant may be free that has none now.
