quota: tell callers a time that lies ahead

A refusal because the window is used up, while the bucket holds tokens, had a negative Retry-After (found by TestVMsKeepACapTogether). It is now the rest of the part of the window.

--- a/pkg/quota/usage.go
+++ b/pkg/quota/usage.go
@@ -98,5 +98,9 @@
 	if now.Sub(t.right.since) < g.bounds.window() {
 		return wait
 	}
-	return min(wait, part-time.Duration(now.UnixNano()%int64(part)))
+	left := part - time.Duration(now.UnixNano()%int64(part))
+	if t.bucket.level >= 1 {
+		return left // the window is used up, not the bucket
+	}
+	return min(wait, left)
 }
