--- a/pkg/connbudget/connbudget.go
+++ b/pkg/connbudget/connbudget.go
@@ -2,11 +2,11 @@
 // memory or descriptors than the machine has for them: crowds of connections, heads of
 // very many fields, bodies that stop short, and answers that nobody reads.
 //
-// Each door (a listener) has limits of its own, so that what comes in at one takes nothing
-// from the others. If a door is short, connections are closed in the order of what they
+// Each port (a listener) has limits of its own, so that what comes in at one takes nothing
+// from the others. If a port is short, connections are closed in the order of what they
 // hold times how long they have made no progress. A request that is being served is never
 // given up. An idle connection that has been served counts little, and none is closed while
-// incomplete requests and unread answers take more than a half of the door.
+// incomplete requests and unread answers take more than a half of the port.
 package connbudget
 
 import (
@@ -15,23 +15,23 @@
 	"time"
 )
 
-// Door is one listener of a process.
-type Door uint8
+// Port is one listener of a process.
+type Port uint8
 
-// The doors of a VM.
+// The ports of a VM.
 const (
 	// Callers is the listener for callers.
-	Callers Door = iota
+	Callers Port = iota
 	// Ready is the listener for the load balancer's checks and the metrics.
 	Ready
 	// Peers is the listener for other VMs.
 	Peers
-	// Doors is the number of doors.
-	Doors
+	// Ports is the number of ports.
+	Ports
 )
 
-// String returns the name of the door in logs and metrics.
-func (d Door) String() string { return [Doors]string{"callers", "ready", "peers"}[d] }
+// String returns the name of the port in logs and metrics.
+func (d Port) String() string { return [Ports]string{"callers", "ready", "peers"}[d] }
 
 const (
 	// ConnBytes is what an open connection takes at least: two buffers of 4 KB of net/http,
@@ -47,11 +47,11 @@
 	// no more than an equally large request that has been incomplete for 0.4 s.
 	idleWeight = 32
 	// rankingAge and rankedShare bound the work of a crowd: a ranking of all connections of
-	// a door serves for a 32nd of them, for 10 ms. Within 100 ms heads of very many fields
+	// a port serves for a 32nd of them, for 10 ms. Within 100 ms heads of very many fields
 	// grow to megabytes, and others were closed in their place.
 	rankingAge  = 10 * time.Millisecond
 	rankedShare = 32
-	// leavingShare of a door's bytes may belong to connections that are closed and not yet
+	// leavingShare of a port's bytes may belong to connections that are closed and not yet
 	// ended. Without a bound, a crowd of 3,000 that sent very many fields took 277 MB of 184:
 	// on one core a closed connection's goroutine waits for its turn and holds its memory.
 	leavingShare = 0.25
@@ -61,7 +61,7 @@
 	smallBytes = 2 * ConnBytes
 )
 
-// Limits bound what the connections of a door hold together. 0 means no limit.
+// Limits bound what the connections of a port hold together. 0 means no limit.
 type Limits struct {
 	Conns int
 	Bytes int64
@@ -98,7 +98,7 @@
 }
 
 type conn struct {
-	door Door
+	port Port
 	// leaving is set once the connection was told to close.
 	leaving bool
 	phase   Phase
@@ -108,7 +108,7 @@
 	bytes, unread int64
 }
 
-type door struct {
+type port struct {
 	limits Limits
 	conns  int
 	bytes  int64
@@ -121,40 +121,40 @@
 
 // Budget is what the clients of a process hold. It must not be used concurrently.
 type Budget struct {
-	doors  [Doors]door
+	ports  [Ports]port
 	conns  map[ID]*conn
 	lastID ID
 }
 
 // New returns a budget without connections.
-func New(limits [Doors]Limits) *Budget {
+func New(limits [Ports]Limits) *Budget {
 	b := &Budget{conns: map[ID]*conn{}}
 	b.SetLimits(limits)
 	return b
 }
 
 // SetLimits changes the limits. They apply to what is asked for from then on.
-func (b *Budget) SetLimits(limits [Doors]Limits) {
+func (b *Budget) SetLimits(limits [Ports]Limits) {
 	for d, l := range limits {
-		b.doors[d].limits = l
+		b.ports[d].limits = l
 	}
 }
 
-// Held returns the connections of a door and what they hold.
-func (b *Budget) Held(d Door) (conns int, bytes int64) {
-	return b.doors[d].conns, b.doors[d].bytes
+// Held returns the connections of a port and what they hold.
+func (b *Budget) Held(d Port) (conns int, bytes int64) {
+	return b.ports[d].conns, b.ports[d].bytes
 }
 
 // Open decides on a new connection and returns its ID.
-func (b *Budget) Open(now time.Time, d Door) (ID, Verdict) {
+func (b *Budget) Open(now time.Time, d Port) (ID, Verdict) {
 	verdict := b.makeRoom(now, d, 1, ConnBytes, 0)
 	if !verdict.Granted {
 		return 0, verdict
 	}
 	b.lastID++
-	b.conns[b.lastID] = &conn{door: d, phase: Receiving, since: now, bytes: ConnBytes}
-	b.doors[d].conns++
-	b.doors[d].bytes += ConnBytes
+	b.conns[b.lastID] = &conn{port: d, phase: Receiving, since: now, bytes: ConnBytes}
+	b.ports[d].conns++
+	b.ports[d].bytes += ConnBytes
 	return b.lastID, verdict
 }
 
@@ -165,14 +165,14 @@
 	if c == nil || c.leaving {
 		return Verdict{}
 	}
-	verdict := b.makeRoom(now, c.door, 0, bytes, id)
+	verdict := b.makeRoom(now, c.port, 0, bytes, id)
 	if verdict.Granted {
 		if c.phase == Idle {
 			c.phase, c.since = Receiving, now
 		}
 		c.bytes += bytes
-		b.doors[c.door].bytes += bytes
-		verdict.Wait = c.bytes > smallBytes && b.Draining(c.door)
+		b.ports[c.port].bytes += bytes
+		verdict.Wait = c.bytes > smallBytes && b.Draining(c.port)
 	}
 	return verdict
 }
@@ -185,9 +185,9 @@
 	}
 	c.bytes -= bytes
 	if c.leaving {
-		b.doors[c.door].leaving -= bytes
+		b.ports[c.port].leaving -= bytes
 	} else {
-		b.doors[c.door].bytes -= bytes
+		b.ports[c.port].bytes -= bytes
 	}
 }
 
@@ -244,28 +244,28 @@
 	}
 	delete(b.conns, id)
 	if c.leaving {
-		b.doors[c.door].leaving -= c.bytes
+		b.ports[c.port].leaving -= c.bytes
 		return
 	}
-	b.doors[c.door].conns--
-	b.doors[c.door].bytes -= c.bytes
+	b.ports[c.port].conns--
+	b.ports[c.port].bytes -= c.bytes
 }
 
 // evict marks a connection as told to close.
 func (b *Budget) evict(id ID) {
 	c := b.conns[id]
 	c.leaving = true
-	door := &b.doors[c.door]
-	door.conns--
-	door.bytes -= c.bytes
-	door.leaving += c.bytes
+	port := &b.ports[c.port]
+	port.conns--
+	port.bytes -= c.bytes
+	port.leaving += c.bytes
 }
 
 // Draining reports whether connections that were told to close still hold so much that no
 // other one should take more until some have ended.
-func (b *Budget) Draining(d Door) bool {
-	door := &b.doors[d]
-	return door.limits.Bytes > 0 && float64(door.leaving) > leavingShare*float64(door.limits.Bytes)
+func (b *Budget) Draining(d Port) bool {
+	port := &b.ports[d]
+	return port.limits.Bytes > 0 && float64(port.leaving) > leavingShare*float64(port.limits.Bytes)
 }
 
 // CloseStalled returns the connections to close because one write of their answer has taken
@@ -281,19 +281,19 @@
 	return stalled
 }
 
-// makeRoom closes connections of a door until it has room for so much more. The asker, 0
+// makeRoom closes connections of a port until it has room for so much more. The asker, 0
 // for a connection that opens, is refused where it is the next to be closed.
-func (b *Budget) makeRoom(now time.Time, d Door, conns int, bytes int64, asker ID) Verdict {
-	door, verdict, own := &b.doors[d], Verdict{}, bytes
+func (b *Budget) makeRoom(now time.Time, d Port, conns int, bytes int64, asker ID) Verdict {
+	port, verdict, own := &b.ports[d], Verdict{}, bytes
 	if c := b.conns[asker]; c != nil {
 		own += c.bytes
 	}
-	if door.limits.Bytes > 0 && own > door.limits.Bytes {
+	if port.limits.Bytes > 0 && own > port.limits.Bytes {
 		return verdict // no room however many others are closed
 	}
 	for {
-		moreConns := door.limits.Conns > 0 && door.conns+conns > door.limits.Conns
-		moreBytes := door.limits.Bytes > 0 && door.bytes+bytes > door.limits.Bytes
+		moreConns := port.limits.Conns > 0 && port.conns+conns > port.limits.Conns
+		moreBytes := port.limits.Bytes > 0 && port.bytes+bytes > port.limits.Bytes
 		if bytes <= 0 || !moreConns && !moreBytes {
 			verdict.Granted = true
 			return verdict
@@ -316,15 +316,15 @@
 }
 
 // heaviest returns the connection to close first, 0 if there is none.
-func (b *Budget) heaviest(now time.Time, d Door) ID {
-	door := &b.doors[d]
-	if now.Sub(door.rankedAt) > rankingAge {
-		door.ranked = nil
+func (b *Budget) heaviest(now time.Time, d Port) ID {
+	port := &b.ports[d]
+	if now.Sub(port.rankedAt) > rankingAge {
+		port.ranked = nil
 	}
 	for try := 0; ; try++ {
-		for len(door.ranked) > 0 {
-			next := door.ranked[0]
-			door.ranked = door.ranked[1:]
+		for len(port.ranked) > 0 {
+			next := port.ranked[0]
+			port.ranked = port.ranked[1:]
 			if c := b.conns[next.id]; c != nil && !c.leaving && c.phase == next.phase && c.since.Equal(next.since) {
 				return next.id
 			}
@@ -332,18 +332,18 @@
 		if try > 0 {
 			return 0
 		}
-		door.ranked, door.rankedAt = b.rank(now, d), now
+		port.ranked, port.rankedAt = b.rank(now, d), now
 	}
 }
 
-// rank returns the connections of a door to close first, the first one foremost. Idle
-// connections and incomplete requests each have a half of the door for themselves: while
+// rank returns the connections of a port to close first, the first one foremost. Idle
+// connections and incomplete requests each have a half of the port for themselves: while
 // one kind has more, only that kind is closed.
-func (b *Budget) rank(now time.Time, d Door) []candidate {
+func (b *Budget) rank(now time.Time, d Port) []candidate {
 	var idle, busy []candidate
 	var idleBytes, busyBytes int64
 	for id, c := range b.conns {
-		if c.door != d || c.leaving || c.phase == Serving {
+		if c.port != d || c.leaving || c.phase == Serving {
 			continue
 		}
 		next := candidate{id, c.phase, c.since, c.weight(now)}
@@ -353,7 +353,7 @@
 			busy, busyBytes = append(busy, next), busyBytes+c.bytes
 		}
 	}
-	limits := b.doors[d].limits
+	limits := b.ports[d].limits
 	exceedsHalf := func(conns int, bytes int64) bool {
 		return limits.Conns > 0 && 2*conns > limits.Conns || limits.Bytes > 0 && 2*bytes > limits.Bytes
 	}
--- a/pkg/connbudget/connbudget_test.go
+++ b/pkg/connbudget/connbudget_test.go
@@ -17,7 +17,7 @@
 // and against closing ordinary callers' idle connections before it.
 func TestCrowdGivesWayToOrdinaryCallers(t *testing.T) {
 	const limit = 100
-	b := New([Doors]Limits{Callers: {Conns: limit}})
+	b := New([Ports]Limits{Callers: {Conns: limit}})
 	ordinary, verdict := b.Open(at(0), Callers)
 	assert.Assert(t, verdict.Granted)
 	b.SetPhase(at(0), ordinary, Serving)
@@ -39,7 +39,7 @@
 // keep new callers out, nor cost one its request that is coming in.
 func TestIdleCrowdGivesWayToNewRequests(t *testing.T) {
 	const limit = 100
-	b := New([Doors]Limits{Callers: {Conns: limit}})
+	b := New([Ports]Limits{Callers: {Conns: limit}})
 	for i := range limit {
 		id, _ := b.Open(at(i), Callers)
 		b.SetPhase(at(i), id, Idle)
@@ -54,7 +54,7 @@
 // Guards against one client that holds much for long while others, which hold little or
 // have just come, are closed in its place.
 func TestLargestAndOldestIsClosedFirst(t *testing.T) {
-	b := New([Doors]Limits{Callers: {Bytes: 10 * ConnBytes}})
+	b := New([Ports]Limits{Callers: {Bytes: 10 * ConnBytes}})
 	old, _ := b.Open(at(0), Callers)
 	large, _ := b.Open(at(500), Callers)
 	assert.Assert(t, b.Hold(at(500), large, 5*ConnBytes).Granted)
@@ -65,17 +65,17 @@
 	assert.DeepEqual(t, verdict.Close, []ID{large})
 	assert.Assert(t, !b.Hold(at(1001), large, 1).Granted, "it was closed")
 	verdict = b.Hold(at(1100), fresh, 7*ConnBytes)
-	assert.Assert(t, !verdict.Granted, "the door has no room for it alone")
+	assert.Assert(t, !verdict.Granted, "the port has no room for it alone")
 	assert.Equal(t, len(verdict.Close), 0)
 	verdict = b.Hold(at(1100), fresh, 6*ConnBytes)
 	assert.Assert(t, verdict.Granted)
 	assert.DeepEqual(t, verdict.Close, []ID{old})
 }
 
-// Guards against a request that is cut off while it is served, and against a door that
+// Guards against a request that is cut off while it is served, and against a port that
 // takes more than its limit where nothing may be closed.
 func TestServedRequestsAreNotCutOff(t *testing.T) {
-	b := New([Doors]Limits{Callers: {Conns: 2}})
+	b := New([Ports]Limits{Callers: {Conns: 2}})
 	for range 2 {
 		id, _ := b.Open(at(0), Callers)
 		b.SetPhase(at(1), id, Serving)
@@ -89,7 +89,7 @@
 
 // Guards against answers that nobody reads and that are held without end.
 func TestUnreadAnswersStall(t *testing.T) {
-	b := New([Doors]Limits{})
+	b := New([Ports]Limits{})
 	unread, _ := b.Open(at(0), Callers)
 	b.SetPhase(at(0), unread, Answering)
 	other, _ := b.Open(at(0), Callers)
@@ -101,7 +101,7 @@
 // Guards against connections that are told to close faster than they end, and hold their
 // memory beside those that take their place.
 func TestClosedConnectionsCountUntilTheyEnd(t *testing.T) {
-	b := New([Doors]Limits{Callers: {Bytes: 8 * ConnBytes}})
+	b := New([Ports]Limits{Callers: {Bytes: 8 * ConnBytes}})
 	var closed []ID
 	for i := range 11 {
 		_, verdict := b.Open(at(i*100), Callers)
@@ -115,7 +115,7 @@
 // Guards against counts that drift from what the connections hold, and against limits
 // that are exceeded, over random histories.
 func TestModelHeldStaysWithinLimits(t *testing.T) {
-	limits := [Doors]Limits{Callers: {Conns: 8, Bytes: 20 * ConnBytes}, Ready: {Conns: 2, Bytes: 3 * ConnBytes}, Peers: {Conns: 4, Bytes: 8 * ConnBytes}}
+	limits := [Ports]Limits{Callers: {Conns: 8, Bytes: 20 * ConnBytes}, Ready: {Conns: 2, Bytes: 3 * ConnBytes}, Peers: {Conns: 4, Bytes: 8 * ConnBytes}}
 	rapid.Check(t, func(t *rapid.T) {
 		b, now, open := New(limits), start, []ID{}
 		closeAll := func(v Verdict) {
@@ -127,7 +127,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
 			step := rapid.IntRange(0, 5).Draw(t, "step")
 			if step == 0 || len(open) == 0 {
-				id, v := b.Open(now, Door(rapid.IntRange(0, int(Doors)-1).Draw(t, "door")))
+				id, v := b.Open(now, Port(rapid.IntRange(0, int(Ports)-1).Draw(t, "port")))
 				if closeAll(v); v.Granted {
 					open = append(open, id)
 				}
@@ -147,9 +147,9 @@
 			}
 			total := 0
 			for d, l := range limits {
-				conns, bytes := b.Held(Door(d))
+				conns, bytes := b.Held(Port(d))
 				total += conns
-				assert.Assert(t, conns <= l.Conns && bytes <= l.Bytes && bytes >= int64(conns)*ConnBytes, "%s: %d, %d", Door(d), conns, bytes)
+				assert.Assert(t, conns <= l.Conns && bytes <= l.Bytes && bytes >= int64(conns)*ConnBytes, "%s: %d, %d", Port(d), conns, bytes)
 			}
 			assert.Equal(t, total, len(open))
 		}
--- a/pkg/edge/callers.go
+++ b/pkg/edge/callers.go
@@ -121,13 +121,13 @@
 }
 
 // serve listens on addr and runs the server in a goroutine of the scope. Its connections
-// count against the share of the door.
-func serve(scope *kernel.Scope, server *http.Server, addr string, clients *clientBudget, door connbudget.Door) error {
+// count against the share of the port.
+func serve(scope *kernel.Scope, server *http.Server, addr string, clients *clientBudget, port connbudget.Port) error {
 	listener, err := listen(addr)
 	if err != nil {
 		return err
 	}
-	listener = clients.listener(door, listener)
+	listener = clients.listener(port, listener)
 	scope.Go(func(context.Context) error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return err
--- a/pkg/edge/clientbudget.go
+++ b/pkg/edge/clientbudget.go
@@ -27,29 +27,29 @@
 	// sendBufferBytes bounds the part of an answer that the system holds for a connection;
 	// by itself it grows to 4 MB. It carries 16 MB a second at a round trip of 8 ms.
 	sendBufferBytes = 128 << 10
-	// minDoorConns is the least limit of the connections of a door: a balancer keeps a few,
+	// minPortConns is the least limit of the connections of a port: a balancer keeps a few,
 	// and a few VMs connect at a time.
-	minDoorConns = 16
+	minPortConns = 16
 )
 
-// doorShares divide the memory for clients, and the VM's descriptors, between the doors.
+// portShares divide the memory for clients, and the VM's descriptors, between the ports.
 // The rest of the descriptors is for connections to replicas and the store, and of other
 // VMs. Those count only until their first message: 118 VMs keep four connections each for
 // relays.
-var doorShares = [connbudget.Doors]struct{ memory, descriptors float64 }{
+var portShares = [connbudget.Ports]struct{ memory, descriptors float64 }{
 	connbudget.Callers: {0.7, 0.45},
 	connbudget.Ready:   {0.1, 0.05},
 	connbudget.Peers:   {0.2, 0.05},
 }
 
-// clientLimits returns the limits of the doors. Settings without memory or descriptors set
+// clientLimits returns the limits of the ports. Settings without memory or descriptors set
 // none.
-func clientLimits(s Settings) [connbudget.Doors]connbudget.Limits {
-	var limits [connbudget.Doors]connbudget.Limits
-	for d, share := range doorShares {
+func clientLimits(s Settings) [connbudget.Ports]connbudget.Limits {
+	var limits [connbudget.Ports]connbudget.Limits
+	for d, share := range portShares {
 		limits[d].Bytes = int64(share.memory * clientMemoryShare * float64(s.MemoryBytes))
 		if s.Descriptors > 0 {
-			limits[d].Conns = max(minDoorConns, int(share.descriptors*float64(s.Descriptors)))
+			limits[d].Conns = max(minPortConns, int(share.descriptors*float64(s.Descriptors)))
 		}
 	}
 	return limits
@@ -58,7 +58,7 @@
 // clientBudget applies a connbudget.Budget to the connections that the VM accepts.
 type clientBudget struct {
 	log     logrus.FieldLogger
-	metrics [connbudget.Doors]doorMetrics
+	metrics [connbudget.Ports]portMetrics
 
 	mu     sync.Mutex
 	budget *connbudget.Budget
@@ -66,10 +66,10 @@
 	// ended is signalled when connections have ended or were told to.
 	ended *sync.Cond
 	// closed and refused count since the last report.
-	closed, refused [connbudget.Doors]int64
+	closed, refused [connbudget.Ports]int64
 }
 
-type doorMetrics struct {
+type portMetrics struct {
 	closed, refused tally.Counter
 	conns, bytes    tally.Gauge
 }
@@ -78,8 +78,8 @@
 	b := &clientBudget{log: log, budget: connbudget.New(clientLimits(s)), conns: map[connbudget.ID]*clientConn{}}
 	b.ended = sync.NewCond(&b.mu)
 	for d := range b.metrics {
-		tagged := scope.SubScope("clients").Tagged(map[string]string{"door": connbudget.Door(d).String()})
-		b.metrics[d] = doorMetrics{
+		tagged := scope.SubScope("clients").Tagged(map[string]string{"port": connbudget.Port(d).String()})
+		b.metrics[d] = portMetrics{
 			closed: tagged.Counter("closed"), refused: tagged.Counter("refused"),
 			conns: tagged.Gauge("connections"), bytes: tagged.Gauge("held_bytes"),
 		}
@@ -94,7 +94,7 @@
 	b.budget.SetLimits(clientLimits(s))
 }
 
-// run closes connections whose answers are not read, and reports what the doors hold,
+// run closes connections whose answers are not read, and reports what the ports hold,
 // until ctx ends.
 func (b *clientBudget) run(ctx context.Context) {
 	for wait.Sleep(ctx, expiryCheckInterval) {
@@ -130,10 +130,10 @@
 	}
 }
 
-// report updates the metrics, and writes a line for each door at which connections were
+// report updates the metrics, and writes a line for each port at which connections were
 // closed or refused since the last report.
 func (b *clientBudget) report() {
-	for d := range connbudget.Doors {
+	for d := range connbudget.Ports {
 		b.mu.Lock()
 		conns, bytes := b.budget.Held(d)
 		closed, refused := b.closed[d], b.refused[d]
@@ -145,7 +145,7 @@
 		if closed+refused > 0 {
 			m.closed.Inc(closed)
 			m.refused.Inc(refused)
-			b.log.WithFields(logrus.Fields{"door": d.String(), "closed": closed, "refused": refused, "connections": conns, "held_bytes": bytes}).Warn("clients hold more than their share: connections closed")
+			b.log.WithFields(logrus.Fields{"port": d.String(), "closed": closed, "refused": refused, "connections": conns, "held_bytes": bytes}).Warn("clients hold more than their share: connections closed")
 		}
 	}
 }
@@ -161,7 +161,7 @@
 	for _, id := range ids {
 		if c := b.conns[id]; c != nil {
 			delete(b.conns, id)
-			b.closed[c.door]++
+			b.closed[c.port]++
 			victims = append(victims, c)
 		}
 	}
@@ -178,7 +178,7 @@
 
 // apply carries out a verdict and reports whether the connection that asked got what it
 // asked for. b.mu must be held, and is released.
-func (b *clientBudget) apply(verdict connbudget.Verdict, d connbudget.Door) bool {
+func (b *clientBudget) apply(verdict connbudget.Verdict, d connbudget.Port) bool {
 	victims := b.remove(verdict.Close)
 	if !verdict.Granted {
 		b.refused[d]++
@@ -192,7 +192,7 @@
 // and reports whether c is still counted. Their goroutines need the processor for that.
 // b.mu must be held.
 func (b *clientBudget) awaitDrained(c *clientConn) bool {
-	for b.budget.Draining(c.door) && b.conns[c.id] == c {
+	for b.budget.Draining(c.port) && b.conns[c.id] == c {
 		b.ended.Wait()
 	}
 	return b.conns[c.id] == c
@@ -213,15 +213,15 @@
 type clientListener struct {
 	net.Listener
 	budget *clientBudget
-	door   connbudget.Door
+	port   connbudget.Port
 }
 
 // listener returns l bounded by the budget. Without a budget it is l itself.
-func (b *clientBudget) listener(d connbudget.Door, l net.Listener) net.Listener {
+func (b *clientBudget) listener(d connbudget.Port, l net.Listener) net.Listener {
 	if b == nil {
 		return l
 	}
-	return &clientListener{Listener: l, budget: b, door: d}
+	return &clientListener{Listener: l, budget: b, port: d}
 }
 
 // Accept implements net.Listener.
@@ -235,7 +235,7 @@
 		if !ok {
 			return c, nil // only sockets have the buffers and descriptors to bound
 		}
-		if client := l.budget.open(l.door, tcp); client != nil {
+		if client := l.budget.open(l.port, tcp); client != nil {
 			return client, nil
 		}
 	}
@@ -243,8 +243,8 @@
 
 // open returns the connection counted against the budget, or closes it and returns nil if
 // the budget has no place.
-func (b *clientBudget) open(d connbudget.Door, tcp *net.TCPConn) *clientConn {
-	c := &clientConn{TCPConn: tcp, budget: b, door: d}
+func (b *clientBudget) open(d connbudget.Port, tcp *net.TCPConn) *clientConn {
+	c := &clientConn{TCPConn: tcp, budget: b, port: d}
 	c.head.begin()
 	b.mu.Lock()
 	id, verdict := b.budget.Open(time.Now(), d)
--- a/pkg/edge/clientbudget_test.go
+++ b/pkg/edge/clientbudget_test.go
@@ -16,9 +16,9 @@
 	"github.com/nutmeghitch/nutmeghitch/pkg/connbudget"
 )
 
-// startDoor returns the address of a server whose connections count against the callers'
+// startPort returns the address of a server whose connections count against the callers'
 // share of a VM with so much memory. It answers with the length of the body.
-func startDoor(t *testing.T, memoryBytes int64) string {
+func startPort(t *testing.T, memoryBytes int64) string {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -60,15 +60,15 @@
 }
 
 // Guards against a single legal request that is refused although nothing is wrong, and
-// against one that the door has no memory for and that is not refused with a 503.
+// against one that the port has no memory for and that is not refused with a 503.
 func TestRequestsAreRefusedOnlyBeyondTheShare(t *testing.T) {
 	manyFields := "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", 4000) + "\r\n"
 	longBody := fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", 256<<10, strings.Repeat("\n", 256<<10))
 	ordinary := "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 
-	large := startDoor(t, 184<<20)
+	large := startPort(t, 184<<20)
 	assert.DeepEqual(t, ask(t, large, longBody, manyFields, ordinary), []int{200, 200, 200})
-	small := startDoor(t, 1<<20)
+	small := startPort(t, 1<<20)
 	assert.DeepEqual(t, ask(t, small, manyFields), []int{503})
 	assert.DeepEqual(t, ask(t, small, longBody), []int{503})
 	assert.DeepEqual(t, ask(t, small, ordinary, ordinary), []int{200, 200})
@@ -102,7 +102,7 @@
 	budget := newClientBudget(Settings{Descriptors: 100}, log, tally.NoopScope)
 	bounded := budget.listener(connbudget.Peers, l)
 	defer bounded.Close()
-	for range 2 * minDoorConns {
+	for range 2 * minPortConns {
 		vm, err := net.Dial("tcp", l.Addr().String())
 		assert.NilError(t, err)
 		defer vm.Close()
--- a/pkg/edge/clientconn.go
+++ b/pkg/edge/clientconn.go
@@ -32,7 +32,7 @@
 	*net.TCPConn
 	budget *clientBudget
 	id     connbudget.ID
-	door   connbudget.Door
+	port   connbudget.Port
 	head   headLines
 	// lastLines is the number of line ends in what was read last, if it may still be in the
 	// buffer of the server.
@@ -102,7 +102,7 @@
 		return n, err
 	}
 	c.refused = true
-	if inHead && c.door != connbudget.Peers {
+	if inHead && c.port != connbudget.Peers {
 		c.refuse()
 		return 0, io.EOF
 	}
@@ -115,7 +115,7 @@
 	b := c.budget
 	b.mu.Lock()
 	verdict := b.budget.Hold(time.Now(), c.id, n)
-	if granted := b.apply(verdict, c.door); !verdict.Wait {
+	if granted := b.apply(verdict, c.port); !verdict.Wait {
 		return granted
 	}
 	b.mu.Lock()
@@ -198,7 +198,7 @@
 func (c *clientConn) RequestReceived() {
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
-	if c.door != connbudget.Peers {
+	if c.port != connbudget.Peers {
 		c.budget.budget.SetPhase(time.Now(), c.id, connbudget.Serving)
 		return
 	}
