--- a/pkg/forward/tenant.go
+++ b/pkg/forward/tenant.go
@@ -165,7 +165,7 @@
 
 // omitsHeader reports whether a header field of the caller is not sent on. Where tenants
 // are in force, this VM alone names the tenant, and the key stays here. Replicas behind an
-// interface that turns field names into variables read X_Tenant as X-Tenant.
+// interface that turns field names into variables read an underscore as a hyphen.
 func (f *Forwarder) omitsHeader(name string, table *routes.Table) bool {
 	if hopByHopHeaders[name] || name == f.headers.RequestID || name == f.headers.Deadline || name == f.headers.TargetReplica {
 		return true
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -18,7 +18,7 @@
 const (
 	Running    State = "running"
 	Succeeded  State = "succeeded"
-	RolledBack State = "rolled_back"
+	RolledBack State = "rolled back"
 )
 
 // Status is what the tier writes into an order.
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -172,7 +172,7 @@
 		}
 		s.stores = append(s.stores, p)
 		if s.hasTenants() {
-			v.Contracts = []string{"tenants", "quota"}
+			v.Contracts = append(slices.Clone(v.Contracts), "tenants", "quota")
 		}
 		v.Name, v.Domain, v.StoreAddr, v.Seeds = fmt.Sprint("vm", i), fmt.Sprint("d", i%3), p.addr(), seeds
 		for _, addr := range []*string{&v.CallersAddr, &v.ReadyAddr, &v.PeersAddr} {
