fake: restore a word of the data set

A rename of identifiers had changed a word of the demo's data set; TestSessions failed in each run since (its golden files hold the text).

--- a/pkg/fake/dataset_sites.go
+++ b/pkg/fake/dataset_sites.go
@@ -27,7 +27,7 @@
 	kinds := []string{"wheelchair", "escort", "guide", "lift", "buggy"}
 	airlines := []string{"KQ", "P2", "JM", "UR", "ET", "TC"}
 	names := []string{"Achieng", "Barasa", "Chebet", "Kamau", "Mwende", "Njeri", "Otieno", "Wanjiku"}
-	notes := []string{"uses own chair", "blind, travels with cane", "hearing aid", "needs lift to port",
+	notes := []string{"uses own chair", "blind, travels with cane", "hearing aid", "needs lift to door",
 		"two bags to carry", "meets family at arrivals", "connecting flight", "guide dog"}
 	records := make([]Record, n)
 	for i := range records {
