--- a/pkg/hedge/hedge.go
+++ b/pkg/hedge/hedge.go
@@ -180,7 +180,7 @@
 // RecordPrimarySends adds the deposits for n primary sends to the budget.
 func (p *Policy) RecordPrimarySends(n int) {
 	if p.window != nil {
-		p.window.add(int64(max(0, n)), 0)
+		p.window.addPrimary(int64(max(0, n)))
 		return
 	}
 	add := int64(max(0, n)) * p.depositUnits.Load()
--- a/pkg/hedge/window.go
+++ b/pkg/hedge/window.go
@@ -52,13 +52,11 @@
 	return w.current
 }
 
-// add counts primary sends and extra attempts.
-func (w *windowBudget) add(primary, extra int64) {
+// addPrimary counts primary sends.
+func (w *windowBudget) addPrimary(n int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	i := w.advance() % (windowSlots + 1)
-	w.primary[i] += primary
-	w.extra[i] += extra
+	w.primary[w.advance()%(windowSlots+1)] += n
 }
 
 // take counts extra attempts if that leaves at least floor of the budget, in units of an
